--- /dev/null
+++ b/crates/shallotroute/src/main.rs
@@ -0,0 +1,3 @@
+//! The node program.
+
+fn main() {}
--- /dev/null
+++ b/crates/shallotroute_ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The program for operators and auditors.
+
+fn main() {}
--- /dev/null
+++ b/crates/shallotroute_http/src/server.rs
@@ -0,0 +1,82 @@
+//! An HTTP server that finishes open requests when it drains.
+
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+
+use futures::future::BoxFuture;
+use http::{Request, Response};
+use hyper::{body::Incoming, service::service_fn};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::{conn::auto::Builder, graceful::GracefulShutdown},
+};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+use crate::body::Body;
+
+/// Answers requests.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers one request from `peer`.
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        peer: SocketAddr,
+    ) -> BoxFuture<'static, Response<Body>>;
+}
+
+/// How long a client may take to send the head of a request.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The most headers of one request.
+const MAX_HEADERS: usize = 100;
+
+/// Serves HTTP/1.1 and HTTP/2 without TLS on `listener` until `drain` is cancelled, then finishes the
+/// open requests and returns.
+pub async fn serve(listener: TcpListener, handler: Arc<dyn Handler>, drain: CancellationToken) {
+    let graceful = GracefulShutdown::new();
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .max_headers(MAX_HEADERS);
+    builder.http2().timer(TokioTimer::new());
+    loop {
+        let accepted = tokio::select! {
+            () = drain.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, peer)) = accepted else {
+            // Accept fails while the process is out of file descriptors; a pause lets some close.
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        spawn_connection(&builder, &graceful, &handler, stream, peer);
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+fn spawn_connection(
+    builder: &Builder<TokioExecutor>,
+    graceful: &GracefulShutdown,
+    handler: &Arc<dyn Handler>,
+    stream: TcpStream,
+    peer: SocketAddr,
+) {
+    let _ = stream.set_nodelay(true);
+    let handler = Arc::clone(handler);
+    let service = service_fn(move |request| {
+        let answer = Arc::clone(&handler).handle(request, peer);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let connection = builder
+        .serve_connection_with_upgrades(TokioIo::new(stream), service)
+        .into_owned();
+    let connection = graceful.watch(connection);
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            spdlog::debug!("connection of {} ended early: {}", peer, error);
+        }
+    });
+}
--- /dev/null
+++ b/crates/shallotroute_lease/src/lib.rs
@@ -0,0 +1,1 @@
+//! Leases, fencing numbers and commands to engines.
--- /dev/null
+++ b/crates/shallotroute_membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Which nodes are alive: heartbeats, suspicion, incarnations.
--- /dev/null
+++ b/crates/shallotroute_node/src/lib.rs
@@ -0,0 +1,1 @@
+//! Puts the parts of a node together.
--- /dev/null
+++ b/crates/shallotroute_peer/src/lib.rs
@@ -0,0 +1,5 @@
+//! Connections between nodes: heartbeats over UDP and typed calls over TCP.
+
+pub mod codec;
+pub mod service;
+pub mod stream;
--- /dev/null
+++ b/crates/shallotroute_peer/src/service.rs
@@ -0,0 +1,38 @@
+//! The services that share a node's TCP port; the first byte of a connection names one.
+
+use derive_more::Display;
+
+/// A service of a node to other nodes.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum Kind {
+    /// Revisions of the configuration.
+    #[display("configuration")]
+    Configuration,
+    /// Records of non-idempotent requests.
+    #[display("requests")]
+    Requests,
+    /// Trainers' steps.
+    #[display("rollouts")]
+    Rollouts,
+}
+
+impl Kind {
+    /// Returns the first byte of a connection to this service.
+    pub const fn byte(self) -> u8 {
+        match self {
+            Self::Configuration => 1,
+            Self::Requests => 2,
+            Self::Rollouts => 3,
+        }
+    }
+
+    /// Returns the service that a first byte names.
+    pub const fn from_byte(byte: u8) -> Option<Self> {
+        match byte {
+            1 => Some(Self::Configuration),
+            2 => Some(Self::Requests),
+            3 => Some(Self::Rollouts),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallotroute_rollout/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions on trainers' steps: samples, staleness, provenance, delivery, swaps.
--- /dev/null
+++ b/crates/shallotroute_routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions on callers' requests: route, admission, selection, retry, identity.
--- /dev/null
+++ b/crates/shallotroute_settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! A node's settings and their check.
