config, control, ctl: check, publication, adoption and administration HTTP

Cause: the crates were stubs; no object could be published or put in force. Change: reading of YAML with places, consistency check, record and parts with hashes, state machines of publication and adoption, the Configuration service between nodes, /admin/v1/ and shallotctl. Conclusion: a set published with shallotctl comes into force on three nodes. Faults are not tested yet.

--- /dev/null
+++ b/crates/shallotroute_config/src/adoption.rs
@@ -0,0 +1,393 @@
+//! How a node learns of revisions, gets them and puts them in force.
+//!
+//! A revision comes into force only when enough other nodes hold it, and a node that starts applies
+//! nothing before it has read the head or heard from enough other nodes. Together these keep a node
+//! from returning to an earlier revision after a restart, although nodes store nothing.
+
+use std::{
+    collections::VecDeque,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use shallotroute_types::{member::Member, revision::Revision};
+
+use crate::{
+    bundle::{Bundle, Head},
+    snapshot::Snapshot,
+};
+
+mod message;
+mod roster;
+
+pub use message::{Action, Call, Event, Held, Local, Origin, Report};
+use roster::Roster;
+
+/// How long one watch of the head waits.
+pub const WATCH_WAIT: Duration = Duration::from_secs(5);
+
+/// How long a read of the head confirms the configuration.
+pub const CONFIRMATION: Duration = Duration::from_secs(6);
+
+/// The time between a watcher's reads of the head, which find what a lost watch missed.
+const READ_INTERVAL: Duration = Duration::from_secs(2);
+
+/// The time between reads of the head by a node that is not established.
+const START_READ_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The time between comparisons with a random member.
+const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How many members are told at once of a revision that the node has just got.
+const FANOUT: usize = 3;
+
+/// How many members a starting node asks at once; a bound on its connections in a large fleet.
+const START_COMPARISONS: usize = 64;
+
+/// How long a starting node collects members before it trusts their answers. It is longer than the
+/// 3 s after which the others declare a silent node dead, so none of them counts what the node held
+/// before its restart.
+const SETTLE: Duration = Duration::from_secs(4);
+
+/// The pause after a failed watch or load.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// How many revisions that are not in force are kept. A burst of publications would starve a node
+/// that keeps only the newest one, since nobody else holds that one yet.
+const MAX_PENDING: usize = 16;
+
+/// The revisions of one node.
+#[derive(Debug)]
+pub struct Adoption {
+    local: Local,
+    roster: Roster,
+    /// Oldest first; all are newer than the one in force.
+    pending: VecDeque<Held>,
+    in_force: Option<Held>,
+    applied: Option<Instant>,
+    head: Option<Head>,
+    version: u64,
+    established: bool,
+    /// No revision below it comes into force.
+    floor: Revision,
+    started: Instant,
+    read_at: Option<Instant>,
+    watching: bool,
+    reading: bool,
+    fetching: bool,
+    next_watch: Instant,
+    next_read: Instant,
+    next_fetch: Instant,
+    next_compare: Instant,
+    load_failed: bool,
+    rejected: u64,
+}
+
+impl Adoption {
+    /// Makes the state of a node that has just started.
+    pub fn new(local: Local, now: Instant) -> Self {
+        Self {
+            roster: Roster::new(local.clone()),
+            local,
+            pending: VecDeque::new(),
+            in_force: None,
+            applied: None,
+            head: None,
+            version: 0,
+            established: false,
+            floor: Revision::default(),
+            started: now,
+            read_at: None,
+            watching: false,
+            reading: false,
+            fetching: false,
+            next_watch: now,
+            next_read: now,
+            next_fetch: now,
+            next_compare: now,
+            load_failed: false,
+            rejected: 0,
+        }
+    }
+
+    /// Takes an event and returns what to do.
+    pub fn handle(&mut self, event: Event, now: Instant, rng: &mut ChaCha8Rng) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match event {
+            Event::Members(view) => self.roster.set_view(view),
+            Event::Hosts(names) => self.roster.set_listed(names),
+            Event::Head {
+                call,
+                version,
+                head,
+                asked,
+            } => self.on_head(call, version, head, asked),
+            Event::HeadFailed(call) => self.on_head_failed(call, now, rng),
+            Event::Arrived { origin, bundle } => {
+                self.fetching = false;
+                if self.on_arrived(origin, bundle, now) {
+                    self.compare(FANOUT, &mut actions, rng);
+                }
+            }
+            Event::Reported(report) => drop(self.roster.report(report)),
+            Event::Tick => {}
+        }
+        self.establish(now);
+        self.ask_head(now, &mut actions, rng);
+        self.ask_revision(now, &mut actions, rng);
+        self.ask_peers(now, &mut actions, rng);
+        self.apply(now, &mut actions);
+        actions
+    }
+
+    /// Returns the newest revision that the node holds.
+    pub fn known(&self) -> Revision {
+        self.newest()
+            .map(|held| held.snapshot.revision())
+            .unwrap_or_default()
+    }
+
+    /// Returns the newest revision that the node holds, with its bytes.
+    pub fn newest(&self) -> Option<&Held> {
+        self.pending.back().or(self.in_force.as_ref())
+    }
+
+    /// Returns the revision in force.
+    pub fn in_force(&self) -> Option<&Held> {
+        self.in_force.as_ref()
+    }
+
+    /// Returns when the revision in force came into force.
+    pub fn applied(&self) -> Option<Instant> {
+        self.applied
+    }
+
+    /// Returns the newest head that the node has read itself.
+    pub fn head(&self) -> Option<&Head> {
+        self.head.as_ref()
+    }
+
+    /// Returns how many revisions were refused because of a wrong hash or an unreadable content.
+    pub fn rejected(&self) -> u64 {
+        self.rejected
+    }
+
+    /// Tells whether the node knows of every revision that it had in force before its start.
+    pub fn is_established(&self) -> bool {
+        self.established
+    }
+
+    /// Tells whether the node watches the head for its availability zone.
+    pub fn is_watcher(&self) -> bool {
+        self.roster.is_watcher()
+    }
+
+    /// Returns how long ago the configuration was confirmed; none if never.
+    pub fn confirmation_age(&self, now: Instant) -> Option<Duration> {
+        if !self.established {
+            return None;
+        }
+        match self.roster.majority() {
+            true => Some(Duration::ZERO),
+            false => self.read_at.map(|read| now.saturating_duration_since(read)),
+        }
+    }
+
+    /// Tells whether the node may take new work.
+    pub fn is_confirmed(&self, now: Instant) -> bool {
+        self.confirmation_age(now)
+            .is_some_and(|age| age < CONFIRMATION)
+    }
+
+    /// Returns what other nodes are told.
+    pub fn report(&self) -> Report {
+        Report {
+            node: self.local.id.clone(),
+            incarnation: self.local.incarnation,
+            known: self.known(),
+            in_force: revision(self.in_force.as_ref()),
+            established: self.established && self.known() >= self.floor,
+        }
+    }
+
+    fn on_head(&mut self, call: Call, version: u64, head: Head, asked: Instant) {
+        self.ended(call);
+        self.read_at = self.read_at.max(Some(asked));
+        self.established = true;
+        self.floor = self.floor.max(head.revision);
+        // Two reads may end in the other order.
+        if version >= self.version {
+            self.version = version;
+            self.head = Some(head);
+        }
+    }
+
+    fn on_head_failed(&mut self, call: Call, now: Instant, rng: &mut ChaCha8Rng) {
+        self.ended(call);
+        if call == Call::Watch {
+            self.next_watch = now + jitter(RETRY_PAUSE, rng);
+        }
+    }
+
+    fn ended(&mut self, call: Call) {
+        match call {
+            Call::Watch => self.watching = false,
+            Call::Read => self.reading = false,
+        }
+    }
+
+    /// Keeps a revision if it is whole and newer than all that the node holds.
+    fn on_arrived(&mut self, origin: Origin, bundle: Option<Bundle>, now: Instant) -> bool {
+        self.load_failed = false;
+        match bundle.map(|bundle| (bundle.open(), bundle)) {
+            Some((Ok(snapshot), bundle)) if self.is_acceptable(&snapshot) => {
+                self.pending.push_back(Held {
+                    snapshot: Arc::new(snapshot),
+                    bundle: Arc::new(bundle),
+                    origin,
+                    since: now,
+                });
+                if self.pending.len() > MAX_PENDING {
+                    self.pending.pop_front();
+                }
+                return true;
+            }
+            Some((Ok(snapshot), _)) if snapshot.revision() <= self.known() => {}
+            Some(_) => self.rejected += 1,
+            None => {}
+        }
+        self.next_fetch = now + RETRY_PAUSE;
+        match origin {
+            Origin::Store => self.load_failed = true,
+            Origin::Peer(peer) => self.roster.fail(&peer, now),
+        }
+        false
+    }
+
+    /// Tells whether a revision is newer than all that the node holds and agrees with the head that
+    /// the node has read.
+    fn is_acceptable(&self, snapshot: &Snapshot) -> bool {
+        snapshot.revision() > self.known()
+            && self.head.as_ref().is_none_or(|head| {
+                head.revision != snapshot.revision() || head.record.as_ref() == Some(&snapshot.hash)
+            })
+    }
+
+    fn establish(&mut self, now: Instant) {
+        if self.established || now < self.started + SETTLE || !self.roster.majority() {
+            return;
+        }
+        if let Some(newest) = self.roster.quorum() {
+            self.established = true;
+            self.floor = self.floor.max(newest);
+        }
+    }
+
+    fn ask_head(&mut self, now: Instant, actions: &mut Vec<Action>, rng: &mut ChaCha8Rng) {
+        let watch_due = !self.watching && now >= self.next_watch;
+        let read_due = !self.reading && now >= self.next_read;
+        if !watch_due && !read_due {
+            return;
+        }
+        let watcher = self.roster.is_watcher();
+        if watch_due && !watcher {
+            self.next_watch = now + RETRY_PAUSE;
+        } else if watch_due {
+            self.watching = true;
+            actions.push(Action::Watch {
+                known: self.version,
+                wait: WATCH_WAIT,
+            });
+        }
+        let interval = match self.established {
+            true => READ_INTERVAL,
+            false => START_READ_INTERVAL,
+        };
+        if read_due {
+            self.next_read = now + jitter(interval, rng);
+            // A node without a majority can be confirmed only by its own reads.
+            if watcher || !self.established || !self.roster.majority() {
+                self.reading = true;
+                actions.push(Action::Read);
+            }
+        }
+    }
+
+    fn ask_revision(&mut self, now: Instant, actions: &mut Vec<Action>, rng: &mut ChaCha8Rng) {
+        if self.fetching || now < self.next_fetch {
+            return;
+        }
+        let known = self.known();
+        let head = self.head.as_ref().filter(|head| head.revision > known);
+        let load = head.and_then(|head| head.record.clone());
+        let fetch = self.roster.source(known, now, rng);
+        let prefers_store = self.roster.is_watcher() && !self.load_failed;
+        let action = match (load, fetch) {
+            (Some(hash), None) => Action::Load(hash),
+            (Some(hash), Some(_)) if prefers_store => Action::Load(hash),
+            (_, Some((member, revision))) => Action::Fetch {
+                peer: member.id.clone(),
+                address: member.address,
+                revision,
+            },
+            (None, None) => return,
+        };
+        self.fetching = true;
+        actions.push(action);
+    }
+
+    fn ask_peers(&mut self, now: Instant, actions: &mut Vec<Action>, rng: &mut ChaCha8Rng) {
+        if now < self.next_compare {
+            return;
+        }
+        self.next_compare = now + jitter(COMPARE_INTERVAL, rng);
+        match self.established {
+            true => self.compare(1, actions, rng),
+            false => {
+                let silent = self.roster.unanswered().take(START_COMPARISONS);
+                actions.extend(silent.map(compare));
+            }
+        }
+    }
+
+    fn compare(&self, count: usize, actions: &mut Vec<Action>, rng: &mut ChaCha8Rng) {
+        actions.extend(self.roster.sample(count, rng).into_iter().map(compare));
+    }
+
+    /// Puts the newest pending revision in force that enough other nodes hold.
+    fn apply(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if !self.established {
+            return;
+        }
+        let ready = self.pending.iter().rposition(|held| {
+            let revision = held.snapshot.revision();
+            revision >= self.floor && self.roster.is_replicated(revision)
+        });
+        let Some(index) = ready else { return };
+        let held = self.pending.drain(..=index).next_back();
+        if let Some(held) = held {
+            actions.push(Action::Apply(Arc::clone(&held.snapshot)));
+            self.in_force = Some(held);
+            self.applied = Some(now);
+        }
+    }
+}
+
+fn revision(held: Option<&Held>) -> Revision {
+    held.map(|held| held.snapshot.revision())
+        .unwrap_or_default()
+}
+
+fn compare(member: &Member) -> Action {
+    Action::Compare {
+        peer: member.id.clone(),
+        address: member.address,
+    }
+}
+
+/// Returns three quarters to five quarters of a duration, so that nodes don't call in step.
+fn jitter(duration: Duration, rng: &mut ChaCha8Rng) -> Duration {
+    duration.mul_f64(rng.random_range(0.75..=1.25))
+}
--- /dev/null
+++ b/crates/shallotroute_config/src/document.rs
@@ -0,0 +1,261 @@
+//! Reading of operators' YAML files into objects that know their place in the text.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde_yaml_ng::{Mapping, Value};
+
+use crate::{
+    finding::{Finding, Severity},
+    object::{Object, Server},
+    place,
+};
+
+/// A file of an operator.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Source {
+    /// The name that findings show.
+    pub file: String,
+    /// YAML documents, separated by `---`.
+    pub text: String,
+}
+
+/// An object with its place.
+#[derive(Clone, Debug)]
+pub struct Document {
+    /// The object.
+    pub object: Object,
+    /// The text that it was read from.
+    pub place: Place,
+}
+
+/// The text of one document and where it stands.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// The file.
+    pub file: Arc<str>,
+    /// The line of the file on which the text starts, from 1.
+    pub start: usize,
+    /// The text.
+    pub text: Arc<str>,
+}
+
+impl Place {
+    /// Makes a finding about `field` of the object.
+    pub fn finding(
+        &self,
+        severity: Severity,
+        object: &str,
+        field: &str,
+        message: impl Into<String>,
+    ) -> Finding {
+        Finding {
+            severity,
+            object: object.to_owned(),
+            field: field.to_owned(),
+            file: self.file.to_string(),
+            line: self.start + place::line(&self.text, field),
+            message: message.into(),
+        }
+    }
+}
+
+impl Document {
+    /// Returns the object's identity as `kind/name`.
+    pub fn identity(&self) -> String {
+        format!("{}/{}", self.object.kind(), self.object.name())
+    }
+
+    /// Returns the line of the file on which the object starts.
+    pub fn line(&self) -> usize {
+        self.place.start + place::line(&self.place.text, "")
+    }
+
+    /// Makes a finding about a field.
+    pub fn finding(&self, severity: Severity, field: &str, message: impl Into<String>) -> Finding {
+        self.place
+            .finding(severity, &self.identity(), field, message)
+    }
+}
+
+/// Reads all documents of all files; a document with a finding yields no object.
+pub fn read(sources: &[Source]) -> (Vec<Document>, Vec<Finding>) {
+    let mut documents = Vec::new();
+    let mut findings = Vec::new();
+    for place in sources.iter().flat_map(split) {
+        match read_one(&place) {
+            Ok(Some(object)) => documents.push(Document { object, place }),
+            Ok(None) => {}
+            Err(mut more) => findings.append(&mut more),
+        }
+    }
+    (documents, findings)
+}
+
+/// Splits a file at its document markers, which YAML allows only at the start of a line.
+fn split(source: &Source) -> Vec<Place> {
+    let file: Arc<str> = Arc::from(source.file.as_str());
+    let mut places = Vec::new();
+    let mut text = String::new();
+    let mut start = 1;
+    for (index, line) in source.text.lines().enumerate() {
+        if line == "---" || line.starts_with("--- ") || line == "..." {
+            places.push((start, std::mem::take(&mut text)));
+            start = index + 1;
+            // The rest of the marker's line belongs to the next document.
+            text.push_str(line.trim_start_matches(['-', '.']));
+        } else {
+            text.push_str(line);
+        }
+        text.push('\n');
+    }
+    places.push((start, text));
+    places
+        .into_iter()
+        .map(|(start, text)| Place {
+            file: Arc::clone(&file),
+            start,
+            text: text.into(),
+        })
+        .collect()
+}
+
+fn read_one(place: &Place) -> Result<Option<Object>, Vec<Finding>> {
+    let fault = |field: &str, message: String| {
+        vec![place.finding(Severity::Error, "document", field, message)]
+    };
+    // Empty lines in front make the library's messages name the lines of the file.
+    let text = "\n".repeat(place.start - 1) + &place.text;
+    let value: Value = match serde_yaml_ng::from_str(&text) {
+        Ok(value) => value,
+        Err(error) => {
+            let mut findings = fault("", format!("not readable as YAML: {error}"));
+            if let Some(location) = error.location() {
+                findings[0].line = location.line();
+            }
+            return Err(findings);
+        }
+    };
+    match value {
+        Value::Null => Ok(None),
+        Value::Mapping(mapping) => read_mapping(place, mapping).map(Some),
+        Value::Bool(_)
+        | Value::Number(_)
+        | Value::String(_)
+        | Value::Sequence(_)
+        | Value::Tagged(_) => Err(fault("", "an object should be a mapping of fields".into())),
+    }
+}
+
+fn read_mapping(place: &Place, mut mapping: Mapping) -> Result<Object, Vec<Finding>> {
+    let object = label(&mapping);
+    let mut faults = Vec::new();
+    read_servers(&mut mapping, &mut faults);
+    match read_fields::<Object>(mapping, "", &mut faults) {
+        Some(object) if faults.is_empty() => Ok(object),
+        Some(_) | None => Err(faults
+            .into_iter()
+            .map(|(field, message)| place.finding(Severity::Error, &object, &field, message))
+            .collect()),
+    }
+}
+
+fn label(mapping: &Mapping) -> String {
+    let text = |key: &str| mapping.get(key).and_then(Value::as_str);
+    match (text("kind"), text("name")) {
+        (Some(kind), Some(name)) => format!("{kind}/{name}"),
+        (Some(kind), None) => kind.to_owned(),
+        (None, Some(_) | None) => "document".to_owned(),
+    }
+}
+
+/// Reads the servers of a pool one by one, so that each fault has its path, and removes faulty ones.
+fn read_servers(mapping: &mut Mapping, faults: &mut Vec<(String, String)>) {
+    let Some(Value::Sequence(servers)) = mapping.get_mut("servers") else {
+        return;
+    };
+    let mut index = 0;
+    servers.retain(|server| {
+        let prefix = format!("servers[{index}].");
+        index += 1;
+        match server {
+            Value::Mapping(fields) => {
+                let before = faults.len();
+                read_fields::<Server>(fields.clone(), &prefix, faults);
+                faults.len() == before
+            }
+            Value::Null
+            | Value::Bool(_)
+            | Value::Number(_)
+            | Value::String(_)
+            | Value::Sequence(_)
+            | Value::Tagged(_) => {
+                let path = prefix.trim_end_matches('.').to_owned();
+                faults.push((path, "a server should be a mapping of fields".into()));
+                false
+            }
+        }
+    });
+}
+
+/// Reads fields and collects all their faults. serde stops at the first fault, so the field that
+/// causes it is removed and the rest is read again.
+fn read_fields<T: DeserializeOwned>(
+    mut mapping: Mapping,
+    prefix: &str,
+    faults: &mut Vec<(String, String)>,
+) -> Option<T> {
+    loop {
+        let message = match parse::<T>(&mapping) {
+            Ok(value) => return Some(value),
+            Err(message) => message,
+        };
+        let Some(key) = cause::<T>(&mapping, &message) else {
+            push_general(message, prefix, faults);
+            return None;
+        };
+        let name = key.as_str().unwrap_or("").to_owned();
+        faults.push((format!("{prefix}{name}"), message));
+        if name == "kind" {
+            return None;
+        }
+        mapping.remove(&key);
+    }
+}
+
+/// Returns the field without which the fault does not appear.
+fn cause<T: DeserializeOwned>(mapping: &Mapping, message: &str) -> Option<Value> {
+    if message.starts_with("missing field") {
+        return None;
+    }
+    let causes = |key: &&Value| {
+        let mut rest = mapping.clone();
+        rest.remove(*key);
+        parse::<T>(&rest).err().is_none_or(|other| other != message)
+    };
+    // Without the kind any fault becomes another one, so the kind is the last to be blamed.
+    let kind = Value::from("kind");
+    let (kinds, fields): (Vec<&Value>, Vec<&Value>) = mapping.keys().partition(|key| **key == kind);
+    fields.into_iter().chain(kinds).find(causes).cloned()
+}
+
+fn parse<T: DeserializeOwned>(mapping: &Mapping) -> Result<T, String> {
+    serde_yaml_ng::from_value(Value::Mapping(mapping.clone())).map_err(|error| error.to_string())
+}
+
+/// Adds a fault that no present field causes, unless it only follows from a removed field.
+fn push_general(message: String, prefix: &str, faults: &mut Vec<(String, String)>) {
+    let missing = message
+        .strip_prefix("missing field `")
+        .and_then(|rest| rest.strip_suffix('`'));
+    match missing {
+        Some(field) => {
+            let path = format!("{prefix}{field}");
+            if !faults.iter().any(|(other, _)| *other == path) {
+                faults.push((path, message));
+            }
+        }
+        None => faults.push((prefix.trim_end_matches('.').to_owned(), message)),
+    }
+}
--- a/crates/shallotroute_config/src/lib.rs
+++ b/crates/shallotroute_config/src/lib.rs
@@ -1,6 +1,16 @@
 //! Operators' objects, their check, and how a set of them is published and comes into force.
 //! Start with [`snapshot::Snapshot`].
 
+pub mod adoption;
+pub mod api;
+pub mod bundle;
+pub mod check;
+pub mod difference;
+pub mod document;
+pub mod finding;
 pub mod object;
+mod place;
+pub mod publication;
 pub mod set;
 pub mod snapshot;
+pub mod time;
--- /dev/null
+++ b/crates/shallotroute_control/src/metric.rs
@@ -0,0 +1,110 @@
+//! Metrics of the control part.
+
+use std::{
+    sync::atomic::{AtomicI64, AtomicU64},
+    time::Instant,
+};
+
+use prometheus_client::{
+    metrics::{counter::Counter, family::Family, gauge::Gauge},
+    registry::Registry,
+};
+use shallotroute_config::adoption::Adoption;
+use shallotroute_types::revision::Revision;
+
+/// The label of a publication's result.
+pub(crate) type Label = [(&'static str, &'static str); 1];
+
+/// Metrics of the control part.
+#[derive(Clone, Default)]
+pub(crate) struct Metrics {
+    known: Gauge<i64, AtomicI64>,
+    in_force: Gauge<i64, AtomicI64>,
+    confirmed: Gauge<i64, AtomicI64>,
+    confirmation_age: Gauge<f64, AtomicU64>,
+    applied: Counter,
+    rejected: Gauge<i64, AtomicI64>,
+    publications: Family<Label, Counter>,
+    denied: Counter,
+}
+
+impl Metrics {
+    /// Makes the metrics and registers them.
+    pub(crate) fn new(registry: &mut Registry) -> Self {
+        let metrics = Self::default();
+        let registry = registry.sub_registry_with_prefix("shallotroute_config");
+        registry.register(
+            "known_revision",
+            "Newest revision that the node holds",
+            metrics.known.clone(),
+        );
+        registry.register(
+            "in_force_revision",
+            "Revision that the node applies",
+            metrics.in_force.clone(),
+        );
+        registry.register(
+            "confirmed",
+            "1 while the node has confirmed its configuration lately",
+            metrics.confirmed.clone(),
+        );
+        registry.register(
+            "confirmation_age_seconds",
+            "Seconds since the configuration was last confirmed, -1 if never",
+            metrics.confirmation_age.clone(),
+        );
+        registry.register(
+            "applied",
+            "Revisions put in force since the start",
+            metrics.applied.clone(),
+        );
+        registry.register(
+            "rejected_revisions",
+            "Revisions refused for a wrong hash or unreadable content since the start",
+            metrics.rejected.clone(),
+        );
+        registry.register(
+            "publications",
+            "Publications by result",
+            metrics.publications.clone(),
+        );
+        registry.register(
+            "denied_calls",
+            "Administration calls without a valid key",
+            metrics.denied.clone(),
+        );
+        metrics
+    }
+
+    /// Counts a revision put in force.
+    pub(crate) fn applied(&self) {
+        self.applied.inc();
+    }
+
+    /// Counts the end of a publication.
+    pub(crate) fn published(&self, result: &'static str) {
+        self.publications.get_or_create(&[("result", result)]).inc();
+    }
+
+    /// Counts a call without a valid key.
+    pub(crate) fn denied(&self) {
+        self.denied.inc();
+    }
+
+    /// Sets the gauges.
+    pub(crate) fn set(&self, adoption: &Adoption, now: Instant) {
+        let in_force = adoption.in_force().map(|held| held.snapshot.revision());
+        let age = adoption.confirmation_age(now);
+        self.known.set(gauge(adoption.known()));
+        self.in_force.set(gauge(in_force.unwrap_or_default()));
+        self.confirmed.set(adoption.is_confirmed(now).into());
+        self.confirmation_age
+            .set(age.map_or(-1.0, |age| age.as_secs_f64()));
+        self.rejected
+            .set(i64::try_from(adoption.rejected()).unwrap_or(i64::MAX));
+    }
+}
+
+fn gauge(revision: Revision) -> i64 {
+    i64::try_from(revision.0).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/crates/shallotroute_control/tests/support/memory.rs
@@ -0,0 +1,124 @@
+//! An in-memory key-value service with faults.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use shallotroute_platform::{
+    error::{Error, Kind, Result},
+    store::{Entry, Store},
+};
+use tokio::sync::watch;
+
+/// An in-memory key-value service with faults.
+#[derive(Default)]
+pub struct Memory {
+    values: Mutex<BTreeMap<String, Entry>>,
+    changes: watch::Sender<u64>,
+    /// Whether no call is served.
+    pub down: AtomicBool,
+    /// How many of the next writes of the head take effect without an answer.
+    pub lost_answers: AtomicU32,
+    /// How many of the next writes of the head are lost on their way.
+    pub lost_writes: AtomicU32,
+}
+
+impl Memory {
+    pub fn values(&self) -> MutexGuard<'_, BTreeMap<String, Entry>> {
+        self.values.lock().expect("no holder should panic")
+    }
+
+    pub fn put(&self, key: &str, value: impl Into<Bytes>) {
+        let mut values = self.values();
+        let version = values.get(key).map_or(0, |entry| entry.version) + 1;
+        let value = value.into();
+        values.insert(key.to_owned(), Entry { value, version });
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    fn up(&self, step: &'static str) -> Result<()> {
+        match self.down.load(Ordering::Relaxed) {
+            true => Err(error_stack::Report::new(Error::new(
+                step,
+                "memory",
+                Kind::Unreachable,
+            ))),
+            false => Ok(()),
+        }
+    }
+
+    fn write(&self, key: &str, expected: u64, value: Bytes) -> Result<u64> {
+        self.up("write")?;
+        let failed = |kind| {
+            Err(error_stack::Report::new(Error::new(
+                "write", "memory", kind,
+            )))
+        };
+        if key == "config/head" && take(&self.lost_writes) {
+            return failed(Kind::Lost);
+        }
+        let found = self.values().get(key).map_or(0, |entry| entry.version);
+        if found != expected {
+            return failed(Kind::Conflict { found });
+        }
+        self.put(key, value);
+        match key == "config/head" && take(&self.lost_answers) {
+            true => failed(Kind::Lost),
+            false => Ok(found + 1),
+        }
+    }
+}
+
+fn take(count: &AtomicU32) -> bool {
+    count
+        .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |count| {
+            count.checked_sub(1)
+        })
+        .is_ok()
+}
+
+impl Store for Memory {
+    fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Entry>>> {
+        Box::pin(async move {
+            self.up("read")?;
+            Ok(self.values().get(key).cloned())
+        })
+    }
+
+    fn swap<'a>(&'a self, key: &'a str, expected: u64, value: Bytes) -> BoxFuture<'a, Result<u64>> {
+        Box::pin(async move { self.write(key, expected, value) })
+    }
+
+    fn watch<'a>(
+        &'a self,
+        key: &'a str,
+        known: u64,
+        wait: Duration,
+    ) -> BoxFuture<'a, Result<Option<Entry>>> {
+        Box::pin(async move {
+            let mut changes = self.changes.subscribe();
+            let changed = changes
+                .wait_for(|_| self.values().get(key).map_or(0, |entry| entry.version) != known);
+            let _ = tokio::time::timeout(wait, changed).await;
+            self.get(key).await
+        })
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Vec<String>>> {
+        Box::pin(async move {
+            self.up("list")?;
+            let keys = self.values().keys().cloned().collect::<Vec<_>>();
+            Ok(keys
+                .into_iter()
+                .filter(|key| key.starts_with(prefix))
+                .collect())
+        })
+    }
+}
--- /dev/null
+++ b/crates/shallotroute_control/tests/support/mod.rs
@@ -0,0 +1,257 @@
+//! Nodes with the control part only, on loopback, with an in-memory key-value service.
+
+#![allow(
+    dead_code,
+    missing_docs,
+    unreachable_pub,
+    reason = "each test program uses a part of the support"
+)]
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use futures::future::BoxFuture;
+use prometheus_client::registry::Registry;
+use shallotroute_config::snapshot::Snapshot;
+use shallotroute_context::{Context, Local};
+use shallotroute_control::{Control, Operator, Outputs};
+use shallotroute_http::server::{self, Handler};
+use shallotroute_peer::{service::Kind as ServiceKind, stream};
+use shallotroute_platform::{error::Result, host, store::Store};
+use shallotroute_types::{
+    clock::System,
+    member::{Member, State, View},
+    name::Name,
+    node::Incarnation,
+    revision::Revision,
+};
+use tokio::{net::TcpListener, sync::watch, time::sleep};
+use tokio_util::sync::CancellationToken;
+
+mod memory;
+
+pub use memory::Memory;
+
+pub const KEY: &str = "spring-onion";
+
+/// A host list that names the given nodes.
+struct Hosts(Vec<Name>);
+
+impl host::List for Hosts {
+    fn hosts(&self) -> BoxFuture<'_, Result<Vec<host::Host>>> {
+        let live = |name: &Name| host::Host {
+            name: name.clone(),
+            state: host::State::Live,
+        };
+        let hosts = self.0.iter().map(live).collect();
+        Box::pin(async move { Ok(hosts) })
+    }
+}
+
+/// What the control part of a node writes.
+pub struct Inputs {
+    pub configuration: watch::Receiver<Option<Arc<Snapshot>>>,
+    pub confirmed: watch::Receiver<bool>,
+    known: watch::Receiver<Revision>,
+    hosts: watch::Receiver<Arc<Vec<host::Host>>>,
+}
+
+fn channels() -> (Outputs, Inputs) {
+    let (configuration, configuration_receiver) = watch::channel(None);
+    let (confirmed, confirmed_receiver) = watch::channel(false);
+    let (known, known_receiver) = watch::channel(Revision(0));
+    let (hosts, hosts_receiver) = watch::channel(Arc::default());
+    let outputs = Outputs {
+        configuration,
+        confirmed,
+        known,
+        hosts,
+    };
+    let inputs = Inputs {
+        configuration: configuration_receiver,
+        confirmed: confirmed_receiver,
+        known: known_receiver,
+        hosts: hosts_receiver,
+    };
+    (outputs, inputs)
+}
+
+/// A node.
+pub struct Node {
+    pub local: Local,
+    pub admin: SocketAddr,
+    pub control: Arc<Control>,
+    pub inputs: Inputs,
+    pub registry: Registry,
+    view: watch::Sender<Arc<View>>,
+    stop: CancellationToken,
+}
+
+impl Node {
+    pub fn in_force(&self) -> Revision {
+        let snapshot = self.inputs.configuration.borrow();
+        snapshot
+            .as_ref()
+            .map_or(Revision(0), |snapshot| snapshot.revision())
+    }
+
+    fn member(&self) -> Member {
+        Member {
+            id: self.local.id.clone(),
+            region: self.local.region.clone(),
+            zone: self.local.zone.clone(),
+            address: self.local.address,
+            incarnation: self.local.incarnation,
+            state: State::Alive,
+            known: *self.inputs.known.borrow(),
+            in_force: self.in_force(),
+        }
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+/// Nodes in three availability zones and their key-value service.
+pub struct Fleet {
+    pub store: Arc<Memory>,
+    pub nodes: Vec<Node>,
+    count: usize,
+    starts: u64,
+}
+
+impl Fleet {
+    pub async fn start(count: usize) -> Self {
+        let mut fleet = Self {
+            store: Arc::default(),
+            nodes: Vec::new(),
+            count,
+            starts: 0,
+        };
+        for index in 0..count {
+            let node = fleet.node(index).await;
+            fleet.nodes.push(node);
+        }
+        fleet
+    }
+
+    /// Replaces a node by a new start of it, which has lost all that the old one held.
+    pub async fn restart(&mut self, index: usize) {
+        let node = self.node(index).await;
+        self.nodes[index] = node;
+    }
+
+    async fn node(&mut self, index: usize) -> Node {
+        self.starts += 1;
+        let (peers, peer) = listener().await;
+        let (admins, admin) = listener().await;
+        let (outputs, inputs) = channels();
+        let (view, members) = watch::channel(Arc::default());
+        let stop = CancellationToken::new();
+        let context = Context {
+            local: Local {
+                id: format!("n{index}").into(),
+                region: "r".into(),
+                zone: format!("z{}", index % 3).into(),
+                address: peer,
+                incarnation: Incarnation(self.starts),
+            },
+            clock: Arc::new(System),
+            configuration: inputs.configuration.clone(),
+            confirmed: inputs.confirmed.clone(),
+            members,
+            hosts: inputs.hosts.clone(),
+            drain: stop.clone(),
+            stop: stop.clone(),
+        };
+        let mut registry = Registry::default();
+        let control = self.control(context.clone(), outputs, &mut registry);
+        let service = control.service().expect("the control part has a service");
+        let services = Arc::new([(ServiceKind::Configuration, service)].into());
+        tokio::spawn(stream::serve(peers, services, stop.clone()));
+        let handler = Arc::clone(&control) as Arc<dyn Handler>;
+        tokio::spawn(server::serve(admins, handler, stop.clone()));
+        tokio::spawn(Arc::clone(&control).run());
+        Node {
+            local: context.local,
+            admin,
+            control,
+            inputs,
+            registry,
+            view,
+            stop,
+        }
+    }
+
+    fn control(&self, context: Context, outputs: Outputs, registry: &mut Registry) -> Arc<Control> {
+        let listed = (0..self.count).map(|index| format!("n{index}").into());
+        let operator = Operator {
+            name: "ona".into(),
+            key_hash: blake3::hash(KEY.as_bytes()).to_hex().to_string(),
+        };
+        Control::new(
+            context,
+            outputs,
+            Arc::clone(&self.store) as Arc<dyn Store>,
+            Arc::new(Hosts(listed.collect())),
+            vec![operator],
+            Arc::new(|| serde_json::json!({"whole": "node"})),
+            registry,
+        )
+    }
+
+    /// Exchanges the heartbeats of all nodes, as every 100 ms.
+    pub fn heartbeat(&self) {
+        let members: Vec<Member> = self.nodes.iter().map(Node::member).collect();
+        for node in &self.nodes {
+            node.view.send_replace(Arc::new(View {
+                local: Some(node.local.id.clone()),
+                members: members.clone(),
+                majority: true,
+            }));
+        }
+    }
+
+    /// Exchanges heartbeats until `done` or the limit is over; returns the time it took.
+    pub async fn until(&self, limit: Duration, done: impl Fn(&Self) -> bool) -> Option<Duration> {
+        let started = Instant::now();
+        while started.elapsed() < limit {
+            if done(self) {
+                return Some(started.elapsed());
+            }
+            self.heartbeat();
+            sleep(Duration::from_millis(20)).await;
+        }
+        None
+    }
+
+    pub fn all_in_force(&self, revision: u64) -> bool {
+        self.nodes
+            .iter()
+            .all(|node| node.in_force() >= Revision(revision))
+    }
+}
+
+async fn listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("loopback should have a free port");
+    let address = listener
+        .local_addr()
+        .expect("the listener should have an address");
+    (listener, address)
+}
+
+/// A consistent set that differs by `rate`.
+pub fn set(rate: u32) -> String {
+    format!(
+        "kind: limit\nname: members\nrequests_per_second: {rate}\nburst: 1\n---\nkind: caller\n\
+         name: desk\nkey_hash: {}\nclass: interactive\nlimit: members\n",
+        "0".repeat(64)
+    )
+}
--- /dev/null
+++ b/crates/shallotroute_ctl/src/arguments.rs
@@ -0,0 +1,190 @@
+//! The command line.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use argh::{EarlyExit, FromArgs};
+
+/// The environment variable with the operator's key. Unlike an argument it is not shown to other
+/// users of the host.
+const KEY_VARIABLE: &str = "SHALLOTCTL_KEY";
+
+/// The options that stand before or after the command.
+const COMMON_OPTIONS: [&str; 3] = ["--node", "--key", "--key-file"];
+
+/// The common switch.
+const JSON_SWITCH: &str = "--json";
+
+/// Publishes and inspects the configuration of a fleet of shallotroute nodes.
+///
+/// Exit codes: 0 done, 1 refused with the reason, 2 usage. The options may also stand after the
+/// command.
+#[derive(Debug, FromArgs)]
+pub(crate) struct Arguments {
+    /// address of a node's administration listener
+    #[argh(option)]
+    pub(crate) node: Option<SocketAddr>,
+    /// operator's key; better in --key-file or the variable SHALLOTCTL_KEY
+    #[argh(option)]
+    pub(crate) key: Option<String>,
+    /// file with the operator's key
+    #[argh(option)]
+    pub(crate) key_file: Option<PathBuf>,
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+    #[argh(subcommand)]
+    pub(crate) command: Command,
+}
+
+/// The commands.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum Command {
+    Check(Check),
+    Publish(Publish),
+    Status(Status),
+    History(History),
+    Show(Show),
+    Audit(Audit),
+    Dump(Dump),
+}
+
+/// Checks a set of objects without publishing it; without --node on this host alone.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+pub(crate) struct Check {
+    /// yaml files, or folders whose .yaml files are read
+    #[argh(positional)]
+    pub(crate) files: Vec<PathBuf>,
+}
+
+/// Publishes a set of objects in place of the one in force.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "publish")]
+pub(crate) struct Publish {
+    /// yaml files, or folders whose .yaml files are read
+    #[argh(positional)]
+    pub(crate) files: Vec<PathBuf>,
+    /// why, for the record
+    #[argh(option)]
+    pub(crate) reason: String,
+    /// revision that the change is based on; another newest revision is a conflict
+    #[argh(option)]
+    pub(crate) parent: Option<u64>,
+    /// publish the objects of this revision again instead of files
+    #[argh(option)]
+    pub(crate) rollback: Option<u64>,
+    /// identity of the publication, to repeat one whose result is unknown
+    #[argh(option)]
+    pub(crate) publication: Option<uuid::Uuid>,
+    /// wait until the revision is in force on all live nodes
+    #[argh(switch)]
+    pub(crate) wait: bool,
+    /// how many seconds to wait at most; 10 if absent
+    #[argh(option, default = "10")]
+    pub(crate) wait_seconds: u64,
+}
+
+/// Shows revisions accepted and in force by node, or the result of a publication.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub(crate) struct Status {
+    /// identity of a publication
+    #[argh(option)]
+    pub(crate) publication: Option<uuid::Uuid>,
+}
+
+/// Lists revisions, newest first.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "history")]
+pub(crate) struct History {
+    /// only revisions that changed this object, as kind/name
+    #[argh(option)]
+    pub(crate) object: Option<String>,
+    /// how many revisions to list; 50 if absent
+    #[argh(option, default = "50")]
+    pub(crate) limit: usize,
+    /// hash of the record to begin at
+    #[argh(option)]
+    pub(crate) from: Option<String>,
+}
+
+/// Shows the objects of a revision; of the newest one without a number or a time.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "show")]
+pub(crate) struct Show {
+    /// number of the revision
+    #[argh(positional)]
+    pub(crate) revision: Option<u64>,
+    /// time as 2026-12-03T20:40:00Z or in seconds since 1970: the revision accepted last by then
+    #[argh(option)]
+    pub(crate) at: Option<String>,
+}
+
+/// Shows the history of an object, or what is recorded of a sample.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "audit")]
+pub(crate) struct Audit {
+    /// object as kind/name, or sample as trainer/step/group/index
+    #[argh(positional)]
+    pub(crate) target: String,
+}
+
+/// Prints the state of a node as JSON.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "dump")]
+pub(crate) struct Dump {}
+
+/// What a command line asks for.
+pub(crate) enum Parsed {
+    Run(Box<Arguments>),
+    Help(String),
+    Usage(String),
+}
+
+impl Arguments {
+    pub(crate) fn parse(arguments: &[String]) -> Parsed {
+        let moved = common_first(arguments);
+        let texts: Vec<&str> = moved.iter().map(String::as_str).collect();
+        match Self::from_args(&["shallotctl"], &texts) {
+            Ok(parsed) => Parsed::Run(Box::new(parsed)),
+            Err(EarlyExit { output, status }) => match status {
+                Ok(()) => Parsed::Help(output),
+                Err(()) => Parsed::Usage(output),
+            },
+        }
+    }
+
+    /// Returns the key of the option, the file or the environment, in this order.
+    pub(crate) fn key(&self) -> std::io::Result<Option<String>> {
+        if let Some(key) = &self.key {
+            return Ok(Some(key.clone()));
+        }
+        if let Some(file) = &self.key_file {
+            return std::fs::read_to_string(file).map(|text| Some(text.trim().to_owned()));
+        }
+        Ok(std::env::var(KEY_VARIABLE).ok())
+    }
+}
+
+/// Moves the common options before the command, because `argh` knows an option only at its level.
+fn common_first(arguments: &[String]) -> Vec<String> {
+    let mut common = Vec::new();
+    let mut rest = Vec::new();
+    let mut remaining = arguments.iter();
+    while let Some(argument) = remaining.next() {
+        if argument == "--" {
+            rest.push(argument.clone());
+            rest.extend(remaining.by_ref().cloned());
+        } else if argument == JSON_SWITCH {
+            common.push(argument.clone());
+        } else if COMMON_OPTIONS.contains(&argument.as_str()) {
+            common.push(argument.clone());
+            common.extend(remaining.next().cloned());
+        } else {
+            rest.push(argument.clone());
+        }
+    }
+    common.append(&mut rest);
+    common
+}
--- a/crates/shallotroute_ctl/src/main.rs
+++ b/crates/shallotroute_ctl/src/main.rs
@@ -1,3 +1,15 @@
 //! The program for operators and auditors.
 
-fn main() {}
+use std::{
+    io::{stderr, stdout},
+    process::ExitCode,
+};
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let ended = shallotroute_ctl::run(&arguments, &mut stdout(), &mut stderr()).await;
+    // Output that can't be written, as to a closed pipe, counts as not done.
+    let exit = ended.unwrap_or(shallotroute_ctl::Exit::Refused);
+    ExitCode::from(exit.code())
+}
