--- a/crates/shallotroute_control/tests/support/mod.rs
+++ b/crates/shallotroute_control/tests/support/mod.rs
@@ -4,7 +4,8 @@
     dead_code,
     missing_docs,
     unreachable_pub,
-    reason = "each test program uses a part of the support"
+    clippy::rc_buffer,
+    reason = "each test program uses a part; the host list is an `Arc<Vec>` in `Context`"
 )]
 
 use std::{
