--- /dev/null
+++ b/crates/shallotroute_node/src/admin.rs
@@ -0,0 +1,74 @@
+//! The HTTP entry for operators, the balancer's readiness check and metrics.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use futures::future::BoxFuture;
+use http::{Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use prometheus_client::{encoding::text, registry::Registry};
+use serde_json::json;
+use shallotroute_context::Context;
+use shallotroute_control::Control;
+use shallotroute_http::{
+    body::{self, Body},
+    server::Handler,
+};
+use tokio_util::sync::CancellationToken;
+
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Answers the paths that need no key, and hands the others to the control part.
+pub(crate) struct Entry {
+    pub(crate) context: Context,
+    pub(crate) control: Arc<Control>,
+    pub(crate) registry: Arc<Registry>,
+    /// Cancelled when the balancer should stop sending requests.
+    pub(crate) leaving: CancellationToken,
+}
+
+impl Handler for Entry {
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        peer: SocketAddr,
+    ) -> BoxFuture<'static, Response<Body>> {
+        match request.uri().path() {
+            "/live" => Box::pin(async { body::json(StatusCode::OK, &json!({"live": true})) }),
+            "/ready" => Box::pin(async move { self.readiness() }),
+            "/metrics" => Box::pin(async move { self.metrics() }),
+            _ => Arc::clone(&self.control).handle(request, peer),
+        }
+    }
+}
+
+impl Entry {
+    fn readiness(&self) -> Response<Body> {
+        let leaving = self.leaving.is_cancelled();
+        let ready = self.context.ready() && !leaving;
+        let status = match ready {
+            true => StatusCode::OK,
+            false => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        let in_force = self.context.configuration.borrow().as_ref().map(|snapshot| snapshot.revision());
+        let confirmed = *self.context.confirmed.borrow();
+        let value = json!({
+            "ready": ready, "leaving": leaving, "in_force": in_force, "confirmed": confirmed,
+        });
+        body::json(status, &value)
+    }
+
+    fn metrics(&self) -> Response<Body> {
+        let mut content = String::new();
+        match text::encode(&mut content, &self.registry) {
+            Ok(()) => {
+                let mut response = Response::new(body::full(content));
+                let value = header::HeaderValue::from_static(METRICS_TYPE);
+                response.headers_mut().insert(header::CONTENT_TYPE, value);
+                response
+            }
+            Err(error) => {
+                body::json(StatusCode::INTERNAL_SERVER_ERROR, &json!({"error": error.to_string()}))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallotroute_node/src/callers.rs
@@ -0,0 +1,32 @@
+//! The HTTP entry for callers and trainers.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use futures::future::BoxFuture;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use shallotroute_gateway::Gateway;
+use shallotroute_http::{body::Body, server::Handler};
+use shallotroute_sampling::Sampler;
+
+/// The start of the paths of trainers.
+const TRAINERS: &str = "/v1/trainers/";
+
+/// Hands a request to the part that serves its path.
+pub(crate) struct Entry {
+    pub(crate) gateway: Arc<Gateway>,
+    pub(crate) sampler: Arc<Sampler>,
+}
+
+impl Handler for Entry {
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        peer: SocketAddr,
+    ) -> BoxFuture<'static, Response<Body>> {
+        match request.uri().path().starts_with(TRAINERS) {
+            true => Arc::clone(&self.sampler).handle(request, peer),
+            false => Arc::clone(&self.gateway).handle(request, peer),
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallotroute_node/src/parts.rs
@@ -0,0 +1,245 @@
+//! Starts the parts of a node and connects them.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+    time::{Duration, UNIX_EPOCH},
+};
+
+use error_stack::ResultExt;
+use prometheus_client::registry::Registry;
+use serde_json::{Value, json};
+use shallotroute_context::{Context, Local};
+use shallotroute_control::{Control, Dump, Operator, Outputs};
+use shallotroute_gateway::Gateway;
+use shallotroute_http::{client::Client, server};
+use shallotroute_peer::{
+    heartbeat::{Heartbeat, Options},
+    service::Kind,
+    stream::{self, Services},
+};
+use shallotroute_platform::http::{Engine, Hosts, Scorer, Store};
+use shallotroute_sampling::{Edges, Sampler};
+use shallotroute_settings::Settings;
+use shallotroute_types::{
+    clock::{Clock, System},
+    member::View,
+    node::Incarnation,
+    revision::Revision,
+};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    sync::watch,
+    task::JoinHandle,
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    admin, callers,
+    error::{Error, Result},
+};
+
+/// How long connecting to a backend server or to the platform may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How long a call to the platform may take.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// A running node.
+pub(crate) struct Node {
+    pub(crate) context: Context,
+    pub(crate) leaving: CancellationToken,
+    pub(crate) callers: JoinHandle<()>,
+    pub(crate) tasks: Vec<JoinHandle<()>>,
+}
+
+/// The listeners of a node, opened before any part starts.
+struct Listeners {
+    callers: TcpListener,
+    admin: TcpListener,
+    peers: TcpListener,
+    heartbeats: UdpSocket,
+}
+
+/// The senders of the channels that connect the parts.
+struct Senders {
+    outputs: Outputs,
+    members: watch::Sender<Arc<View>>,
+    known: watch::Receiver<Revision>,
+}
+
+/// The parts of a node.
+struct Parts {
+    heartbeat: Arc<Heartbeat>,
+    control: Arc<Control>,
+    gateway: Arc<Gateway>,
+    sampler: Arc<Sampler>,
+    registry: Registry,
+}
+
+impl Node {
+    /// Opens the listeners and starts all parts.
+    pub(crate) async fn start(settings: &Settings) -> Result<Self> {
+        let listeners = Listeners::open(settings).await?;
+        let (context, senders) = connect(settings);
+        let leaving = CancellationToken::new();
+        let Listeners { callers, admin, peers, heartbeats } = listeners;
+        let parts = Parts::new(settings, &context, senders, &leaving, heartbeats);
+        let services = Arc::new(parts.services());
+        let mut tasks = vec![
+            tokio::spawn(stream::serve(peers, services, context.stop.clone())),
+            tokio::spawn(Arc::clone(&parts.heartbeat).run()),
+            tokio::spawn(Arc::clone(&parts.control).run()),
+            tokio::spawn(Arc::clone(&parts.gateway).run()),
+            tokio::spawn(Arc::clone(&parts.sampler).run()),
+        ];
+        let admin_entry = admin::Entry {
+            context: context.clone(),
+            control: Arc::clone(&parts.control),
+            registry: Arc::new(parts.registry),
+            leaving: leaving.clone(),
+        };
+        let stop = context.stop.clone();
+        tasks.push(tokio::spawn(server::serve(admin, Arc::new(admin_entry), stop)));
+        let entry = callers::Entry { gateway: parts.gateway, sampler: parts.sampler };
+        let drain = context.drain.clone();
+        let callers = tokio::spawn(server::serve(callers, Arc::new(entry), drain));
+        Ok(Self { context, leaving, callers, tasks })
+    }
+}
+
+impl Listeners {
+    async fn open(settings: &Settings) -> Result<Self> {
+        let listen = settings.listen;
+        let heartbeats = UdpSocket::bind(listen.peers).await.change_context(Error::Listen {
+            purpose: "heartbeats of other nodes",
+            address: listen.peers,
+        })?;
+        Ok(Self {
+            callers: open_tcp("callers", listen.callers).await?,
+            admin: open_tcp("operators", listen.admin).await?,
+            peers: open_tcp("calls of other nodes", listen.peers).await?,
+            heartbeats,
+        })
+    }
+}
+
+async fn open_tcp(purpose: &'static str, address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await.change_context(Error::Listen { purpose, address })
+}
+
+/// Makes the channels that connect the parts.
+fn connect(settings: &Settings) -> (Context, Senders) {
+    let (configuration, configuration_receiver) = watch::channel(None);
+    let (confirmed, confirmed_receiver) = watch::channel(false);
+    let (members, members_receiver) = watch::channel(Arc::new(View::default()));
+    let (hosts, hosts_receiver) = watch::channel(Arc::new(Vec::new()));
+    let (known, known_receiver) = watch::channel(Revision::default());
+    let clock = System;
+    let started = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let context = Context {
+        local: Local {
+            id: settings.node.id.clone(),
+            region: settings.node.region.clone(),
+            zone: settings.node.zone.clone(),
+            address: settings.listen.peers,
+            incarnation: Incarnation(u64::try_from(started.as_millis()).unwrap_or(u64::MAX)),
+        },
+        clock: Arc::new(clock),
+        configuration: configuration_receiver,
+        confirmed: confirmed_receiver,
+        members: members_receiver,
+        hosts: hosts_receiver,
+        drain: CancellationToken::new(),
+        stop: CancellationToken::new(),
+    };
+    let outputs = Outputs { configuration, confirmed, known, hosts };
+    (context, Senders { outputs, members, known: known_receiver })
+}
+
+impl Parts {
+    fn new(
+        settings: &Settings,
+        context: &Context,
+        senders: Senders,
+        leaving: &CancellationToken,
+        socket: UdpSocket,
+    ) -> Self {
+        let mut registry = Registry::with_prefix("shallotroute");
+        let client = Client::new(CONNECT_TIMEOUT);
+        let platform = settings.platform;
+        let store = Arc::new(Store::new(client.clone(), platform.store, PLATFORM_TIMEOUT));
+        let hosts = Arc::new(Hosts::new(client.clone(), platform.hosts, PLATFORM_TIMEOUT));
+        let engine = Arc::new(Engine::new(client.clone()));
+        let options = Options {
+            local: context.local.clone(),
+            seeds: settings.peers.seeds.clone(),
+            key: settings.peers.key,
+            socket,
+            clock: Arc::clone(&context.clock),
+            known: senders.known,
+            configuration: context.configuration.clone(),
+            hosts: context.hosts.clone(),
+            members: senders.members,
+            drain: leaving.clone(),
+            stop: context.stop.clone(),
+            seed: context.local.incarnation.0,
+        };
+        let heartbeat = Heartbeat::new(options, &mut registry);
+        let gateway = Gateway::new(context.clone(), engine.clone(), &mut registry);
+        let scorer = Arc::new(Scorer::new(client));
+        let edges = Edges { engine, scorer, store: store.clone() };
+        let sampler = Sampler::new(context.clone(), edges, &mut registry);
+        let (dump, control_slot) = dump(&heartbeat, &gateway, &sampler);
+        let operators = settings.operators.iter().map(operator).collect();
+        let control = Control::new(
+            context.clone(),
+            senders.outputs,
+            store,
+            hosts,
+            operators,
+            dump,
+            &mut registry,
+        );
+        // The slot is new, so that setting it can't fail.
+        let _ = control_slot.set(Arc::clone(&control));
+        Self { heartbeat, control, gateway, sampler, registry }
+    }
+
+    fn services(&self) -> Services {
+        [
+            (Kind::Configuration, self.control.service()),
+            (Kind::Requests, self.gateway.service()),
+            (Kind::Rollouts, self.sampler.service()),
+        ]
+        .into_iter()
+        .filter_map(|(kind, service)| Some((kind, service?)))
+        .collect()
+    }
+}
+
+/// Returns the dump of all parts; the control part, which serves the dump, is set afterwards.
+fn dump(
+    heartbeat: &Arc<Heartbeat>,
+    gateway: &Arc<Gateway>,
+    sampler: &Arc<Sampler>,
+) -> (Dump, Arc<OnceLock<Arc<Control>>>) {
+    let slot = Arc::new(OnceLock::<Arc<Control>>::new());
+    let control = Arc::clone(&slot);
+    let heartbeat = Arc::clone(heartbeat);
+    let gateway = Arc::clone(gateway);
+    let sampler = Arc::clone(sampler);
+    let dump: Dump = Arc::new(move || {
+        json!({
+            "membership": heartbeat.dump(),
+            "control": control.get().map_or(Value::Null, |control| control.dump()),
+            "gateway": gateway.dump(),
+            "sampling": sampler.dump(),
+        })
+    });
+    (dump, slot)
+}
+
+fn operator(operator: &shallotroute_settings::Operator) -> Operator {
+    Operator { name: operator.name.clone(), key_hash: operator.key_hash.clone() }
+}
