shallotroute_membership: table of members with heartbeats, suspicion and gossip

Cause: roles and confirmation need a view of live members that no single service provides. Conclusion: the UDP task can be built on this interface.

--- /dev/null
+++ b/crates/shallotroute_membership/src/member.rs
@@ -0,0 +1,153 @@
+//! What a node knows of one other member, and how news changes it.
+
+use std::time::{Duration, Instant};
+
+use shallotroute_types::member::{Member, State};
+
+use crate::{digest, pace::Pace};
+
+/// What a node knows of another member.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// The member as last reported.
+    pub member: Member,
+    /// When it was last known to be alive, directly or by news.
+    pub heard: Instant,
+    /// The highest sequence of its datagrams in this incarnation.
+    pub(crate) sequence: u64,
+    /// How many more datagrams carry its state because it changed.
+    pub(crate) spread: u32,
+    /// When it was last told about its own state.
+    pub(crate) told: Option<Instant>,
+    pub(crate) hash: u64,
+}
+
+/// What a report changed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Change {
+    /// The state, the incarnation or the address changed; other members are told.
+    pub(crate) state: bool,
+    /// The known revision or the revision in force changed.
+    pub(crate) revision: bool,
+}
+
+impl Entry {
+    pub(crate) fn new(member: Member, heard: Instant, sequence: u64) -> Self {
+        let hash = digest::hash(&member.id);
+        Self {
+            member,
+            heard,
+            sequence,
+            spread: 0,
+            told: None,
+            hash,
+        }
+    }
+
+    /// Returns how long there was no news.
+    pub fn silence(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.heard)
+    }
+
+    /// Takes a report of the member by itself; `false` when it is replayed or out of order.
+    pub(crate) fn report(
+        &mut self,
+        member: &Member,
+        sequence: u64,
+        now: Instant,
+    ) -> Option<Change> {
+        let newer = member.incarnation > self.member.incarnation;
+        if !newer && (member.incarnation < self.member.incarnation || sequence <= self.sequence) {
+            return None;
+        }
+        self.sequence = sequence;
+        if newer {
+            self.heard = now;
+            return Some(self.replace(member));
+        }
+        if self.member.state == State::Dead {
+            // Only a higher incarnation ends death, so that all members agree on the order.
+            return Some(Change::default());
+        }
+        self.heard = now;
+        Some(self.merge(member))
+    }
+
+    /// Takes what another member knows.
+    pub(crate) fn news(
+        &mut self,
+        member: &Member,
+        heard: Option<Instant>,
+        now: Instant,
+        pace: &Pace,
+    ) -> Change {
+        if member.incarnation < self.member.incarnation {
+            return Change::default();
+        }
+        if member.incarnation > self.member.incarnation {
+            self.sequence = 0;
+            self.heard = self.heard.max(heard.unwrap_or(self.heard));
+            return self.replace(member);
+        }
+        if self.member.state == State::Dead {
+            return Change::default();
+        }
+        if member.state == State::Dead {
+            let departed = self.member.state == State::Leaving;
+            // Direct or fresher news outweighs another member's declaration of death.
+            if !departed && self.silence(now) < pace.suspect_after {
+                return Change::default();
+            }
+        } else if let Some(heard) = heard {
+            self.heard = self.heard.max(heard);
+        }
+        self.merge(member)
+    }
+
+    /// Changes the state by the time since the last news; `resumed` is when the local node last
+    /// resumed after a pause in which it could hear nothing.
+    pub(crate) fn tick(&mut self, now: Instant, resumed: Instant, pace: &Pace) -> Change {
+        let silence = now.saturating_duration_since(self.heard.max(resumed));
+        let state = match self.member.state {
+            State::Dead => State::Dead,
+            _ if silence >= pace.dead_after => State::Dead,
+            State::Alive if silence >= pace.suspect_after => State::Suspect,
+            State::Suspect if silence < pace.suspect_after => State::Alive,
+            other => other,
+        };
+        let changed = state != self.member.state;
+        self.member.state = state;
+        Change {
+            state: changed,
+            revision: false,
+        }
+    }
+
+    fn replace(&mut self, member: &Member) -> Change {
+        // A restarted process may hold less than the one before, so that nothing is carried over.
+        let revision = (member.known, member.in_force) != (self.member.known, self.member.in_force);
+        self.member = member.clone();
+        Change {
+            state: true,
+            revision,
+        }
+    }
+
+    fn merge(&mut self, member: &Member) -> Change {
+        let state = match (self.member.state, member.state) {
+            (_, State::Dead) => State::Dead,
+            (State::Alive | State::Suspect, State::Leaving) => State::Leaving,
+            (current, _) => current,
+        };
+        let known = self.member.known.max(member.known);
+        let in_force = self.member.in_force.max(member.in_force);
+        let change = Change {
+            state: state != self.member.state,
+            revision: (known, in_force) != (self.member.known, self.member.in_force),
+        };
+        self.member.state = state;
+        self.member.known = known;
+        self.member.in_force = in_force;
+        change
+    }
+}
--- /dev/null
+++ b/crates/shallotroute_membership/src/table/receive.rs
@@ -0,0 +1,139 @@
+//! Datagrams of other nodes.
+
+use std::time::{Duration, Instant};
+
+use shallotroute_types::{
+    member::{Member, State},
+    node::Incarnation,
+};
+
+use super::{Action, Table};
+use crate::{
+    datagram::{Age, Frame, News},
+    digest::{Groups, MAX_BITS},
+    member::Entry,
+};
+
+/// The shortest time between two answers that tell a member about its own state.
+const TELL_EVERY: Duration = Duration::from_millis(500);
+
+impl Table {
+    pub(super) fn receive(&mut self, frame: &Frame, now: Instant, actions: &mut Vec<Action>) {
+        let sender = &frame.sender;
+        if sender.id == self.local.id {
+            actions.push(Action::Own);
+            self.meet_self(sender);
+            return;
+        }
+        if !self.report(frame, now, actions) {
+            return;
+        }
+        for news in &frame.news {
+            self.news(news, now, actions);
+        }
+        self.apply_ages(frame, now);
+    }
+
+    /// Takes the sender's report of itself; tells whether the rest of the frame may be used.
+    fn report(&mut self, frame: &Frame, now: Instant, actions: &mut Vec<Action>) -> bool {
+        let sender = &frame.sender;
+        let Some(entry) = self.entries.get_mut(&sender.id) else {
+            if sender.state != State::Dead {
+                let entry = Entry::new(sender.clone(), now, frame.sequence);
+                self.insert(entry, actions);
+                self.introduce(sender.address, now, actions);
+            }
+            return true;
+        };
+        let change = entry.report(sender, frame.sequence, now);
+        let behind = sender.incarnation < entry.member.incarnation;
+        let dead = entry.member.state == State::Dead && sender.state != State::Dead;
+        let due = entry.told.is_none_or(|told| now >= told + TELL_EVERY);
+        // A member that is taken for dead, or whose process restarted with too low an incarnation,
+        // has to learn of it to raise its incarnation.
+        if (behind || dead && change.is_some()) && due {
+            entry.told = Some(now);
+            let news = News {
+                member: entry.member.clone(),
+                age: Age::UNKNOWN,
+            };
+            self.tell(sender.address, news, now, actions);
+        }
+        let Some(change) = change else {
+            actions.push(Action::Replayed);
+            return false;
+        };
+        self.note(&sender.id, change, actions);
+        true
+    }
+
+    fn news(&mut self, news: &News, now: Instant, actions: &mut Vec<Action>) {
+        let member = &news.member;
+        if member.id == self.local.id {
+            self.meet_self(member);
+            return;
+        }
+        let heard = news.age.duration().and_then(|age| now.checked_sub(age));
+        let pace = self.pace;
+        if let Some(entry) = self.entries.get_mut(&member.id) {
+            let change = entry.news(member, heard, now, &pace);
+            self.note(&member.id, change, actions);
+        } else if let Some(heard) = heard
+            && member.state != State::Dead
+            && now.saturating_duration_since(heard) < pace.dead_after
+        {
+            self.insert(Entry::new(member.clone(), heard, 0), actions);
+        }
+    }
+
+    fn insert(&mut self, mut entry: Entry, actions: &mut Vec<Action>) {
+        entry.spread = self.spread();
+        self.entries.insert(entry.member.id.clone(), entry);
+        self.regroup = true;
+        actions.push(Action::Changed);
+    }
+
+    /// Raises the incarnation above the one under which others suspect the local node, or above
+    /// that of an earlier process of this node.
+    fn meet_self(&mut self, seen: &Member) {
+        let doubted = matches!(seen.state, State::Suspect | State::Dead)
+            && seen.incarnation == self.local.incarnation;
+        if self.local.state != State::Dead && (doubted || seen.incarnation > self.local.incarnation)
+        {
+            self.local.incarnation = Incarnation(seen.incarnation.0.saturating_add(1));
+            self.regroup = true;
+            self.urgent = true;
+        }
+    }
+
+    fn apply_ages(&mut self, frame: &Frame, now: Instant) {
+        if frame.ages.is_empty() || frame.bits > MAX_BITS {
+            return;
+        }
+        self.regroup_if_needed();
+        let other = (frame.bits != self.groups.bits).then(|| self.group(frame.bits));
+        let mut mismatched = Vec::new();
+        for bucket in &frame.ages {
+            let groups: &Groups = other.as_ref().unwrap_or(&self.groups);
+            let Some(group) = groups.buckets.get(usize::from(bucket.index)) else {
+                continue;
+            };
+            if group.check() != bucket.check || group.ids.len() != bucket.ages.len() {
+                mismatched.extend(group.ids.iter().cloned());
+                continue;
+            }
+            for (id, age) in group.ids.iter().zip(&bucket.ages) {
+                if let Some(entry) = self.entries.get_mut(id)
+                    && let Some(heard) = age.duration().and_then(|age| now.checked_sub(age))
+                {
+                    entry.heard = entry.heard.max(heard);
+                }
+            }
+        }
+        for id in mismatched {
+            if let Some(entry) = self.entries.get_mut(&id) {
+                entry.spread = entry.spread.max(1);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallotroute_membership/src/table/send.rs
@@ -0,0 +1,314 @@
+//! Datagrams to other nodes.
+
+use std::{
+    net::SocketAddr,
+    ops::Bound,
+    time::{Duration, Instant},
+};
+
+use rand::{RngExt, seq::SliceRandom};
+use shallotroute_types::{
+    member::{Member, State},
+    node::Id,
+};
+
+use super::{Action, Table};
+use crate::{
+    datagram::{Age, Bucket, Frame, MAX_BYTES, MAX_NEWS, News},
+    digest::{Groups, hash},
+    pace::{FANOUT, Pace},
+};
+
+/// How often a lost address is tried: a seed that is not a member, or a dead member.
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+
+/// The shortest time between a round and one that does not wait for its interval.
+const URGENT_AFTER: Duration = Duration::from_millis(20);
+
+/// States per datagram that are repeated though they did not change.
+const REPEATED_NEWS: usize = 2;
+
+/// An upper bound of a datagram's bytes without names, states and ages.
+const FIXED_BYTES: usize = 64;
+
+/// An upper bound of a member's bytes without its names: address, incarnation, state, revisions.
+const MEMBER_BYTES: usize = 60;
+
+/// An upper bound of a bucket's bytes without its ages.
+const BUCKET_BYTES: usize = 8;
+
+impl Table {
+    pub(super) fn send_due(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let urgent = self.urgent && now >= self.last_round + URGENT_AFTER;
+        if urgent || now >= self.next_round {
+            self.round(now, actions);
+        }
+        if now >= self.next_probe {
+            self.probe(now, actions);
+        }
+    }
+
+    fn round(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let to = self.choose_targets();
+        let (frame, bytes) = self.frame(true, now);
+        self.pace = Pace::new(self.live_count() + 1, bytes);
+        // The jitter keeps nodes that started together from sending together.
+        let jitter = self.random.random_range(0.9..1.1);
+        self.next_round = now + self.pace.interval.mul_f64(jitter);
+        self.last_round = now;
+        self.urgent = false;
+        if !to.is_empty() {
+            actions.push(Action::Send { to, frame });
+        }
+    }
+
+    /// Returns the next targets of a pass over all live members in random order.
+    fn choose_targets(&mut self) -> Vec<SocketAddr> {
+        let wanted = FANOUT.min(self.live_count());
+        let mut chosen: Vec<Id> = Vec::with_capacity(wanted);
+        while chosen.len() < wanted {
+            let Some(id) = self.targets.pop() else {
+                self.targets = self.live().map(|member| member.id.clone()).collect();
+                self.targets.shuffle(&mut self.random);
+                continue;
+            };
+            let live = self
+                .entries
+                .get(&id)
+                .is_some_and(|entry| is_live(&entry.member));
+            if live && !chosen.contains(&id) {
+                chosen.push(id);
+            }
+        }
+        chosen
+            .iter()
+            .map(|id| self.entries[id].member.address)
+            .collect()
+    }
+
+    /// Tries addresses at which no live member is known: all seeds at first, then one at random.
+    fn probe(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let mut lost = self.lost_addresses();
+        let alone = self.live_count() == 0;
+        let every = if alone {
+            self.pace.interval
+        } else {
+            PROBE_EVERY
+        };
+        self.next_probe = now + every;
+        if lost.is_empty() {
+            return;
+        }
+        if !alone {
+            let index = self.random.random_range(0..lost.len());
+            lost = vec![lost[index]];
+        }
+        let (frame, _) = self.frame(false, now);
+        actions.push(Action::Send { to: lost, frame });
+    }
+
+    fn lost_addresses(&self) -> Vec<SocketAddr> {
+        let dead = self
+            .entries
+            .values()
+            .filter(|entry| !is_live(&entry.member));
+        let mut lost: Vec<SocketAddr> = dead.map(|entry| entry.member.address).collect();
+        for seed in &self.seeds {
+            let known = self.live().any(|member| member.address == *seed);
+            if !known && *seed != self.local.address {
+                lost.push(*seed);
+            }
+        }
+        lost.sort_unstable();
+        lost.dedup();
+        lost
+    }
+
+    /// Answers a new member with states that it can't know yet.
+    pub(super) fn introduce(&mut self, to: SocketAddr, now: Instant, actions: &mut Vec<Action>) {
+        let (frame, _) = self.frame(true, now);
+        actions.push(Action::Send {
+            to: vec![to],
+            frame,
+        });
+    }
+
+    /// Tells a member what is known of it.
+    pub(super) fn tell(
+        &mut self,
+        to: SocketAddr,
+        news: News,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let (mut frame, _) = self.frame(false, now);
+        frame.news = vec![news];
+        actions.push(Action::Send {
+            to: vec![to],
+            frame,
+        });
+    }
+
+    /// Announces the departure to a few members, which spread it.
+    pub(super) fn farewell(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        for _ in 0..2 {
+            let to = self.choose_targets();
+            if !to.is_empty() {
+                let (frame, _) = self.frame(false, now);
+                actions.push(Action::Send { to, frame });
+            }
+        }
+    }
+
+    /// Makes a datagram and returns an upper bound of its bytes.
+    fn frame(&mut self, with_ages: bool, now: Instant) -> (Box<Frame>, usize) {
+        self.sequence += 1;
+        let mut room = MAX_BYTES - FIXED_BYTES - member_bytes(&self.local);
+        let news = self.choose_news(&mut room, now);
+        let ages = if with_ages {
+            self.choose_ages(&mut room, now)
+        } else {
+            Vec::new()
+        };
+        let confirmed = self
+            .confirmed
+            .map(|at| now.saturating_duration_since(at).as_millis());
+        let frame = Frame {
+            sender: self.local.clone(),
+            sequence: self.sequence,
+            confirmation_age_ms: confirmed
+                .and_then(|age| u32::try_from(age).ok())
+                .unwrap_or(u32::MAX),
+            load: self.load,
+            news,
+            bits: self.groups.bits,
+            ages,
+        };
+        (Box::new(frame), MAX_BYTES - room)
+    }
+
+    /// Takes changed states first, the least repeated ones before others, then some in order.
+    fn choose_news(&mut self, room: &mut usize, now: Instant) -> Vec<News> {
+        let mut changed: Vec<(u32, Id)> = self
+            .entries
+            .values()
+            .filter(|entry| entry.spread > 0)
+            .map(|entry| (entry.spread, entry.member.id.clone()))
+            .collect();
+        changed.shuffle(&mut self.random);
+        changed.sort_by_key(|(spread, _)| std::cmp::Reverse(*spread));
+        changed.truncate(MAX_NEWS);
+        let mut ids: Vec<Id> = changed.into_iter().map(|(_, id)| id).collect();
+        let repeated = REPEATED_NEWS.min(MAX_NEWS - ids.len());
+        for _ in 0..repeated.min(self.entries.len()) {
+            if let Some(id) = self.next_repeated()
+                && !ids.contains(&id)
+            {
+                ids.push(id);
+            }
+        }
+        let mut news = Vec::with_capacity(ids.len());
+        for id in ids {
+            let Some(entry) = self.entries.get_mut(&id) else {
+                continue;
+            };
+            let bytes = member_bytes(&entry.member) + 1;
+            if bytes <= *room {
+                *room -= bytes;
+                entry.spread = entry.spread.saturating_sub(1);
+                news.push(News {
+                    member: entry.member.clone(),
+                    age: Age::new(entry.silence(now)),
+                });
+            }
+        }
+        news
+    }
+
+    fn next_repeated(&mut self) -> Option<Id> {
+        let after = self
+            .cursor
+            .as_ref()
+            .map_or(Bound::Unbounded, Bound::Excluded);
+        let next = self
+            .entries
+            .range::<Id, _>((after, Bound::Unbounded))
+            .next()
+            .or_else(|| self.entries.iter().next())
+            .map(|(id, _)| id.clone());
+        self.cursor.clone_from(&next);
+        next
+    }
+
+    /// Takes as many buckets as there is room for, in turn.
+    fn choose_ages(&mut self, room: &mut usize, now: Instant) -> Vec<Bucket> {
+        self.regroup_if_needed();
+        let count = self.groups.buckets.len();
+        let mut ages = Vec::new();
+        for _ in 0..count {
+            self.bucket = (self.bucket + 1) % count;
+            let group = &self.groups.buckets[self.bucket];
+            let bytes = BUCKET_BYTES + group.ids.len();
+            if bytes > *room {
+                self.bucket = (self.bucket + count - 1) % count;
+                break;
+            }
+            if group.ids.is_empty() {
+                continue;
+            }
+            *room -= bytes;
+            let age = |id: &Id| match self.entries.get(id) {
+                Some(entry) => Age::new(entry.silence(now)),
+                None => Age(0),
+            };
+            ages.push(Bucket {
+                index: self.bucket as u8,
+                check: group.check(),
+                ages: group.ids.iter().map(age).collect(),
+            });
+        }
+        ages
+    }
+
+    pub(super) fn regroup_if_needed(&mut self) {
+        if self.regroup {
+            self.regroup = false;
+            self.groups = self.group(Groups::bits_for(self.live_count() + 1));
+        }
+    }
+
+    /// Groups the live members and the local node by the leading bits of their hashes.
+    pub(super) fn group(&self, bits: u8) -> Groups {
+        let local = &self.local;
+        let mut members: Vec<_> = self
+            .entries
+            .values()
+            .filter(|entry| is_live(&entry.member))
+            .map(|entry| (&entry.member, entry.hash))
+            .collect();
+        let position = members.partition_point(|(member, _)| member.id < local.id);
+        members.insert(position, (local, hash(&local.id)));
+        let members = members
+            .into_iter()
+            .map(|(member, hash)| (&member.id, hash, member.incarnation, member.state));
+        Groups::new(bits, members)
+    }
+
+    fn live(&self) -> impl Iterator<Item = &Member> {
+        let members = self.entries.values().map(|entry| &entry.member);
+        members.filter(|member| is_live(member))
+    }
+
+    fn live_count(&self) -> usize {
+        self.live().count()
+    }
+}
+
+/// Tells whether a member takes part in gossip; a leaving one does.
+fn is_live(member: &Member) -> bool {
+    member.state != State::Dead
+}
+
+fn member_bytes(member: &Member) -> usize {
+    MEMBER_BYTES + member.id.len() + member.region.len() + member.zone.len()
+}
