--- a/crates/shallotroute_membership/src/codec.rs
+++ b/crates/shallotroute_membership/src/codec.rs
@@ -49,11 +49,14 @@
     /// Claims to be from the receiving node.
     #[display("own")]
     Own,
+    /// Waited in the socket while the process was paused.
+    #[display("late")]
+    Late,
 }
 
 impl Rejection {
     /// All reasons.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Truncated,
         Self::Oversized,
         Self::Version,
@@ -62,6 +65,7 @@
         Self::Malformed,
         Self::Replayed,
         Self::Own,
+        Self::Late,
     ];
 }
 
