platform, standin: HTTP adapters and the stand-ins they are tested against

Cause: the node's parts need the platform, engines and scorers over HTTP, and tests need peers whose truth is known. Change: http::{Store, List, Engine, Scorer}, whose errors say whether the peer can have acted; stand-ins of the key-value service, host list, engine, weight store, scorer, plain service and trainer with faults at run time and a record of what happened.

--- /dev/null
+++ b/crates/shallotroute_platform/src/http/engine.rs
@@ -0,0 +1,290 @@
+//! The adapter of model engines.
+
+use std::{collections::VecDeque, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use error_stack::Report;
+use futures::{
+    StreamExt,
+    future::BoxFuture,
+    stream::{self, BoxStream},
+};
+use http::{Method, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use shallotroute_http::{body, client::Client};
+use shallotroute_types::version::Version;
+
+use super::{
+    call::{Answer, Call},
+    sse::Decoder,
+};
+use crate::{
+    engine::{self, Event, Generate, Load, State},
+    error::{Error, Kind, Result},
+};
+
+/// The data of the event that ends a whole stream.
+const END_MARKER: &[u8] = b"[DONE]";
+
+/// The longest answer of a refusing engine, in bytes.
+const MAX_REFUSAL_BYTES: usize = 64 << 10;
+
+/// All model engines.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    client: Client,
+    timeout: Duration,
+}
+
+#[derive(Serialize)]
+struct Completion<'a> {
+    model: &'a str,
+    prompt: &'a str,
+    max_tokens: u32,
+    stream: bool,
+}
+
+#[derive(Deserialize)]
+struct Chunk {
+    id: String,
+    #[serde(default)]
+    choices: Vec<Choice>,
+    tokens: Option<Tokens>,
+    usage: Option<Usage>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    #[serde(default)]
+    text: String,
+    finish_reason: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Tokens {
+    start: u32,
+    count: u32,
+    version: Version,
+}
+
+#[derive(Deserialize)]
+struct Usage {
+    completion_tokens: u32,
+    prompt_tokens_details: Option<PromptDetails>,
+}
+
+#[derive(Default, Deserialize)]
+struct PromptDetails {
+    #[serde(default)]
+    cached_tokens: u32,
+}
+
+impl Engine {
+    /// Makes an adapter that waits at most `timeout` for a state or the head of an answer.
+    pub fn new(client: Client, timeout: Duration) -> Self {
+        Self { client, timeout }
+    }
+
+    fn call(&self, step: &'static str, address: SocketAddr) -> Call<'_> {
+        Call {
+            client: &self.client,
+            step,
+            address,
+        }
+    }
+
+    async fn start(
+        &self,
+        address: SocketAddr,
+        request: &Generate,
+    ) -> Result<BoxStream<'static, Result<Event>>> {
+        let call = self.call("generation", address);
+        let completion = Completion {
+            model: &request.model,
+            prompt: &request.prompt,
+            max_tokens: request.max_tokens,
+            stream: true,
+        };
+        let content = serde_json::to_vec(&completion)
+            .map_err(|error| call.error(Kind::Refused(error.to_string())))?;
+        let head = call
+            .request(Method::POST, "/v1/completions")
+            .header("x-request-id", &request.request_id)
+            .header("x-priority", u16::from(request.priority));
+        let response = call.head(head, content.into(), self.timeout).await?;
+        if response.status() == StatusCode::OK {
+            return Ok(Reader::new(address, response.into_body()).into_stream());
+        }
+        let (head, content) = response.into_parts();
+        let reading = body::read(content, MAX_REFUSAL_BYTES);
+        let body = match tokio::time::timeout(self.timeout, reading).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(_)) | Err(_) => Bytes::new(),
+        };
+        Err(call.rejected(&Answer {
+            status: head.status,
+            headers: head.headers,
+            body,
+        }))
+    }
+
+    async fn read_state(&self, address: SocketAddr) -> Result<State> {
+        let call = self.call("read of an engine's state", address);
+        let request = call.request(Method::GET, "/state");
+        let answer = call.exchange(request, Bytes::new(), self.timeout).await?;
+        match answer.status {
+            StatusCode::OK => call.decode(&answer),
+            _ => Err(call.rejected(&answer)),
+        }
+    }
+
+    async fn command(&self, address: SocketAddr, command: &Load, timeout: Duration) -> Result<()> {
+        let call = self.call("load of a version", address);
+        let content = serde_json::to_vec(command)
+            .map_err(|error| call.error(Kind::Refused(error.to_string())))?;
+        let request = call.request(Method::POST, "/commands/load");
+        let answer = call.exchange(request, content.into(), timeout).await?;
+        match answer.status {
+            status if status.is_success() => Ok(()),
+            StatusCode::CONFLICT => Err(call.error(Kind::Fenced)),
+            _ => Err(call.rejected(&answer)),
+        }
+    }
+}
+
+impl engine::Engine for Engine {
+    fn generate(
+        &self,
+        address: SocketAddr,
+        request: Generate,
+    ) -> BoxFuture<'_, Result<BoxStream<'static, Result<Event>>>> {
+        Box::pin(async move { self.start(address, &request).await })
+    }
+
+    fn state(&self, address: SocketAddr) -> BoxFuture<'_, Result<State>> {
+        Box::pin(self.read_state(address))
+    }
+
+    fn load(
+        &self,
+        address: SocketAddr,
+        command: Load,
+        timeout: Duration,
+    ) -> BoxFuture<'_, Result<()>> {
+        Box::pin(async move { self.command(address, &command, timeout).await })
+    }
+}
+
+/// Reads the events of one streamed answer.
+struct Reader {
+    address: SocketAddr,
+    body: Incoming,
+    decoder: Decoder,
+    pending: VecDeque<Event>,
+    /// The last event of the answer, held back until the end marker.
+    end: Option<Event>,
+    finished: bool,
+}
+
+impl Reader {
+    fn new(address: SocketAddr, body: Incoming) -> Self {
+        Self {
+            address,
+            body,
+            decoder: Decoder::default(),
+            pending: VecDeque::new(),
+            end: None,
+            finished: false,
+        }
+    }
+
+    fn into_stream(self) -> BoxStream<'static, Result<Event>> {
+        stream::unfold(self, |mut reader| async move {
+            let event = reader.advance().await?;
+            Some((event, reader))
+        })
+        .boxed()
+    }
+
+    async fn advance(&mut self) -> Option<Result<Event>> {
+        loop {
+            if let Some(event) = self.pending.pop_front() {
+                return Some(Ok(event));
+            }
+            if self.finished {
+                return None;
+            }
+            if let Err(kind) = self.receive().await {
+                self.finished = true;
+                return Some(Err(self.error(kind)));
+            }
+        }
+    }
+
+    async fn receive(&mut self) -> std::result::Result<(), Kind> {
+        let frame = match self.body.frame().await {
+            Some(Ok(frame)) => frame,
+            Some(Err(_)) | None => return Err(Kind::Lost),
+        };
+        let Ok(bytes) = frame.into_data() else {
+            return Ok(());
+        };
+        self.decoder
+            .push(&bytes)
+            .map_err(|_| Kind::Malformed("an event is too long".to_owned()))?;
+        while let Some(data) = self.decoder.next() {
+            self.take(&data)?;
+        }
+        Ok(())
+    }
+
+    fn take(&mut self, data: &[u8]) -> std::result::Result<(), Kind> {
+        if data == END_MARKER {
+            let end = self.end.take();
+            let end = end.ok_or_else(|| Kind::Malformed("no usage before the end".to_owned()))?;
+            self.pending.push_back(end);
+            self.finished = true;
+            return Ok(());
+        }
+        let chunk: Chunk =
+            serde_json::from_slice(data).map_err(|error| Kind::Malformed(error.to_string()))?;
+        let finished = chunk
+            .choices
+            .iter()
+            .any(|choice| choice.finish_reason.is_some());
+        if let Some(tokens) = chunk.tokens {
+            self.pending.push_back(Event::Tokens {
+                request_id: chunk.id.clone(),
+                start: tokens.start,
+                count: tokens.count,
+                text: chunk
+                    .choices
+                    .into_iter()
+                    .map(|choice| choice.text)
+                    .collect(),
+                version: tokens.version,
+            });
+        }
+        if let (true, Some(usage)) = (finished, chunk.usage) {
+            self.end = Some(Event::End {
+                request_id: chunk.id,
+                tokens: usage.completion_tokens,
+                cached: usage
+                    .prompt_tokens_details
+                    .unwrap_or_default()
+                    .cached_tokens,
+            });
+        }
+        Ok(())
+    }
+
+    fn error(&self, kind: Kind) -> Report<Error> {
+        Report::new(Error::new(
+            "answer of a generation",
+            self.address.to_string(),
+            kind,
+        ))
+    }
+}
--- /dev/null
+++ b/crates/shallotroute_platform/src/http/host.rs
@@ -0,0 +1,53 @@
+//! The adapter of the host list.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use http::{Method, StatusCode};
+use shallotroute_http::client::Client;
+
+use super::call::Call;
+use crate::{
+    error::Result,
+    host::{self, Host},
+};
+
+/// The host list at one address.
+#[derive(Clone, Debug)]
+pub struct List {
+    client: Client,
+    address: SocketAddr,
+    timeout: Duration,
+}
+
+impl List {
+    /// Makes an adapter whose calls take at most `timeout`.
+    pub fn new(client: Client, address: SocketAddr, timeout: Duration) -> Self {
+        Self {
+            client,
+            address,
+            timeout,
+        }
+    }
+
+    async fn read(&self) -> Result<Vec<Host>> {
+        let call = Call {
+            client: &self.client,
+            step: "read of the host list",
+            address: self.address,
+        };
+        let request = call.request(Method::GET, "/hosts");
+        let answer = call.exchange(request, Bytes::new(), self.timeout).await?;
+        match answer.status {
+            StatusCode::OK => call.decode(&answer),
+            _ => Err(call.rejected(&answer)),
+        }
+    }
+}
+
+impl host::List for List {
+    fn hosts(&self) -> BoxFuture<'_, Result<Vec<Host>>> {
+        Box::pin(self.read())
+    }
+}
--- /dev/null
+++ b/crates/shallotroute_platform/src/http/store.rs
@@ -0,0 +1,123 @@
+//! The adapter of the key-value service.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use http::{Method, StatusCode};
+use shallotroute_http::client::Client;
+
+use super::call::{Answer, Call, VERSION_HEADER, encode};
+use crate::{
+    error::{Kind, Result},
+    store::{self, Entry},
+};
+
+/// The key-value service at one address.
+#[derive(Clone, Debug)]
+pub struct Store {
+    client: Client,
+    address: SocketAddr,
+    timeout: Duration,
+}
+
+impl Store {
+    /// Makes an adapter whose calls take at most `timeout`, watches their waiting time longer.
+    pub fn new(client: Client, address: SocketAddr, timeout: Duration) -> Self {
+        Self {
+            client,
+            address,
+            timeout,
+        }
+    }
+
+    fn call(&self, step: &'static str) -> Call<'_> {
+        Call {
+            client: &self.client,
+            step,
+            address: self.address,
+        }
+    }
+
+    async fn read(
+        &self,
+        step: &'static str,
+        path: String,
+        timeout: Duration,
+    ) -> Result<Option<Entry>> {
+        let call = self.call(step);
+        let request = call.request(Method::GET, &path);
+        let answer = call.exchange(request, Bytes::new(), timeout).await?;
+        match answer.status {
+            StatusCode::OK => Ok(Some(Entry {
+                version: version(&call, &answer)?,
+                value: answer.body,
+            })),
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => Err(call.rejected(&answer)),
+        }
+    }
+
+    async fn write(&self, key: &str, expected: u64, value: Bytes) -> Result<u64> {
+        let call = self.call("write of a key");
+        let path = format!("/kv/{}?expected={expected}", encode(key));
+        let request = call.request(Method::PUT, &path);
+        let answer = call.exchange(request, value, self.timeout).await?;
+        match answer.status {
+            StatusCode::OK => version(&call, &answer),
+            StatusCode::CONFLICT => {
+                let found = version(&call, &answer)?;
+                Err(call.error(Kind::Conflict { found }))
+            }
+            _ => Err(call.rejected(&answer)),
+        }
+    }
+
+    async fn keys(&self, prefix: &str) -> Result<Vec<String>> {
+        let call = self.call("list of keys");
+        let request = call.request(Method::GET, &format!("/kv?prefix={}", encode(prefix)));
+        let answer = call.exchange(request, Bytes::new(), self.timeout).await?;
+        match answer.status {
+            StatusCode::OK => call.decode(&answer),
+            _ => Err(call.rejected(&answer)),
+        }
+    }
+}
+
+impl store::Store for Store {
+    fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Entry>>> {
+        let path = format!("/kv/{}", encode(key));
+        Box::pin(self.read("read of a key", path, self.timeout))
+    }
+
+    fn swap<'a>(&'a self, key: &'a str, expected: u64, value: Bytes) -> BoxFuture<'a, Result<u64>> {
+        Box::pin(self.write(key, expected, value))
+    }
+
+    fn watch<'a>(
+        &'a self,
+        key: &'a str,
+        known: u64,
+        wait: Duration,
+    ) -> BoxFuture<'a, Result<Option<Entry>>> {
+        let path = format!(
+            "/kv/{}?known={known}&wait_ms={}",
+            encode(key),
+            wait.as_millis()
+        );
+        Box::pin(self.read("watch of a key", path, self.timeout + wait))
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Vec<String>>> {
+        Box::pin(self.keys(prefix))
+    }
+}
+
+fn version(call: &Call<'_>, answer: &Answer) -> Result<u64> {
+    answer
+        .headers
+        .get(VERSION_HEADER)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse().ok())
+        .ok_or_else(|| call.error(Kind::Malformed(format!("no {VERSION_HEADER} header"))))
+}
--- a/crates/shallotroute_platform/src/lib.rs
+++ b/crates/shallotroute_platform/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod engine;
 pub mod error;
 pub mod host;
+pub mod http;
 pub mod scorer;
 pub mod store;
--- a/crates/shallotroute_standin/src/lib.rs
+++ b/crates/shallotroute_standin/src/lib.rs
@@ -1,1 +1,15 @@
-//! Stand-ins for the platform and for backend servers, for tests and examples.
+//! Stand-ins for the platform, the backend servers and the trainers, for tests and examples only.
+//! Each listens on a loopback address, takes faults at run time, and keeps a record of what truly
+//! happened. Start with [`engine::Engine`] and [`store::Store`].
+
+pub mod engine;
+pub mod host;
+pub mod length;
+mod reply;
+pub mod scorer;
+pub mod server;
+pub mod service;
+pub mod store;
+pub mod text;
+pub mod trainer;
+pub mod weight;
--- /dev/null
+++ b/crates/shallotroute_standin/src/scorer.rs
@@ -0,0 +1,115 @@
+//! The stand-in of a scoring service.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use futures::future::BoxFuture;
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+use shallotroute_platform::scorer;
+use shallotroute_types::sample::Identity;
+
+use crate::{
+    reply,
+    server::{Handler, Reply, Server},
+};
+
+/// A scoring service.
+#[derive(Debug)]
+pub struct Scorer {
+    shared: Arc<Shared>,
+    server: Server,
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Fault {
+    /// How long each score takes.
+    pub delay: Duration,
+    /// Every n-th request fails with status 500; 0 lets none fail.
+    pub fail_every: u64,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    book: Mutex<Book>,
+}
+
+#[derive(Debug, Default)]
+struct Book {
+    fault: Fault,
+    requests: u64,
+    scored: Vec<(Identity, f64)>,
+}
+
+impl Scorer {
+    /// Starts a scorer.
+    ///
+    /// # Errors
+    ///
+    /// No address can be bound.
+    pub async fn start() -> io::Result<Self> {
+        let shared = Arc::new(Shared::default());
+        let server = Server::start(shared.clone()).await?;
+        Ok(Self { shared, server })
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Sets what goes wrong from now on.
+    pub fn set_fault(&self, fault: Fault) {
+        self.shared.lock().fault = fault;
+    }
+
+    /// Returns each score that was given.
+    pub fn scored(&self) -> Vec<(Identity, f64)> {
+        self.shared.lock().scored.clone()
+    }
+
+    /// Returns the score of a text, which is the same each time.
+    pub fn score_of(text: &str) -> f64 {
+        let hash = blake3::hash(text.as_bytes());
+        f64::from(hash.as_bytes()[0]) / f64::from(u8::MAX)
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> std::sync::MutexGuard<'_, Book> {
+        self.book.lock().expect("no holder of the lock panics")
+    }
+
+    async fn score(self: Arc<Self>, request: Request<Incoming>) -> Reply {
+        let content = reply::content(request.into_body()).await?;
+        let Ok(request) = serde_json::from_slice::<scorer::Request>(&content) else {
+            return Ok(reply::text(StatusCode::BAD_REQUEST, "not a sample"));
+        };
+        let (fault, number) = {
+            let mut book = self.lock();
+            book.requests += 1;
+            (book.fault, book.requests)
+        };
+        tokio::time::sleep(fault.delay).await;
+        if fault.fail_every > 0 && number.is_multiple_of(fault.fail_every) {
+            return Ok(reply::text(StatusCode::INTERNAL_SERVER_ERROR, "failed"));
+        }
+        let score = Scorer::score_of(&request.text);
+        self.lock().scored.push((request.sample, score));
+        Ok(reply::json(&serde_json::json!({ "score": score })))
+    }
+}
+
+impl Handler for Shared {
+    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Reply> {
+        match request.uri().path() {
+            "/score" => Box::pin(self.score(request)),
+            _ => Box::pin(async { reply::not_found() }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallotroute_standin/src/text.rs
@@ -0,0 +1,67 @@
+//! The text of generated tokens, which names the generation and the index of each token, so that a
+//! reader can find the engine's record of it.
+
+use std::str::FromStr;
+
+/// One token of a text.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Token {
+    /// The engine's name.
+    pub engine: String,
+    /// The engine's number of the generation.
+    pub generation: u64,
+    /// The index of the token within the answer.
+    pub index: u32,
+}
+
+/// The text does not come from a stand-in engine.
+#[derive(Clone, Debug, derive_more::Display, PartialEq, Eq)]
+#[display("`{_0}` is not the text of a token")]
+pub struct Foreign(pub String);
+
+impl std::error::Error for Foreign {}
+
+impl std::fmt::Display for Token {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self {
+            engine,
+            generation,
+            index,
+        } = self;
+        write!(formatter, "{engine}~{generation}:{index}")
+    }
+}
+
+impl FromStr for Token {
+    type Err = Foreign;
+
+    fn from_str(text: &str) -> Result<Self, Foreign> {
+        let foreign = || Foreign(text.to_owned());
+        let (engine, rest) = text.split_once('~').ok_or_else(foreign)?;
+        let (generation, index) = rest.split_once(':').ok_or_else(foreign)?;
+        Ok(Self {
+            engine: engine.to_owned(),
+            generation: generation.parse().map_err(|_| foreign())?,
+            index: index.parse().map_err(|_| foreign())?,
+        })
+    }
+}
+
+/// Writes tokens `start..end` of a generation.
+pub fn write(engine: &str, generation: u64, start: u32, end: u32) -> String {
+    use std::fmt::Write;
+    let mut text = String::new();
+    for index in start..end {
+        write!(text, "{engine}~{generation}:{index} ").expect("writing to a string should succeed");
+    }
+    text
+}
+
+/// Reads the tokens of a text.
+///
+/// # Errors
+///
+/// A word of the text is not a token.
+pub fn read(text: &str) -> Result<Vec<Token>, Foreign> {
+    text.split_whitespace().map(str::parse).collect()
+}
--- /dev/null
+++ b/crates/shallotroute_standin/src/trainer/record.rs
@@ -0,0 +1,136 @@
+//! What a trainer received and how long it waited.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use shallotroute_types::{name::Name, sample::Identity, version::Version};
+
+use super::{Sample, Settings};
+
+/// What happened to a trainer.
+#[derive(Clone, Debug, Default)]
+pub struct Record {
+    /// When the run began.
+    pub started: Option<Instant>,
+    /// When it ended.
+    pub ended: Option<Instant>,
+    /// The steps by number.
+    pub steps: BTreeMap<u64, Step>,
+    /// The samples that were accepted.
+    pub deliveries: Vec<Delivery>,
+    /// Samples of groups that the trainer already had.
+    pub duplicates: u64,
+    /// Samples that were missing from groups said to be whole.
+    pub lost: u64,
+    /// Answers that called a step complete while groups were missing.
+    pub ended_early: u64,
+    /// How often a step had to be submitted again because no node knew it.
+    pub resubmitted: u64,
+    /// The versions announced and when that was acknowledged.
+    pub announced: Vec<(Version, Instant)>,
+    /// The calls that failed.
+    pub failures: Vec<String>,
+}
+
+/// One step.
+#[derive(Clone, Debug, Default)]
+pub struct Step {
+    /// How many samples it has.
+    pub samples: u64,
+    /// When it was first submitted.
+    pub submitted: Option<Instant>,
+    /// When the trainer had nothing else to do than wait for it.
+    pub wait_from: Option<Instant>,
+    /// When its last group arrived.
+    pub whole_at: Option<Instant>,
+}
+
+/// One delivered sample.
+#[derive(Clone, Debug)]
+pub struct Delivery {
+    /// The sample's identity.
+    pub identity: Identity,
+    /// The sample.
+    pub sample: Sample,
+    /// The trainer's version when it pulled.
+    pub version: Version,
+    /// When it arrived.
+    pub at: Instant,
+}
+
+impl Record {
+    /// Returns how long the trainer waited for samples.
+    pub fn idle(&self) -> Duration {
+        let until = self.ended.unwrap_or_else(Instant::now);
+        self.steps
+            .values()
+            .filter_map(|step| {
+                let from = step.wait_from?;
+                Some(
+                    step.whole_at
+                        .unwrap_or(until)
+                        .saturating_duration_since(from),
+                )
+            })
+            .sum()
+    }
+
+    /// Returns the share of the run in which the trainer waited.
+    pub fn idle_fraction(&self) -> f64 {
+        let Some(started) = self.started else {
+            return 0.0;
+        };
+        let total = self.ended.unwrap_or_else(Instant::now) - started;
+        match total.is_zero() {
+            true => 0.0,
+            false => self.idle().as_secs_f64() / total.as_secs_f64(),
+        }
+    }
+
+    /// Returns the samples that were asked for and have not arrived.
+    pub fn outstanding(&self) -> u64 {
+        let asked: u64 = self.steps.values().map(|step| step.samples).sum();
+        asked.saturating_sub(self.deliveries.len() as u64 + self.lost)
+    }
+
+    pub(super) fn submitted(&mut self, step: u64, settings: &Settings, at: Instant) {
+        let entry = self.steps.entry(step).or_default();
+        entry.samples = u64::from(settings.groups) * u64::from(settings.group_size);
+        entry.submitted.get_or_insert(at);
+    }
+
+    pub(super) fn wait_from(&mut self, step: u64, at: Instant) {
+        self.steps.entry(step).or_default().wait_from = Some(at);
+    }
+
+    pub(super) fn whole_at(&mut self, step: u64, at: Instant) {
+        self.steps.entry(step).or_default().whole_at = Some(at);
+    }
+
+    pub(super) fn close(&mut self, at: Instant) {
+        self.ended = Some(at);
+    }
+
+    pub(super) fn deliver(
+        &mut self,
+        trainer: &Name,
+        step: u64,
+        group: u32,
+        version: Version,
+        sample: Sample,
+    ) {
+        self.deliveries.push(Delivery {
+            identity: Identity {
+                trainer: trainer.clone(),
+                step,
+                group,
+                index: sample.index,
+            },
+            sample,
+            version,
+            at: Instant::now(),
+        });
+    }
+}
