platform: name the adapters as the node program uses them

Cause: the node program calls http::Hosts and Engine::new without a time limit. Change: http::List is http::Hosts; the time limits of an engine's state and of the head of its answer are constants of the adapter. Measured: cargo test -p shallotroute_platform: 13 passed. Conclusion: the node program compiles against the adapters as they are.

--- a/crates/shallotroute_platform/src/http/engine.rs
+++ b/crates/shallotroute_platform/src/http/engine.rs
@@ -28,6 +28,12 @@
 /// The data of the event that ends a whole stream.
 const END_MARKER: &[u8] = b"[DONE]";
 
+/// How long an engine may take to report its state.
+const STATE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How long an engine may take to begin an answer; some begin only when the request gets a slot.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// The longest answer of a refusing engine, in bytes.
 const MAX_REFUSAL_BYTES: usize = 64 << 10;
 
@@ -35,7 +41,6 @@
 #[derive(Clone, Debug)]
 pub struct Engine {
     client: Client,
-    timeout: Duration,
 }
 
 #[derive(Serialize)]
@@ -82,9 +87,9 @@
 }
 
 impl Engine {
-    /// Makes an adapter that waits at most `timeout` for a state or the head of an answer.
-    pub fn new(client: Client, timeout: Duration) -> Self {
-        Self { client, timeout }
+    /// Makes an adapter.
+    pub fn new(client: Client) -> Self {
+        Self { client }
     }
 
     fn call(&self, step: &'static str, address: SocketAddr) -> Call<'_> {
@@ -113,13 +118,13 @@
             .request(Method::POST, "/v1/completions")
             .header("x-request-id", &request.request_id)
             .header("x-priority", u16::from(request.priority));
-        let response = call.head(head, content.into(), self.timeout).await?;
+        let response = call.head(head, content.into(), HEAD_TIMEOUT).await?;
         if response.status() == StatusCode::OK {
             return Ok(Reader::new(address, response.into_body()).into_stream());
         }
         let (head, content) = response.into_parts();
         let reading = body::read(content, MAX_REFUSAL_BYTES);
-        let body = match tokio::time::timeout(self.timeout, reading).await {
+        let body = match tokio::time::timeout(HEAD_TIMEOUT, reading).await {
             Ok(Ok(body)) => body,
             Ok(Err(_)) | Err(_) => Bytes::new(),
         };
@@ -133,7 +138,7 @@
     async fn read_state(&self, address: SocketAddr) -> Result<State> {
         let call = self.call("read of an engine's state", address);
         let request = call.request(Method::GET, "/state");
-        let answer = call.exchange(request, Bytes::new(), self.timeout).await?;
+        let answer = call.exchange(request, Bytes::new(), STATE_TIMEOUT).await?;
         match answer.status {
             StatusCode::OK => call.decode(&answer),
             _ => Err(call.rejected(&answer)),
--- a/crates/shallotroute_platform/src/http/host.rs
+++ b/crates/shallotroute_platform/src/http/host.rs
@@ -15,13 +15,13 @@
 
 /// The host list at one address.
 #[derive(Clone, Debug)]
-pub struct List {
+pub struct Hosts {
     client: Client,
     address: SocketAddr,
     timeout: Duration,
 }
 
-impl List {
+impl Hosts {
     /// Makes an adapter whose calls take at most `timeout`.
     pub fn new(client: Client, address: SocketAddr, timeout: Duration) -> Self {
         Self {
@@ -46,7 +46,7 @@
     }
 }
 
-impl host::List for List {
+impl host::List for Hosts {
     fn hosts(&self) -> BoxFuture<'_, Result<Vec<Host>>> {
         Box::pin(self.read())
     }
