gateway: pass callers' requests to backend servers and back

Cause: the gateway was a stub that refused every request. Bad requests get a JSON error with outcome not_run. GET /v1/models lists the routed models.

--- /dev/null
+++ b/crates/shallotroute_gateway/src/entry.rs
@@ -0,0 +1,251 @@
+//! Entry of a request: caller, route, body and deadline.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, header,
+};
+use hyper::body::Incoming;
+use serde::Serialize;
+use shallotroute_config::object::Route;
+use shallotroute_http::body::{self, Body};
+use shallotroute_routing::{inference::Head, table::Client};
+
+use crate::{
+    Gateway, dispatch,
+    failure::{Failure, Result, Step},
+    runtime::{Cell, Runtime},
+};
+
+/// The longest body of a request, in bytes.
+const MAX_BODY_BYTES: usize = 4 << 20;
+
+/// The longest time limit that a caller may ask for.
+const MAX_TIMEOUT: Duration = Duration::from_secs(3600);
+
+pub(crate) const X_REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+pub(crate) const X_BACKEND: HeaderName = HeaderName::from_static("x-shallotroute-backend");
+pub(crate) const X_TIMEOUT: HeaderName = HeaderName::from_static("x-request-timeout-ms");
+const X_NODE: HeaderName = HeaderName::from_static("x-shallotroute-node");
+const X_REVISION: HeaderName = HeaderName::from_static("x-shallotroute-revision");
+
+/// A request that may be sent.
+pub(crate) struct Call {
+    pub(crate) id: Arc<str>,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) client: Arc<Client>,
+    pub(crate) route: Arc<Route>,
+    pub(crate) pool: Arc<Cell>,
+    pub(crate) deadline: Instant,
+}
+
+#[derive(Serialize)]
+struct Models<'a> {
+    object: &'static str,
+    data: Vec<Model<'a>>,
+}
+
+#[derive(Serialize)]
+struct Model<'a> {
+    id: &'a str,
+    object: &'static str,
+    created: u64,
+    owned_by: &'static str,
+}
+
+/// Answers one request.
+pub(crate) async fn serve(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<Body> {
+    let id: Arc<str> = gateway.identity().to_string().into();
+    let snapshot = gateway.context.configuration.borrow().clone();
+    let runtime = snapshot.map(|snapshot| gateway.runtime.get(&snapshot));
+    let result = match &runtime {
+        Some(runtime) => answer(&gateway, runtime, request, Arc::clone(&id)).await,
+        None => Err(not_ready()),
+    };
+    let mut response = result.unwrap_or_else(|failure| failure.response(&id));
+    let headers = response.headers_mut();
+    if let Ok(value) = HeaderValue::from_str(&id) {
+        headers.insert(X_REQUEST_ID, value);
+    }
+    headers.insert(X_NODE, gateway.node_header.clone());
+    if let Some(runtime) = runtime {
+        headers.insert(X_REVISION, runtime.revision_header.clone());
+    }
+    response
+}
+
+async fn answer(
+    gateway: &Arc<Gateway>,
+    runtime: &Runtime,
+    request: Request<Incoming>,
+    id: Arc<str>,
+) -> Result<Response<Body>> {
+    if !gateway.context.ready() {
+        return Err(not_ready());
+    }
+    let received = gateway.context.clock.now();
+    let client = authenticate(runtime, request.headers())?;
+    if let Some(response) = models(runtime, &request) {
+        return Ok(response);
+    }
+    let call = read(runtime, request, id, client, received).await?;
+    dispatch::run(gateway, call).await
+}
+
+fn not_ready() -> Box<Failure> {
+    let message = "this node has no confirmed configuration or is shutting down";
+    Failure::not_run(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "not_ready",
+        Step::Entry,
+        message,
+    )
+    .with_retry_after(Duration::from_secs(1))
+}
+
+fn authenticate(runtime: &Runtime, headers: &HeaderMap) -> Result<Arc<Client>> {
+    let key = headers
+        .get(header::AUTHORIZATION)
+        .and_then(|value| value.as_bytes().split_at_checked("Bearer ".len()))
+        .filter(|(scheme, _)| scheme.eq_ignore_ascii_case(b"Bearer "))
+        .map(|(_, key)| key.trim_ascii());
+    match key.and_then(|key| runtime.table.client(key)) {
+        Some(client) => Ok(Arc::clone(client)),
+        None => Err(Failure::not_run(
+            StatusCode::UNAUTHORIZED,
+            "invalid_api_key",
+            Step::Entry,
+            "the request carries no key of a known caller in `Authorization: Bearer`",
+        )),
+    }
+}
+
+/// Answers `GET /v1/models` and `GET /v1/models/{model}`.
+fn models(runtime: &Runtime, request: &Request<Incoming>) -> Option<Response<Body>> {
+    let rest = request.uri().path().strip_prefix("/v1/models")?;
+    if request.method() != Method::GET {
+        return None;
+    }
+    let model = |id| Model {
+        id,
+        object: "model",
+        created: 0,
+        owned_by: "shallotroute",
+    };
+    let names = runtime.table.models();
+    match rest.strip_prefix('/') {
+        Some(id) => {
+            let name = names.iter().find(|name| name.as_str() == id)?;
+            Some(body::json(StatusCode::OK, &model(name)))
+        }
+        None if rest.is_empty() => {
+            let list = Models {
+                object: "list",
+                data: names.iter().map(|name| model(name)).collect(),
+            };
+            Some(body::json(StatusCode::OK, &list))
+        }
+        None => None,
+    }
+}
+
+async fn read(
+    runtime: &Runtime,
+    request: Request<Incoming>,
+    id: Arc<str>,
+    client: Arc<Client>,
+    received: Instant,
+) -> Result<Call> {
+    let (parts, incoming) = request.into_parts();
+    let body = body::read(incoming, MAX_BODY_BYTES)
+        .await
+        .map_err(
+            |error| match error.is::<http_body_util::LengthLimitError>() {
+                true => Failure::not_run(
+                    StatusCode::PAYLOAD_TOO_LARGE,
+                    "body_too_large",
+                    Step::Entry,
+                    format!("the body is longer than {MAX_BODY_BYTES} bytes"),
+                ),
+                false => {
+                    let message = "the body could not be read to its end";
+                    Failure::not_run(StatusCode::BAD_REQUEST, "body_cut", Step::Entry, message)
+                }
+            },
+        )?;
+    let head = head(&parts.method, parts.uri.path(), &body)?;
+    let model = head.as_ref().map(|head| head.model.as_str());
+    let route = runtime.table.route(parts.uri.path(), model);
+    let route = Arc::clone(route.ok_or_else(|| no_route(model, parts.uri.path()))?);
+    let pool = runtime.pools.get(&route.pool);
+    let pool = Arc::clone(pool.ok_or_else(|| no_route(model, parts.uri.path()))?);
+    let timeout = timeout(&parts.headers, &route)?;
+    Ok(Call {
+        id,
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body,
+        client,
+        route,
+        pool,
+        deadline: received + timeout,
+    })
+}
+
+fn head(method: &Method, path: &str, body: &Bytes) -> Result<Option<Head>> {
+    if method != Method::POST || !matches!(path, "/v1/completions" | "/v1/chat/completions") {
+        return Ok(None);
+    }
+    let head = Head::parse(body).map_err(|report| {
+        // The parser's own message names the place in the body.
+        let detail = report
+            .downcast_ref::<serde_json::Error>()
+            .map_or_else(String::new, |error| format!(": {error}"));
+        let message = format!("{}{detail}", report.current_context());
+        Failure::not_run(
+            StatusCode::BAD_REQUEST,
+            "malformed_body",
+            Step::Entry,
+            message,
+        )
+    })?;
+    Ok(Some(head))
+}
+
+fn no_route(model: Option<&str>, path: &str) -> Box<Failure> {
+    let (code, message) = match model {
+        Some(model) => (
+            "model_not_found",
+            format!("no route serves the model `{model}`"),
+        ),
+        None => ("no_route", format!("no route serves the path `{path}`")),
+    };
+    Failure::not_run(StatusCode::NOT_FOUND, code, Step::Entry, message)
+}
+
+fn timeout(headers: &HeaderMap, route: &Route) -> Result<Duration> {
+    let Some(value) = headers.get(X_TIMEOUT) else {
+        return Ok(route.timeout());
+    };
+    let millis = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
+    match millis {
+        Some(millis) if millis > 0 => Ok(Duration::from_millis(millis).min(MAX_TIMEOUT)),
+        Some(_) | None => Err(Failure::not_run(
+            StatusCode::BAD_REQUEST,
+            "malformed_timeout",
+            Step::Entry,
+            "`X-Request-Timeout-Ms` is not a positive whole number",
+        )),
+    }
+}
--- /dev/null
+++ b/crates/shallotroute_gateway/src/failure.rs
@@ -0,0 +1,136 @@
+//! Errors as callers receive them.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use http::{HeaderValue, Response, StatusCode, header};
+use serde::Serialize;
+use shallotroute_http::body::{self, Body};
+use shallotroute_types::outcome::Outcome;
+
+/// The result of a stage.
+pub(crate) type Result<T> = std::result::Result<T, Box<Failure>>;
+
+/// A stage of a request.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Step {
+    #[display("entry")]
+    Entry,
+    #[display("selection")]
+    Selection,
+    #[display("dispatch")]
+    Dispatch,
+}
+
+/// Why a request got no response of a backend server.
+#[derive(Clone, Debug)]
+pub(crate) struct Failure {
+    pub(crate) status: StatusCode,
+    pub(crate) code: &'static str,
+    pub(crate) message: String,
+    pub(crate) step: Step,
+    pub(crate) peer: Option<String>,
+    pub(crate) outcome: Outcome,
+    pub(crate) retry_after: Option<Duration>,
+}
+
+#[derive(Serialize)]
+struct Envelope<'a> {
+    error: Content<'a>,
+}
+
+#[derive(Serialize)]
+struct Content<'a> {
+    message: &'a str,
+    r#type: &'static str,
+    code: &'static str,
+    step: Step,
+    peer: Option<&'a str>,
+    outcome: Outcome,
+    retry_after_ms: Option<u64>,
+    request_id: &'a str,
+}
+
+impl Failure {
+    /// Makes a failure of a request that did not run.
+    pub(crate) fn not_run(
+        status: StatusCode,
+        code: &'static str,
+        step: Step,
+        message: impl Into<String>,
+    ) -> Box<Self> {
+        Box::new(Self {
+            status,
+            code,
+            message: message.into(),
+            step,
+            peer: None,
+            outcome: Outcome::NotRun,
+            retry_after: None,
+        })
+    }
+
+    /// Adds the time after which a retry makes sense.
+    pub(crate) fn with_retry_after(mut self: Box<Self>, after: Duration) -> Box<Self> {
+        self.retry_after = Some(after);
+        self
+    }
+
+    /// Adds the peer at which the failure arose.
+    pub(crate) fn with_peer(mut self: Box<Self>, peer: impl Into<String>) -> Box<Self> {
+        self.peer = Some(peer.into());
+        self
+    }
+
+    /// Sets what is known of the request's run.
+    pub(crate) fn with_outcome(mut self: Box<Self>, outcome: Outcome) -> Box<Self> {
+        self.outcome = outcome;
+        self
+    }
+
+    /// Returns the JSON text for callers.
+    pub(crate) fn text(&self, request_id: &str) -> String {
+        let envelope = Envelope {
+            error: Content {
+                message: &self.message,
+                r#type: kind(self.status),
+                code: self.code,
+                step: self.step,
+                peer: self.peer.as_deref(),
+                outcome: self.outcome,
+                retry_after_ms: self.retry_after.map(millis),
+                request_id,
+            },
+        };
+        serde_json::to_string(&envelope).unwrap_or_default()
+    }
+
+    /// Makes the response for the caller.
+    pub(crate) fn response(&self, request_id: &str) -> Response<Body> {
+        let mut response = Response::new(body::full(self.text(request_id)));
+        *response.status_mut() = self.status;
+        let headers = response.headers_mut();
+        let json = HeaderValue::from_static("application/json");
+        headers.insert(header::CONTENT_TYPE, json);
+        if let Some(after) = self.retry_after {
+            let seconds = millis(after).div_ceil(1000).max(1);
+            headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+        }
+        response
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Returns the error type that inference clients know for a status.
+fn kind(status: StatusCode) -> &'static str {
+    match status {
+        StatusCode::UNAUTHORIZED => "authentication_error",
+        StatusCode::TOO_MANY_REQUESTS => "rate_limit_error",
+        status if status.is_client_error() => "invalid_request_error",
+        _ => "server_error",
+    }
+}
--- a/crates/shallotroute_gateway/src/lib.rs
+++ b/crates/shallotroute_gateway/src/lib.rs
@@ -1,28 +1,67 @@
 //! Requests of callers: entry, admission, selection, dispatch, answer. Start with [`Gateway`].
 
-use std::{net::SocketAddr, sync::Arc};
+mod dispatch;
+mod entry;
+mod failure;
+mod forward;
+mod runtime;
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
 use futures::future::BoxFuture;
-use http::{Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use prometheus_client::registry::Registry;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use shallotroute_context::Context;
-use shallotroute_http::{
-    body::{self, Body},
-    server::Handler,
-};
+use shallotroute_http::{body::Body, client::Client, server::Handler};
 use shallotroute_peer::stream::Service;
 use shallotroute_platform::engine::Engine;
+use uuid::Uuid;
+
+/// How long a backend server may take to accept a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Serves callers.
 pub struct Gateway {
     context: Context,
+    client: Client,
+    random: Mutex<ChaCha8Rng>,
+    runtime: runtime::Holder,
+    node_header: HeaderValue,
 }
 
 impl Gateway {
     /// Makes a gateway and registers its metrics.
-    pub fn new(context: Context, _engine: Arc<dyn Engine>, _registry: &mut Registry) -> Arc<Self> {
-        Arc::new(Self { context })
+    pub fn new(context: Context, engine: Arc<dyn Engine>, registry: &mut Registry) -> Arc<Self> {
+        let mut seed = [0; 32];
+        seed[..16].copy_from_slice(Uuid::now_v7().as_bytes());
+        seed[16..].copy_from_slice(Uuid::now_v7().as_bytes());
+        let random = ChaCha8Rng::from_seed(*blake3::hash(&seed).as_bytes());
+        Self::with_random(context, engine, registry, random)
+    }
+
+    /// Makes a gateway that draws its random numbers from `random`.
+    pub fn with_random(
+        context: Context,
+        _engine: Arc<dyn Engine>,
+        _registry: &mut Registry,
+        random: ChaCha8Rng,
+    ) -> Arc<Self> {
+        let node_header = HeaderValue::from_str(&context.local.id)
+            .unwrap_or_else(|_| HeaderValue::from_static("unnamed"));
+        Arc::new(Self {
+            client: Client::new(CONNECT_TIMEOUT),
+            random: Mutex::new(random),
+            runtime: runtime::Holder::default(),
+            node_header,
+            context,
+        })
     }
 
     /// Returns the service that other nodes call for records of non-idempotent requests.
@@ -39,14 +78,29 @@
     pub fn dump(&self) -> serde_json::Value {
         serde_json::json!({})
     }
+
+    /// Makes the identity of a request, a UUID of version 7.
+    fn identity(&self) -> Uuid {
+        let mut random = [0; 10];
+        self.random
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .fill_bytes(&mut random);
+        let wall = self.context.clock.wall();
+        let since_epoch = wall
+            .duration_since(std::time::UNIX_EPOCH)
+            .unwrap_or_default();
+        let millis = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX);
+        uuid::Builder::from_unix_timestamp_millis(millis, &random).into_uuid()
+    }
 }
 
 impl Handler for Gateway {
     fn handle(
         self: Arc<Self>,
-        _request: Request<Incoming>,
+        request: Request<Incoming>,
         _peer: SocketAddr,
     ) -> BoxFuture<'static, Response<Body>> {
-        Box::pin(async { body::json(StatusCode::SERVICE_UNAVAILABLE, &"no route") })
+        Box::pin(entry::serve(self, request))
     }
 }
--- /dev/null
+++ b/crates/shallotroute_gateway/tests/entry.rs
@@ -0,0 +1,149 @@
+//! Requests go through to a backend server and back; bad ones are refused before they run.
+
+mod support;
+
+use googletest::prelude::*;
+use http::{Method, StatusCode, header};
+use shallotroute_config::set::Set;
+use shallotroute_http::body;
+use support::{Backend, MODEL, Node};
+
+async fn node() -> (Node, Backend, Backend) {
+    let engine = Backend::start(|request| async move { support::engine_answer(&request, 4) }).await;
+    let service = Backend::start(|request| async move {
+        let text = format!("{} {}", request.method, request.path);
+        let mut response = http::Response::new(body::full(text));
+        *response.status_mut() = StatusCode::ACCEPTED;
+        response
+            .headers_mut()
+            .insert("x-shelf", "7".parse().unwrap());
+        response
+    })
+    .await;
+    let engines = vec![support::server("engine-1", engine.address)];
+    let services = vec![support::server("service-1", service.address)];
+    let node = Node::start(Set::new(support::objects(engines, services))).await;
+    (node, engine, service)
+}
+
+/// Guards against clients that can't read streams because the gateway changes or drops events.
+#[tokio::test]
+async fn passes_a_stream_whole() {
+    let (node, engine, _service) = node().await;
+    let response = node.completion(true).await;
+    assert_that!(response.status(), eq(StatusCode::OK));
+    assert_that!(
+        response.headers()[header::CONTENT_TYPE],
+        eq("text/event-stream")
+    );
+    assert_that!(response.headers()["x-shallotroute-node"], eq("node-1"));
+    assert_that!(response.headers()["x-shallotroute-revision"], eq("1"));
+    assert_that!(response.headers()["x-shallotroute-backend"], eq("engine-1"));
+    let text = support::text(response).await;
+    let sent = support::events(&engine.received()[0].id(), 4).concat();
+    assert_that!(text, eq(&sent));
+}
+
+/// Guards against a non-streaming response that is changed on its way or a key that leaks.
+#[tokio::test]
+async fn passes_a_whole_answer_and_keeps_the_key() {
+    let (node, engine, _service) = node().await;
+    let response = node.completion(false).await;
+    assert_that!(response.status(), eq(StatusCode::OK));
+    assert_that!(response.headers().contains_key("x-request-id"), eq(true));
+    let text = support::text(response).await;
+    assert_that!(text, contains_substring("leek"));
+    let received = &engine.received()[0];
+    assert_that!(
+        received.headers.contains_key(header::AUTHORIZATION),
+        eq(false)
+    );
+    assert_that!(received.headers["x-priority"], eq("0"));
+    assert_that!(
+        received.headers.contains_key("x-request-timeout-ms"),
+        eq(true)
+    );
+}
+
+/// Guards against plain services that lose methods, paths, queries, statuses or headers.
+#[tokio::test]
+async fn passes_any_method_and_path_of_a_service() {
+    let (node, _engine, _service) = node().await;
+    for method in [Method::GET, Method::PUT, Method::DELETE, Method::PATCH] {
+        let request = node.request(method.clone(), "/orders/7?urgent=1");
+        let response = node.send(request.body(body::empty()).unwrap()).await;
+        assert_that!(response.status(), eq(StatusCode::ACCEPTED));
+        assert_that!(response.headers()["x-shelf"], eq("7"));
+        let text = support::text(response).await;
+        assert_that!(text, eq(&format!("{method} /orders/7?urgent=1")));
+    }
+}
+
+/// Guards against clients that list the models before their first request.
+#[tokio::test]
+async fn lists_the_models() {
+    let (node, _engine, _service) = node().await;
+    let text = support::text(node.get("/v1/models").await).await;
+    assert_that!(text, contains_substring(format!(r#""id":"{MODEL}""#)));
+    let one = node.get(&format!("/v1/models/{MODEL}")).await;
+    assert_that!(one.status(), eq(StatusCode::OK));
+    let none = node.get("/v1/models/absent").await;
+    assert_that!(none.status(), eq(StatusCode::NOT_FOUND));
+}
+
+/// Guards against bad requests that reach a backend server or get an unclear answer.
+#[tokio::test]
+async fn refuses_bad_requests_before_they_run() {
+    let (node, engine, service) = node().await;
+    let completion = |text: String| {
+        let request = node.request(Method::POST, "/v1/chat/completions");
+        request.body(body::full(text)).unwrap()
+    };
+    let mut wrong_key = completion("{}".into());
+    let value = "Bearer other".parse().unwrap();
+    wrong_key.headers_mut().insert(header::AUTHORIZATION, value);
+    let mut bad_timeout = completion(format!(r#"{{"model":"{MODEL}"}}"#));
+    let value = "soon".parse().unwrap();
+    bad_timeout
+        .headers_mut()
+        .insert("x-request-timeout-ms", value);
+    let unrouted = node.request(Method::GET, "/elsewhere").body(body::empty());
+    let cases = [
+        (wrong_key, 401, "invalid_api_key"),
+        (completion("{\"model\":".into()), 400, "malformed_body"),
+        (
+            completion(r#"{"model":"absent"}"#.into()),
+            404,
+            "model_not_found",
+        ),
+        (completion(" ".repeat((4 << 20) + 1)), 413, "body_too_large"),
+        (bad_timeout, 400, "malformed_timeout"),
+        (unrouted.unwrap(), 404, "no_route"),
+    ];
+    for (request, status, code) in cases {
+        let response = node.send(request).await;
+        assert_that!(response.status().as_u16(), eq(status));
+        let error = support::error(response).await;
+        assert_that!(error["code"], eq(code));
+        assert_that!(error["outcome"], eq("not_run"));
+        assert_that!(error["request_id"].as_str().unwrap().len(), eq(36));
+    }
+    assert_that!(engine.count() + service.count(), eq(0));
+}
+
+/// Guards against work accepted without a confirmed configuration.
+#[tokio::test]
+async fn refuses_while_not_ready() {
+    let (node, engine, _service) = node().await;
+    node.confirmed.send_replace(false);
+    let response = node.completion(false).await;
+    assert_that!(response.status(), eq(StatusCode::SERVICE_UNAVAILABLE));
+    assert_that!(
+        response.headers().contains_key(header::RETRY_AFTER),
+        eq(true)
+    );
+    let error = support::error(response).await;
+    assert_that!(error["code"], eq("not_ready"));
+    assert_that!(error["outcome"], eq("not_run"));
+    assert_that!(engine.count(), eq(0));
+}
