gateway: derive outcomes from the wire and repeat failed attempts

Cause: every failure ended the request with outcome unknown. Change: the evidence of an attempt gives its outcome; a request is sent to another server within the retry budget and the deadline, and a non-idempotent one only after NotRun. shallotroute_http reports a kept connection that closed before the request was written as Connect, since no byte was sent. Conclusion: a refusal by one server no longer reaches the caller while another can serve.

--- a/crates/shallotroute_gateway/src/dispatch.rs
+++ b/crates/shallotroute_gateway/src/dispatch.rs
@@ -1,122 +1,59 @@
 //! Attempts at a request until one gives a response.
 
-use std::{
-    pin::Pin,
-    sync::Arc,
-    task::{Context, Poll},
+use http::{Response, StatusCode};
+use shallotroute_http::body::Body;
+use shallotroute_routing::{
+    outcome,
+    retry::{self, Attempt},
 };
-
-use bytes::Bytes;
-use http::{HeaderValue, Response, StatusCode};
-use http_body_util::BodyExt;
-use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
-use shallotroute_http::body::{Body, Error};
-use shallotroute_routing::pool::Choice;
 use shallotroute_types::outcome::Outcome;
 
 use crate::{
     Gateway,
-    entry::{Call, X_BACKEND, X_REQUEST_ID},
+    attempt::{self, Sent},
+    entry::Call,
     failure::{Failure, Result, Step},
-    forward,
-    runtime::Cell,
 };
 
-/// Counts a request as in progress at a backend server until it is dropped.
-pub(crate) struct Sent {
-    pool: Arc<Cell>,
-    choice: Choice,
-}
-
-impl Drop for Sent {
-    fn drop(&mut self) {
-        self.pool.state().finish(&self.choice.name);
-    }
-}
-
-/// Sends a request and returns the head of its response.
-pub(crate) async fn run(gateway: &Arc<Gateway>, call: Call) -> Result<Response<Body>> {
-    let choice = call.pool.state().choose(&[]).ok_or_else(|| {
-        let message = format!(
-            "no backend server of the pool `{}` takes work",
-            call.route.pool
-        );
-        Failure::not_run(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "no_server",
-            Step::Selection,
-            message,
-        )
-    })?;
-    let sent = Sent {
-        pool: Arc::clone(&call.pool),
-        choice,
-    };
-    let now = gateway.context.clock.now();
-    let request = forward::request(&call, sent.choice.address, &call.id, now).map_err(|error| {
-        let message = error.to_string();
-        Failure::not_run(
-            StatusCode::BAD_REQUEST,
-            "malformed_request",
-            Step::Dispatch,
-            message,
-        )
-    })?;
-    let response = gateway.client.send(request).await.map_err(|report| {
-        let message = report.current_context().to_string();
-        Failure::not_run(
-            StatusCode::BAD_GATEWAY,
-            "send_failed",
-            Step::Dispatch,
-            message,
-        )
-        .with_peer(sent.choice.name.as_str())
-        .with_outcome(Outcome::Unknown)
-    })?;
-    Ok(pass(response, sent))
-}
-
-fn pass(response: Response<Incoming>, sent: Sent) -> Response<Body> {
-    let (parts, incoming) = response.into_parts();
-    let backend = HeaderValue::from_str(&sent.choice.name);
-    let body = Guarded {
-        incoming,
-        _sent: sent,
-    };
-    let mut response = Response::new(body.boxed_unsync());
-    *response.status_mut() = parts.status;
-    forward::end_to_end(&parts.headers, response.headers_mut());
-    response.headers_mut().remove(X_REQUEST_ID);
-    if let Ok(value) = backend {
-        response.headers_mut().insert(X_BACKEND, value);
+/// Sends a request, if need be several times, and returns a response.
+pub(crate) async fn run(gateway: &Gateway, call: &Call) -> Result<Response<Body>> {
+    call.pool.state().budget().deposit();
+    let clock = &*gateway.context.clock;
+    let mut tried = Vec::new();
+    let mut outcome = Outcome::NotRun;
+    let mut last = None;
+    loop {
+        let Some(choice) = call.pool.state().choose(&tried) else {
+            let failure = last.unwrap_or_else(|| no_server(call));
+            return Err(failure.with_outcome(outcome));
+        };
+        tried.push(choice.name.clone());
+        let sent = Sent::new(&call.pool, choice);
+        let result = attempt::run(&gateway.client, clock, call, tried.len(), sent).await?;
+        let broken = match result {
+            Ok(response) => return Ok(response),
+            Err(broken) => broken,
+        };
+        outcome = outcome::combine(outcome, broken.evidence.outcome());
+        let attempt = Attempt {
+            evidence: broken.evidence,
+            idempotent: call.idempotent,
+            answered: false,
+            left: call.deadline.saturating_duration_since(clock.now()),
+        };
+        if !retry::allow(&attempt, call.pool.state().budget()) {
+            return Err(broken.failure.with_outcome(outcome));
+        }
+        last = Some(broken.failure);
     }
-    response
 }
 
-/// A response body that passes on as it arrives.
-struct Guarded {
-    incoming: Incoming,
-    _sent: Sent,
-}
-
-impl HttpBody for Guarded {
-    type Data = Bytes;
-    type Error = Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<std::result::Result<Frame<Bytes>, Error>>> {
-        Pin::new(&mut self.incoming)
-            .poll_frame(context)
-            .map_err(Into::into)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.incoming.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.incoming.size_hint()
-    }
+fn no_server(call: &Call) -> Box<Failure> {
+    let message = format!(
+        "no backend server of the pool `{}` takes work",
+        call.route.pool
+    );
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    Failure::not_run(status, "no_server", Step::Selection, message)
+        .with_retry_after(std::time::Duration::from_secs(1))
 }
--- a/crates/shallotroute_gateway/src/entry.rs
+++ b/crates/shallotroute_gateway/src/entry.rs
@@ -13,7 +13,10 @@
 use serde::Serialize;
 use shallotroute_config::object::Route;
 use shallotroute_http::body::{self, Body};
-use shallotroute_routing::{inference::Head, table::Client};
+use shallotroute_routing::{
+    inference::Head,
+    table::{self, Client},
+};
 
 use crate::{
     Gateway, dispatch,
@@ -43,6 +46,8 @@
     pub(crate) client: Arc<Client>,
     pub(crate) route: Arc<Route>,
     pub(crate) pool: Arc<Cell>,
+    /// Whether it may run twice.
+    pub(crate) idempotent: bool,
     pub(crate) deadline: Instant,
 }
 
@@ -96,7 +101,7 @@
         return Ok(response);
     }
     let call = read(runtime, request, id, client, received).await?;
-    dispatch::run(gateway, call).await
+    dispatch::run(gateway, &call).await
 }
 
 fn not_ready() -> Box<Failure> {
@@ -189,6 +194,7 @@
     let timeout = timeout(&parts.headers, &route)?;
     Ok(Call {
         id,
+        idempotent: table::is_idempotent(&route, parts.method.as_str()),
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
--- a/crates/shallotroute_gateway/src/lib.rs
+++ b/crates/shallotroute_gateway/src/lib.rs
@@ -1,10 +1,12 @@
 //! Requests of callers: entry, admission, selection, dispatch, answer. Start with [`Gateway`].
 
+mod attempt;
 mod dispatch;
 mod entry;
 mod failure;
 mod forward;
 mod runtime;
+mod stream;
 
 use std::{
     net::SocketAddr,
--- a/crates/shallotroute_http/src/client.rs
+++ b/crates/shallotroute_http/src/client.rs
@@ -21,7 +21,7 @@
 /// Why a call failed, with the peer's address.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 pub enum Error {
-    /// No connection could be made; no byte of the request was sent.
+    /// No connection could be made, or it closed before the request; no byte was sent.
     #[display("connecting to {_0} failed")]
     Connect(String),
     /// The request was sent in part or whole and no answer came.
@@ -72,7 +72,7 @@
     pub async fn send(&self, request: Request<Body>) -> Result<Response<Incoming>> {
         let peer = peer_of(request.uri());
         self.inner.request(request).await.map_err(|error| {
-            let context = match error.is_connect() {
+            let context = match error.is_connect() || was_not_sent(&error) {
                 true => Error::Connect(peer),
                 false => Error::Send(peer),
             };
@@ -143,6 +143,16 @@
     }
 }
 
+/// Tells whether a kept connection closed before the request was written. `hyper` calls a request
+/// canceled only in this case.
+fn was_not_sent(error: &(dyn std::error::Error + 'static)) -> bool {
+    std::iter::successors(Some(error), |error| error.source()).any(|error| {
+        error
+            .downcast_ref::<hyper::Error>()
+            .is_some_and(hyper::Error::is_canceled)
+    })
+}
+
 fn peer_of(uri: &Uri) -> String {
     uri.authority()
         .map_or_else(|| "an unnamed peer".to_owned(), ToString::to_string)
--- a/crates/shallotroute_routing/src/lib.rs
+++ b/crates/shallotroute_routing/src/lib.rs
@@ -1,6 +1,8 @@
 //! Decisions on callers' requests: route, admission, selection, retry, identity.
 
 pub mod inference;
+pub mod outcome;
 pub mod pool;
+pub mod retry;
 pub mod server;
 pub mod table;
--- a/crates/shallotroute_routing/src/pool.rs
+++ b/crates/shallotroute_routing/src/pool.rs
@@ -5,13 +5,14 @@
 use shallotroute_config::object;
 use shallotroute_types::name::Name;
 
-use crate::server::Server;
+use crate::{retry::Budget, server::Server};
 
 /// A pool in a node's view.
 #[derive(Clone, Debug)]
 pub struct Pool {
     servers: Vec<Server>,
     next: usize,
+    budget: Budget,
 }
 
 /// A chosen backend server.
@@ -29,6 +30,7 @@
         let mut pool = Self {
             servers: Vec::new(),
             next: 0,
+            budget: Budget::new(Budget::SHARE),
         };
         pool.update(object);
         pool
@@ -78,6 +80,11 @@
         }
     }
 
+    /// Returns the retry budget of the pool's requests.
+    pub fn budget(&mut self) -> &mut Budget {
+        &mut self.budget
+    }
+
     /// Returns the servers.
     pub fn servers(&self) -> &[Server] {
         &self.servers
