gateway: check engines' responses event by event

Cause: a cut, foreign or reordered stream reached the caller as if it were whole. Change: the first event is checked before the head of the response goes out, so that a broken stream can restart on another engine; a later fault ends the stream with an error event answer_cut and no [DONE]. Non-streaming responses are read whole and checked.

--- a/crates/shallotroute_gateway/src/attempt.rs
+++ b/crates/shallotroute_gateway/src/attempt.rs
@@ -4,11 +4,13 @@
 
 use http::{HeaderName, HeaderValue, Response, StatusCode, response::Parts};
 use hyper::body::{Body as _, Incoming};
+use shallotroute_config::object::Backend;
 use shallotroute_http::{
     body::{self, Body},
     client::{self, Client},
 };
 use shallotroute_routing::{
+    answer::{self, Fault},
     outcome::{Evidence, Refusal},
     pool::Choice,
 };
@@ -20,7 +22,7 @@
     failure::{Failure, Result, Step},
     forward,
     runtime::Cell,
-    stream::Guarded,
+    stream::{Checked, Guarded},
 };
 
 const X_SERVER_STATE: HeaderName = HeaderName::from_static("x-server-state");
@@ -29,6 +31,9 @@
 /// one can still be replaced.
 pub(crate) const MAX_WHOLE_BYTES: u64 = 64 << 10;
 
+/// The longest non-streaming response of an engine, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
 /// When a server that refused may have room again.
 const REFUSAL_RETRY: Duration = Duration::from_secs(1);
 
@@ -136,17 +141,17 @@
     if let Some(refusal) = Refusal::parse(status, state.map(HeaderValue::as_bytes)) {
         return Err(Evidence::Refused(refusal));
     }
-    check_identity(&parts, identity)?;
-    let short = incoming
-        .size_hint()
-        .exact()
-        .is_some_and(|size| size <= MAX_WHOLE_BYTES);
     let backend = HeaderValue::from_str(&sent.choice.name);
-    let body = if short {
-        let bytes = body::read(incoming, usize::MAX).await;
-        body::full(bytes.map_err(|_| Evidence::Cut)?)
-    } else {
-        Guarded::new(incoming, sent, call.deadline).into_body()
+    let checked = call.pool.backend == Backend::Engine && parts.status.is_success();
+    let inference = call.head.as_ref().filter(|_| checked);
+    check_identity(&parts, identity, inference.is_some())?;
+    let body = match inference {
+        Some(head) if head.stream => {
+            let stream = Checked::new(incoming, sent, identity, call);
+            stream.prime().await?.into_body()
+        }
+        Some(_) => whole(incoming, identity).await?,
+        None => pass(incoming, sent, call).await?,
     };
     let mut response = head(&parts, body);
     if let Ok(value) = backend {
@@ -155,10 +160,37 @@
     Ok(response)
 }
 
-fn check_identity(parts: &Parts, identity: &str) -> std::result::Result<(), Evidence> {
+/// Reads a non-streaming response of an engine and checks it.
+async fn whole(incoming: Incoming, identity: &str) -> std::result::Result<Body, Evidence> {
+    let bytes = body::read(incoming, MAX_ANSWER_BYTES).await;
+    let bytes = bytes.map_err(|_| Evidence::Cut)?;
+    match answer::whole(identity, &bytes) {
+        Ok(_usage) => Ok(body::full(bytes)),
+        Err(Fault::Foreign) => Err(Evidence::Foreign),
+        Err(_) => Err(Evidence::Cut),
+    }
+}
+
+/// Passes a response of any content on; a short one is read whole first.
+async fn pass(incoming: Incoming, sent: Sent, call: &Call) -> std::result::Result<Body, Evidence> {
+    let size = incoming.size_hint().exact();
+    if size.is_some_and(|size| size <= MAX_WHOLE_BYTES) {
+        let bytes = body::read(incoming, usize::MAX).await;
+        return Ok(body::full(bytes.map_err(|_| Evidence::Cut)?));
+    }
+    Ok(Guarded::new(incoming, sent, call.deadline).into_body())
+}
+
+/// Engines repeat the identity of the attempt in their responses; services need not.
+fn check_identity(
+    parts: &Parts,
+    identity: &str,
+    required: bool,
+) -> std::result::Result<(), Evidence> {
     match parts.headers.get(&X_REQUEST_ID) {
-        Some(value) if value.as_bytes() != identity.as_bytes() => Err(Evidence::Foreign),
-        Some(_) | None => Ok(()),
+        Some(value) if value.as_bytes() == identity.as_bytes() => Ok(()),
+        None if !required => Ok(()),
+        Some(_) | None => Err(Evidence::Foreign),
     }
 }
 
--- a/crates/shallotroute_gateway/src/entry.rs
+++ b/crates/shallotroute_gateway/src/entry.rs
@@ -46,6 +46,8 @@
     pub(crate) client: Arc<Client>,
     pub(crate) route: Arc<Route>,
     pub(crate) pool: Arc<Cell>,
+    /// What the body says, for inference requests.
+    pub(crate) head: Option<Head>,
     /// Whether it may run twice.
     pub(crate) idempotent: bool,
     pub(crate) deadline: Instant,
@@ -202,6 +204,7 @@
         client,
         route,
         pool,
+        head,
         deadline: received + timeout,
     })
 }
--- a/crates/shallotroute_gateway/src/failure.rs
+++ b/crates/shallotroute_gateway/src/failure.rs
@@ -21,6 +21,8 @@
     Selection,
     #[display("dispatch")]
     Dispatch,
+    #[display("response")]
+    Response,
 }
 
 /// Why a request got no response of a backend server.
--- a/crates/shallotroute_gateway/src/stream.rs
+++ b/crates/shallotroute_gateway/src/stream.rs
@@ -1,18 +1,29 @@
 //! Response bodies that pass on to the caller as they arrive.
 
 use std::{
+    collections::VecDeque,
+    future::poll_fn,
     pin::Pin,
-    task::{Context, Poll},
-    time::Instant,
+    sync::Arc,
+    task::{Context, Poll, ready},
+    time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use shallotroute_http::body::{Body, Error};
-use tokio::time::{Sleep, sleep_until};
+use shallotroute_routing::{
+    answer::{self, Fault, Validator},
+    outcome::Evidence,
+};
+use tokio::time::{Instant, Sleep, sleep_until};
 
-use crate::attempt::Sent;
+use crate::{
+    attempt::{Broken, Sent},
+    entry::Call,
+    failure::Step,
+};
 
 /// A response body of any content. When it breaks, the connection to the caller breaks too, which
 /// shows the caller that the response is not whole.
@@ -23,7 +34,7 @@
 }
 
 impl Guarded {
-    pub(crate) fn new(incoming: Incoming, sent: Sent, deadline: Instant) -> Self {
+    pub(crate) fn new(incoming: Incoming, sent: Sent, deadline: std::time::Instant) -> Self {
         Self {
             incoming,
             deadline: Box::pin(sleep_until(deadline.into())),
@@ -59,3 +70,151 @@
         self.incoming.size_hint()
     }
 }
+
+/// The longest event of a stream, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// How long a finished stream is read for the end of its body, so that the connection can be kept.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// An engine's stream of events, checked event by event. A stream that turns out broken ends with an
+/// error event in place of the end marker.
+pub(crate) struct Checked {
+    incoming: Incoming,
+    validator: Validator,
+    /// The bytes of an event whose end has not come.
+    partial: BytesMut,
+    /// Checked events that have not been passed on.
+    ready: VecDeque<Bytes>,
+    state: State,
+    timer: Pin<Box<Sleep>>,
+    request_id: Arc<str>,
+    sent: Sent,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Open,
+    /// The end marker has come, the end of the body has not.
+    Marked,
+    Ended,
+}
+
+impl Checked {
+    pub(crate) fn new(incoming: Incoming, sent: Sent, identity: &str, call: &Call) -> Self {
+        Self {
+            incoming,
+            validator: Validator::new(identity),
+            partial: BytesMut::new(),
+            ready: VecDeque::new(),
+            state: State::Open,
+            timer: Box::pin(sleep_until(call.deadline.into())),
+            request_id: Arc::clone(&call.id),
+            sent,
+        }
+    }
+
+    /// Waits for the first checked event.
+    ///
+    /// # Errors
+    ///
+    /// The stream is broken before its first event.
+    pub(crate) async fn prime(mut self) -> Result<Self, Evidence> {
+        poll_fn(|context| self.poll_fill(context)).await?;
+        Ok(self)
+    }
+
+    pub(crate) fn into_body(self) -> Body {
+        self.boxed_unsync()
+    }
+
+    /// Reads until an event is ready or the stream has ended.
+    fn poll_fill(&mut self, context: &mut Context<'_>) -> Poll<Result<(), Evidence>> {
+        while self.ready.is_empty() && self.state != State::Ended {
+            match Pin::new(&mut self.incoming).poll_frame(context) {
+                Poll::Ready(Some(Ok(frame))) => {
+                    if let Ok(bytes) = frame.into_data() {
+                        self.split(bytes).map_err(evidence)?;
+                    }
+                }
+                Poll::Ready(Some(Err(_)) | None) => {
+                    let whole = self.validator.is_done() && self.partial.is_empty();
+                    self.state = State::Ended;
+                    if !whole {
+                        return Poll::Ready(Err(Evidence::Cut));
+                    }
+                }
+                Poll::Pending => match (self.timer.as_mut().poll(context), self.state) {
+                    (Poll::Pending, _) => return Poll::Pending,
+                    (Poll::Ready(()), State::Open) => return Poll::Ready(Err(Evidence::TimedOut)),
+                    (Poll::Ready(()), State::Marked | State::Ended) => self.state = State::Ended,
+                },
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    /// Splits bytes into events and checks each one.
+    fn split(&mut self, mut bytes: Bytes) -> answer::Result<()> {
+        let mut from = 0;
+        if !self.partial.is_empty() {
+            // The end of an event may itself be split, so the search starts before the new bytes.
+            from = self.partial.len().saturating_sub(3);
+            self.partial.extend_from_slice(&bytes);
+            bytes = self.partial.split().freeze();
+        }
+        while let Some(length) = answer::event_length(&bytes, from) {
+            let event = bytes.split_to(length);
+            from = 0;
+            self.validator.event(&event)?;
+            self.ready.push_back(event);
+        }
+        if self.validator.is_done() && self.state == State::Open {
+            self.state = State::Marked;
+            self.timer.as_mut().reset(Instant::now() + CLOSE_TIMEOUT);
+        }
+        if bytes.len() > MAX_EVENT_BYTES {
+            return Err(Fault::Malformed);
+        }
+        self.partial.extend_from_slice(&bytes);
+        Ok(())
+    }
+
+    /// Makes the event that tells the caller that the stream is broken.
+    fn error_event(&self, evidence: Evidence) -> Bytes {
+        let broken = Broken::new(evidence, &self.sent.choice.name);
+        let mut failure = broken.failure;
+        failure.code = "answer_cut";
+        failure.step = Step::Response;
+        failure.message = format!("the response broke off: {evidence}");
+        format!("data: {}\n\n", failure.text(&self.request_id)).into()
+    }
+}
+
+fn evidence(fault: Fault) -> Evidence {
+    match fault {
+        Fault::Foreign => Evidence::Foreign,
+        Fault::Gap { .. } | Fault::Malformed | Fault::Unfinished | Fault::Failed => Evidence::Cut,
+    }
+}
+
+impl HttpBody for Checked {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        if let Err(evidence) = ready!(self.poll_fill(context)) {
+            self.state = State::Ended;
+            let event = self.error_event(evidence);
+            self.ready.push_back(event);
+        }
+        Poll::Ready(self.ready.pop_front().map(|event| Ok(Frame::data(event))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.ready.is_empty() && self.state == State::Ended
+    }
+}
--- a/crates/shallotroute_routing/src/lib.rs
+++ b/crates/shallotroute_routing/src/lib.rs
@@ -1,5 +1,6 @@
 //! Decisions on callers' requests: route, admission, selection, retry, identity.
 
+pub mod answer;
 pub mod inference;
 pub mod outcome;
 pub mod pool;
