routing: choose servers by load, prefix, zone and latency

Cause: requests went to the servers in turn, whatever their load. Failing and overloaded servers are held back. Conclusion: selection is complete apart from the estimate of cached prefixes.

--- a/crates/shallotroute_gateway/src/attempt.rs
+++ b/crates/shallotroute_gateway/src/attempt.rs
@@ -41,20 +41,22 @@
 pub(crate) struct Sent {
     pool: Arc<Cell>,
     pub(crate) choice: Choice,
+    at: std::time::Instant,
 }
 
 impl Sent {
-    pub(crate) fn new(pool: &Arc<Cell>, choice: Choice) -> Self {
+    pub(crate) fn new(pool: &Arc<Cell>, choice: Choice, at: std::time::Instant) -> Self {
         Self {
             pool: Arc::clone(pool),
             choice,
+            at,
         }
     }
 }
 
 impl Drop for Sent {
     fn drop(&mut self) {
-        self.pool.state().finish(&self.choice.name);
+        self.pool.state().pool.finish(&self.choice.name);
     }
 }
 
@@ -111,7 +113,7 @@
             message,
         )
     })?;
-    let peer = sent.choice.name.clone();
+    let (peer, at) = (sent.choice.name.clone(), sent.at);
     let deadline = Instant::from_std(call.deadline);
     let exchange = async {
         let response =
@@ -126,6 +128,12 @@
     };
     let ended = timeout_at(deadline, exchange).await;
     let result = ended.unwrap_or(Err(Evidence::TimedOut));
+    let evidence = result.as_ref().err().copied().unwrap_or(Evidence::Whole);
+    let now = clock.now();
+    let elapsed = now.saturating_duration_since(at);
+    let mut state = call.pool.state();
+    state.pool.observe(&peer, evidence, elapsed, now);
+    drop(state);
     Ok(result.map_err(|evidence| Broken::new(evidence, &peer)))
 }
 
--- a/crates/shallotroute_gateway/src/dispatch.rs
+++ b/crates/shallotroute_gateway/src/dispatch.rs
@@ -4,6 +4,7 @@
 use shallotroute_http::body::Body;
 use shallotroute_routing::{
     outcome,
+    pool::Query,
     retry::{self, Attempt},
 };
 use shallotroute_types::outcome::Outcome;
@@ -17,18 +18,24 @@
 
 /// Sends a request, if need be several times, and returns a response.
 pub(crate) async fn run(gateway: &Gateway, call: &Call) -> Result<Response<Body>> {
-    call.pool.state().budget().deposit();
+    call.pool.state().pool.budget().deposit();
     let clock = &*gateway.context.clock;
     let mut tried = Vec::new();
     let mut outcome = Outcome::NotRun;
     let mut last = None;
     loop {
-        let Some(choice) = call.pool.state().choose(&tried) else {
+        let query = Query {
+            zone: &gateway.context.local.zone,
+            prefix: call.head.as_ref().and_then(|head| head.prefix),
+            tried: &tried,
+        };
+        let hosts = &gateway.context.hosts;
+        let Some(choice) = call.pool.choose(&query, hosts, clock.now()) else {
             let failure = last.unwrap_or_else(|| no_server(call));
             return Err(failure.with_outcome(outcome));
         };
         tried.push(choice.name.clone());
-        let sent = Sent::new(&call.pool, choice);
+        let sent = Sent::new(&call.pool, choice, clock.now());
         let result = attempt::run(&gateway.client, clock, call, tried.len(), sent).await?;
         let broken = match result {
             Ok(response) => return Ok(response),
@@ -41,7 +48,7 @@
             answered: false,
             left: call.deadline.saturating_duration_since(clock.now()),
         };
-        if !retry::allow(&attempt, call.pool.state().budget()) {
+        if !retry::allow(&attempt, call.pool.state().pool.budget()) {
             return Err(broken.failure.with_outcome(outcome));
         }
         last = Some(broken.failure);
--- a/crates/shallotroute_gateway/src/entry.rs
+++ b/crates/shallotroute_gateway/src/entry.rs
@@ -70,8 +70,7 @@
 /// Answers one request.
 pub(crate) async fn serve(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<Body> {
     let id: Arc<str> = gateway.identity().to_string().into();
-    let snapshot = gateway.context.configuration.borrow().clone();
-    let runtime = snapshot.map(|snapshot| gateway.runtime.get(&snapshot));
+    let runtime = gateway.runtime();
     let result = match &runtime {
         Some(runtime) => answer(&gateway, runtime, request, Arc::clone(&id)).await,
         None => Err(not_ready()),
--- a/crates/shallotroute_gateway/src/lib.rs
+++ b/crates/shallotroute_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 mod entry;
 mod failure;
 mod forward;
+mod poll;
 mod runtime;
 mod stream;
 
@@ -33,6 +34,7 @@
 pub struct Gateway {
     context: Context,
     client: Client,
+    engine: Arc<dyn Engine>,
     random: Mutex<ChaCha8Rng>,
     runtime: runtime::Holder,
     node_header: HeaderValue,
@@ -51,7 +53,7 @@
     /// Makes a gateway that draws its random numbers from `random`.
     pub fn with_random(
         context: Context,
-        _engine: Arc<dyn Engine>,
+        engine: Arc<dyn Engine>,
         _registry: &mut Registry,
         random: ChaCha8Rng,
     ) -> Arc<Self> {
@@ -59,6 +61,7 @@
             .unwrap_or_else(|_| HeaderValue::from_static("unnamed"));
         Arc::new(Self {
             client: Client::new(CONNECT_TIMEOUT),
+            engine,
             random: Mutex::new(random),
             runtime: runtime::Holder::default(),
             node_header,
@@ -73,7 +76,7 @@
 
     /// Does the upkeep until the node stops.
     pub async fn run(self: Arc<Self>) {
-        self.context.stop.cancelled().await;
+        poll::run(self).await;
     }
 
     /// Returns the state for the dump.
@@ -81,6 +84,15 @@
         serde_json::json!({})
     }
 
+    /// Returns the configuration in force as requests use it.
+    fn runtime(&self) -> Option<Arc<runtime::Runtime>> {
+        let snapshot = self.context.configuration.borrow().clone()?;
+        Some(self.runtime.get(&snapshot, || {
+            let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
+            ChaCha8Rng::from_rng(&mut *random)
+        }))
+    }
+
     /// Makes the identity of a request, a UUID of version 7.
     fn identity(&self) -> Uuid {
         let mut random = [0; 10];
--- a/crates/shallotroute_gateway/src/runtime.rs
+++ b/crates/shallotroute_gateway/src/runtime.rs
@@ -1,14 +1,25 @@
 //! The configuration in force in the form that requests use.
+#![expect(
+    clippy::rc_buffer,
+    reason = "the host list has the type of the context's channel"
+)]
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
+    time::Instant,
 };
 
 use http::HeaderValue;
+use rand_chacha::ChaCha8Rng;
 use shallotroute_config::{object, snapshot::Snapshot};
-use shallotroute_routing::{pool::Pool, table::Table};
+use shallotroute_platform::host::{self, Host};
+use shallotroute_routing::{
+    pool::{Choice, Pool, Query},
+    table::Table,
+};
 use shallotroute_types::name::Name;
+use tokio::sync::watch;
 
 /// One revision, indexed.
 pub(crate) struct Runtime {
@@ -21,14 +32,48 @@
 /// A pool's state, shared by all requests. It outlives a revision as long as the pool stays.
 pub(crate) struct Cell {
     pub(crate) backend: object::Backend,
-    state: Mutex<Pool>,
+    state: Mutex<State>,
+}
+
+/// What a pool's lock protects.
+pub(crate) struct State {
+    pub(crate) pool: Pool,
+    random: ChaCha8Rng,
+    /// The host list that the pool has taken over.
+    listed: Option<Arc<Vec<Host>>>,
 }
 
 impl Cell {
     /// Locks the state for a short while; no lock is held over an await.
-    pub(crate) fn state(&self) -> MutexGuard<'_, Pool> {
+    pub(crate) fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Chooses a server with the host list as it is now, and counts the request as sent to it.
+    pub(crate) fn choose(
+        &self,
+        query: &Query<'_>,
+        hosts: &watch::Receiver<Arc<Vec<Host>>>,
+        now: Instant,
+    ) -> Option<Choice> {
+        let mut state = self.state();
+        let State {
+            pool,
+            random,
+            listed,
+        } = &mut *state;
+        let hosts = hosts.borrow();
+        if !listed.as_ref().is_some_and(|it| Arc::ptr_eq(it, &hosts)) {
+            let leaving: HashSet<&Name> = hosts
+                .iter()
+                .filter(|host| host.state == host::State::Leaving)
+                .map(|host| &host.name)
+                .collect();
+            pool.list(|name| leaving.contains(name));
+            *listed = Some(Arc::clone(&hosts));
+        }
+        pool.choose(query, now, random)
+    }
 }
 
 /// Holds the runtime of the newest revision that a request has seen.
@@ -38,8 +83,13 @@
 }
 
 impl Holder {
-    /// Returns the runtime of `snapshot`, made when it is not the current one.
-    pub(crate) fn get(&self, snapshot: &Arc<Snapshot>) -> Arc<Runtime> {
+    /// Returns the runtime of `snapshot`, made when it is not the current one. New pools get their
+    /// random numbers from `random`.
+    pub(crate) fn get(
+        &self,
+        snapshot: &Arc<Snapshot>,
+        random: impl Fn() -> ChaCha8Rng,
+    ) -> Arc<Runtime> {
         let current = self.current.read().unwrap_or_else(PoisonError::into_inner);
         match &*current {
             Some(runtime) if Arc::ptr_eq(&runtime.snapshot, snapshot) => {
@@ -54,7 +104,7 @@
                 Arc::clone(runtime)
             }
             Some(_) | None => {
-                let runtime = Arc::new(Runtime::new(snapshot, current.as_deref()));
+                let runtime = Arc::new(Runtime::new(snapshot, current.as_deref(), random));
                 *current = Some(Arc::clone(&runtime));
                 runtime
             }
@@ -63,10 +113,14 @@
 }
 
 impl Runtime {
-    fn new(snapshot: &Arc<Snapshot>, before: Option<&Self>) -> Self {
+    fn new(
+        snapshot: &Arc<Snapshot>,
+        before: Option<&Self>,
+        random: impl Fn() -> ChaCha8Rng,
+    ) -> Self {
         let pools = snapshot.set.pools.iter().map(|(name, object)| {
             let known = before.and_then(|runtime| runtime.pools.get(name));
-            (name.clone(), cell(object, known))
+            (name.clone(), cell(object, known, &random))
         });
         Self {
             table: Table::new(&snapshot.set),
@@ -77,15 +131,26 @@
     }
 }
 
-fn cell(object: &object::Pool, known: Option<&Arc<Cell>>) -> Arc<Cell> {
+fn cell(
+    object: &object::Pool,
+    known: Option<&Arc<Cell>>,
+    random: &impl Fn() -> ChaCha8Rng,
+) -> Arc<Cell> {
     match known {
         Some(cell) if cell.backend == object.backend => {
-            cell.state().update(object);
+            let mut state = cell.state();
+            state.pool.update(object);
+            // Servers that are new in this revision have not seen the host list.
+            state.listed = None;
             Arc::clone(cell)
         }
         Some(_) | None => Arc::new(Cell {
             backend: object.backend,
-            state: Mutex::new(Pool::new(object)),
+            state: Mutex::new(State {
+                pool: Pool::new(object),
+                random: random(),
+                listed: None,
+            }),
         }),
     }
 }
--- a/crates/shallotroute_gateway/tests/support/mod.rs
+++ b/crates/shallotroute_gateway/tests/support/mod.rs
@@ -165,7 +165,7 @@
 }
 
 fn unreachable_engine(address: SocketAddr) -> Error {
-    Error::new("state", address.to_string(), Kind::Unreachable)
+    Error::new("state", address.to_string(), Kind::Lost)
 }
 
 /// A gateway with its listeners and the senders of its context.
--- a/crates/shallotroute_routing/src/lib.rs
+++ b/crates/shallotroute_routing/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod outcome;
 pub mod pool;
 pub mod retry;
+pub mod selection;
 pub mod server;
 pub mod table;
--- a/crates/shallotroute_routing/src/pool.rs
+++ b/crates/shallotroute_routing/src/pool.rs
@@ -1,18 +1,44 @@
-//! The backend servers of a pool and the choice among them.
+//! The backend servers of a pool in a node's view.
 
-use std::net::SocketAddr;
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
+use rand::Rng;
 use shallotroute_config::object;
-use shallotroute_types::name::Name;
+use shallotroute_types::{name::Name, place::Zone};
 
-use crate::{retry::Budget, server::Server};
+use crate::{
+    outcome::Evidence,
+    retry::Budget,
+    selection::{self, Preference},
+    server::{Availability, Mark, Report, Server},
+};
+
+/// How often the typical latency of the servers is calculated anew.
+const LATENCY_INTERVAL: Duration = Duration::from_millis(100);
 
 /// A pool in a node's view.
 #[derive(Clone, Debug)]
 pub struct Pool {
+    selection: object::Selection,
     servers: Vec<Server>,
-    next: usize,
+    turn: usize,
     budget: Budget,
+    latency: Option<f64>,
+    latency_at: Option<Instant>,
+}
+
+/// What a request asks of the choice.
+#[derive(Clone, Copy, Debug)]
+pub struct Query<'a> {
+    /// The node's own availability zone.
+    pub zone: &'a Zone,
+    /// The hash of the start of the prompt.
+    pub prefix: Option<u64>,
+    /// The servers that had an attempt at the request.
+    pub tried: &'a [Name],
 }
 
 /// A chosen backend server.
@@ -22,15 +48,20 @@
     pub name: Name,
     /// Where it listens.
     pub address: SocketAddr,
+    /// How many servers could have been chosen.
+    pub candidates: usize,
 }
 
 impl Pool {
     /// Makes the view of a pool of which nothing is known yet.
     pub fn new(object: &object::Pool) -> Self {
         let mut pool = Self {
+            selection: object.selection,
             servers: Vec::new(),
-            next: 0,
+            turn: 0,
             budget: Budget::new(Budget::SHARE),
+            latency: None,
+            latency_at: None,
         };
         pool.update(object);
         pool
@@ -38,6 +69,7 @@
 
     /// Takes over a new revision of the object and keeps what is known of servers that stay.
     pub fn update(&mut self, object: &object::Pool) {
+        self.selection = object.selection;
         let mut known = std::mem::take(&mut self.servers);
         for object in &object.servers {
             let same = |server: &Server| {
@@ -55,28 +87,82 @@
         }
     }
 
-    /// Chooses a server that is not in `tried` and counts the request as sent to it.
-    pub fn choose(&mut self, tried: &[Name]) -> Option<Choice> {
-        let count = self.servers.len();
-        let index = (0..count)
-            .map(|step| (self.next + step) % count)
-            .find(|&index| {
-                let server = &self.servers[index];
-                !server.is_leaving() && !tried.contains(&server.object.name)
-            })?;
-        self.next = index + 1;
+    /// Takes over the host list; `leaving` tells whether it names a server as leaving.
+    pub fn list(&mut self, leaving: impl Fn(&Name) -> bool) {
+        for server in &mut self.servers {
+            server.list(leaving(&server.object.name));
+        }
+    }
+
+    /// Chooses a server and counts the request as sent to it. This is the check for leaving servers
+    /// at the moment of sending.
+    pub fn choose<R: Rng>(
+        &mut self,
+        query: &Query<'_>,
+        now: Instant,
+        random: &mut R,
+    ) -> Option<Choice> {
+        let mut usable = self.usable(query.tried, Availability::Open, now);
+        if usable.is_empty() {
+            usable = self.usable(query.tried, Availability::Failing, now);
+        }
+        self.refresh(now);
+        let preference = Preference {
+            zone: query.zone,
+            prefix: query.prefix,
+            latency: self.latency,
+        };
+        let (servers, turn) = (&self.servers, self.turn);
+        let index = selection::choose(
+            self.selection,
+            servers,
+            &usable,
+            &preference,
+            turn,
+            now,
+            random,
+        )?;
+        self.turn = index + 1;
         let server = &mut self.servers[index];
-        server.in_progress += 1;
+        server.send();
         Some(Choice {
             name: server.object.name.clone(),
             address: server.object.address,
+            candidates: usable.len(),
         })
     }
 
-    /// Counts a request at `name` as finished.
+    /// Takes note of how an attempt at a server ended `elapsed` after it was sent.
+    pub fn observe(&mut self, name: &Name, evidence: Evidence, elapsed: Duration, now: Instant) {
+        if let Some(server) = self.server(name) {
+            server.observe(evidence, elapsed, now);
+        }
+    }
+
+    /// Counts a request at a server as finished.
     pub fn finish(&mut self, name: &Name) {
-        if let Some(server) = self.servers.iter_mut().find(|s| s.object.name == *name) {
-            server.in_progress = server.in_progress.saturating_sub(1);
+        if let Some(server) = self.server(name) {
+            server.finish();
+        }
+    }
+
+    /// Returns the servers with their counters, to be asked for a report.
+    pub fn marks(&self, now: Instant) -> Vec<(Name, SocketAddr, Mark)> {
+        let mark = |server: &Server| {
+            let object = &server.object;
+            (object.name.clone(), object.address, server.mark(now))
+        };
+        self.servers.iter().map(mark).collect()
+    }
+
+    /// Takes over a server's report that was asked for at `mark`, or, without one, that the server
+    /// can't be reached.
+    pub fn report(&mut self, name: &Name, mark: Mark, report: Option<Report>, now: Instant) {
+        if let Some(server) = self.server(name) {
+            match report {
+                Some(report) => server.report(mark, report),
+                None => server.fail(now),
+            }
         }
     }
 
@@ -89,4 +175,32 @@
     pub fn servers(&self) -> &[Server] {
         &self.servers
     }
+
+    fn usable(&self, tried: &[Name], availability: Availability, now: Instant) -> Vec<usize> {
+        let servers = self.servers.iter().enumerate();
+        servers
+            .filter(|(_, server)| !tried.contains(&server.object.name))
+            .filter(|(_, server)| server.availability(now) == availability)
+            .map(|(index, _)| index)
+            .collect()
+    }
+
+    fn refresh(&mut self, now: Instant) {
+        let due = self
+            .latency_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= LATENCY_INTERVAL);
+        if due {
+            let latencies = self.servers.iter().filter_map(|it| it.latency(now));
+            let mut latencies: Vec<f64> = latencies.collect();
+            latencies.sort_by(f64::total_cmp);
+            // The lower median, so that of two servers the slower one is compared with the faster.
+            let middle = latencies.len().saturating_sub(1) / 2;
+            self.latency = latencies.get(middle).copied();
+            self.latency_at = Some(now);
+        }
+    }
+
+    fn server(&mut self, name: &Name) -> Option<&mut Server> {
+        self.servers.iter_mut().find(|it| it.object.name == *name)
+    }
 }
--- a/crates/shallotroute_routing/src/server.rs
+++ b/crates/shallotroute_routing/src/server.rs
@@ -1,27 +1,233 @@
 //! What a node knows of one backend server.
 
+use std::time::{Duration, Instant};
+
+use derive_more::Display;
+use serde::Serialize;
 use shallotroute_config::object;
 
+use crate::outcome::{Evidence, Refusal};
+
+/// How long a refusal as leaving holds when no newer report of the server contradicts it. It is
+/// longer than the lag of the host list, which names the server by then.
+const LEAVING_HOLD: Duration = Duration::from_secs(60);
+
+/// How long a server that refused as overloaded gets no work, unless it reports earlier.
+const OVERLOAD_HOLD: Duration = Duration::from_millis(500);
+
+/// How long a server gets no work after a first failed connection while others can be reached.
+const FAILURE_HOLD: Duration = Duration::from_millis(200);
+
+/// The longest hold after repeated failures.
+const MAX_FAILURE_HOLD: Duration = Duration::from_secs(5);
+
+/// The age from which a report is ignored.
+const MAX_REPORT_AGE: Duration = Duration::from_secs(5);
+
+/// The age from which a measured latency is ignored, so that a server that was slow gets work again.
+const MAX_LATENCY_AGE: Duration = Duration::from_secs(10);
+
+/// The weight of a new latency in the moving average.
+const LATENCY_WEIGHT: f64 = 0.2;
+
 /// A backend server in a node's view.
 #[derive(Clone, Debug)]
 pub struct Server {
     /// The operators' object.
     pub object: object::Server,
-    /// Requests of this node in progress.
-    pub in_progress: u32,
+    /// A hash of its name, for rendezvous hashing.
+    pub(crate) key: u64,
+    listed_leaving: bool,
+    refused_leaving: Option<Instant>,
+    overloaded: Option<Instant>,
+    failures: u32,
+    failed: Option<Instant>,
+    report: Option<Reported>,
+    sent: u64,
+    finished: u64,
+    latency: Option<Latency>,
+}
+
+/// Whether a server may get a request.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Availability {
+    /// It may.
+    #[display("open")]
+    Open,
+    /// Its last connections failed; it may when no other server is open.
+    #[display("failing")]
+    Failing,
+    /// It refused as overloaded a moment ago.
+    #[display("overloaded")]
+    Overloaded,
+    /// It takes no new work.
+    #[display("leaving")]
+    Leaving,
+}
+
+/// What a server says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Requests of all senders in progress or waiting.
+    pub load: u32,
+    /// Whether it wants no new work.
+    pub leaving: bool,
+}
+
+/// The counters at the time when a report was asked for.
+#[derive(Clone, Copy, Debug)]
+pub struct Mark {
+    at: Instant,
+    sent: u64,
+    finished: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Reported {
+    report: Report,
+    mark: Mark,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Latency {
+    seconds: f64,
+    at: Instant,
 }
 
 impl Server {
     /// Makes the view of a server of which nothing is known yet.
     pub fn new(object: object::Server) -> Self {
+        let mut key = [0; 8];
+        key.copy_from_slice(&blake3::hash(object.name.as_bytes()).as_bytes()[..8]);
         Self {
             object,
-            in_progress: 0,
+            key: u64::from_le_bytes(key),
+            listed_leaving: false,
+            refused_leaving: None,
+            overloaded: None,
+            failures: 0,
+            failed: None,
+            report: None,
+            sent: 0,
+            finished: 0,
+            latency: None,
+        }
+    }
+
+    /// Tells whether the server may get a request.
+    pub fn availability(&self, now: Instant) -> Availability {
+        let within = |at: Option<Instant>, hold| {
+            at.is_some_and(|at| now.saturating_duration_since(at) < hold)
+        };
+        if self.object.state == object::ServerState::Leaving
+            || self.listed_leaving
+            || self.report.is_some_and(|it| it.report.leaving)
+            || within(self.refused_leaving, LEAVING_HOLD)
+        {
+            Availability::Leaving
+        } else if within(self.overloaded, OVERLOAD_HOLD) {
+            Availability::Overloaded
+        } else if within(self.failed, self.failure_hold()) {
+            Availability::Failing
+        } else {
+            Availability::Open
         }
     }
 
-    /// Tells whether the server takes no new work.
-    pub fn is_leaving(&self) -> bool {
-        self.object.state == object::ServerState::Leaving
+    /// Returns the requests of this node in progress.
+    pub fn in_progress(&self) -> u32 {
+        u32::try_from(self.sent - self.finished).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the requests of all senders in progress: those of the last report, and those that
+    /// this node has sent since.
+    pub fn load(&self, now: Instant) -> u32 {
+        let own = self.in_progress();
+        let Some(Reported { report, mark }) = self.report else {
+            return own;
+        };
+        if now.saturating_duration_since(mark.at) > MAX_REPORT_AGE {
+            return own;
+        }
+        let sent = u64::from(report.load) + (self.sent - mark.sent);
+        let left = sent.saturating_sub(self.finished - mark.finished);
+        u32::try_from(left).unwrap_or(u32::MAX).max(own)
+    }
+
+    /// Returns the moving average of the time to a response, in seconds, while it is recent.
+    pub fn latency(&self, now: Instant) -> Option<f64> {
+        self.latency
+            .filter(|it| now.saturating_duration_since(it.at) < MAX_LATENCY_AGE)
+            .map(|it| it.seconds)
+    }
+
+    /// Takes over what the host list says.
+    pub fn list(&mut self, leaving: bool) {
+        self.listed_leaving = leaving;
+    }
+
+    /// Counts a request as sent.
+    pub fn send(&mut self) {
+        self.sent += 1;
+    }
+
+    /// Counts a request as finished.
+    pub fn finish(&mut self) {
+        self.finished = (self.finished + 1).min(self.sent);
+    }
+
+    /// Returns the counters, to be taken when a report is asked for.
+    pub fn mark(&self, now: Instant) -> Mark {
+        Mark {
+            at: now,
+            sent: self.sent,
+            finished: self.finished,
+        }
+    }
+
+    /// Takes over a report that was asked for at `mark`. A refusal that came after the mark is newer
+    /// than the report and stays.
+    pub fn report(&mut self, mark: Mark, report: Report) {
+        self.report = Some(Reported { report, mark });
+        self.failures = 0;
+        self.failed = None;
+        self.overloaded = self.overloaded.filter(|at| *at > mark.at);
+        self.refused_leaving = self.refused_leaving.filter(|at| *at > mark.at);
+    }
+
+    /// Takes note of how an attempt ended `elapsed` after it was sent.
+    pub fn observe(&mut self, evidence: Evidence, elapsed: Duration, now: Instant) {
+        match evidence {
+            Evidence::Refused(Refusal::Leaving) => self.refused_leaving = Some(now),
+            Evidence::Refused(Refusal::Overloaded) => self.overloaded = Some(now),
+            Evidence::NotSent | Evidence::NoResponse => self.fail(now),
+            Evidence::TimedOut => self.measure(elapsed, now),
+            Evidence::Foreign | Evidence::Cut => {}
+            Evidence::Whole => {
+                self.failures = 0;
+                self.failed = None;
+                self.measure(elapsed, now);
+            }
+        }
+    }
+
+    /// Takes note that the server can't be reached.
+    pub fn fail(&mut self, now: Instant) {
+        self.failures = self.failures.saturating_add(1);
+        self.failed = Some(now);
+    }
+
+    fn measure(&mut self, elapsed: Duration, now: Instant) {
+        let seconds = elapsed.as_secs_f64();
+        let seconds = self.latency(now).map_or(seconds, |before| {
+            before + LATENCY_WEIGHT * (seconds - before)
+        });
+        self.latency = Some(Latency { seconds, at: now });
+    }
+
+    fn failure_hold(&self) -> Duration {
+        let doublings = self.failures.saturating_sub(1).min(5);
+        (FAILURE_HOLD * 2_u32.pow(doublings)).min(MAX_FAILURE_HOLD)
     }
 }
