--- /dev/null
+++ b/crates/shallotroute_gateway/tests/leaving.rs
@@ -0,0 +1,153 @@
+//! Leaving servers get no new work.
+
+mod support;
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use googletest::prelude::*;
+use http::StatusCode;
+use shallotroute_config::{
+    object::{Object, ServerState},
+    set::Set,
+};
+use shallotroute_platform::{
+    engine::State,
+    host::{self, Host},
+};
+use shallotroute_types::name::Name;
+use support::{Backend, Node};
+
+/// The bound of R7.
+const BOUND: Duration = Duration::from_secs(3);
+
+struct Fixture {
+    node: Node,
+    leaving: Backend,
+    refuses: Arc<AtomicBool>,
+    objects: Vec<Object>,
+    _stays: Backend,
+}
+
+async fn fixture() -> Fixture {
+    let refuses = Arc::new(AtomicBool::new(false));
+    let flag = Arc::clone(&refuses);
+    let leaving = Backend::start(move |request| {
+        let refused = flag.load(Ordering::Relaxed);
+        async move {
+            match refused {
+                true => support::refusal("leaving"),
+                false => support::engine_answer(&request, 2),
+            }
+        }
+    })
+    .await;
+    let stays = Backend::start(|request| async move { support::engine_answer(&request, 2) }).await;
+    let servers = vec![
+        support::server("leaving", leaving.address),
+        support::server("stays", stays.address),
+    ];
+    let objects = support::objects(servers, Vec::new());
+    let node = Node::start(Set::new(objects.clone())).await;
+    for _ in 0..4 {
+        assert_that!(node.completion(false).await.status(), eq(StatusCode::OK));
+    }
+    assert_that!(leaving.count(), eq(2));
+    Fixture {
+        node,
+        leaving,
+        refuses,
+        objects,
+        _stays: stays,
+    }
+}
+
+impl Fixture {
+    /// Sends requests for a while and checks that all succeed and that none comes to the leaving
+    /// server after the bound.
+    async fn check(&self) {
+        let started = Instant::now();
+        let mut last = None;
+        while started.elapsed() < BOUND / 2 {
+            let before = self.leaving.count();
+            assert_that!(
+                self.node.completion(true).await.status(),
+                eq(StatusCode::OK)
+            );
+            if self.leaving.count() > before {
+                last = Some(started.elapsed());
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        assert_that!(
+            last.unwrap_or_default(),
+            lt(BOUND / 2 - Duration::from_millis(100))
+        );
+    }
+}
+
+/// Guards against new work for a server that the host list calls leaving.
+#[tokio::test]
+async fn by_the_host_list() {
+    let fixture = fixture().await;
+    let host = Host {
+        name: Name::from("leaving"),
+        state: host::State::Leaving,
+    };
+    fixture.node.hosts.send_replace(Arc::new(vec![host]));
+    fixture.check().await;
+    assert_that!(fixture.leaving.count(), eq(2));
+}
+
+/// Guards against new work for a server that the operators' object calls leaving.
+#[tokio::test]
+async fn by_the_operators_object() {
+    let mut fixture = fixture().await;
+    for object in &mut fixture.objects {
+        if let Object::Pool(pool) = object
+            && let Some(server) = pool.servers.first_mut()
+        {
+            server.state = ServerState::Leaving;
+        }
+    }
+    let set = Set::new(fixture.objects.clone());
+    fixture
+        .node
+        .configuration
+        .send_replace(Some(support::snapshot(2, set)));
+    fixture.check().await;
+    assert_that!(fixture.leaving.count(), eq(2));
+}
+
+/// Guards against new work for a server whose state report says that it leaves.
+#[tokio::test]
+async fn by_the_state_report() {
+    let fixture = fixture().await;
+    let state = State {
+        leaving: true,
+        ..State::default()
+    };
+    let address = fixture.leaving.address;
+    fixture
+        .node
+        .engines
+        .states
+        .lock()
+        .unwrap()
+        .insert(address, state);
+    fixture.check().await;
+}
+
+/// Guards against a leaving server that each new request tries again.
+#[tokio::test]
+async fn by_its_refusals() {
+    let fixture = fixture().await;
+    fixture.refuses.store(true, Ordering::Relaxed);
+    fixture.check().await;
+    assert_that!(fixture.leaving.count(), eq(3));
+}
