--- /dev/null
+++ b/crates/shallotroute_rollout/src/receipt.rs
@@ -0,0 +1,48 @@
+//! The bitmap of groups that a trainer has.
+
+use serde::{Deserialize, Serialize};
+
+/// A set of groups of one step. Group `g` is bit `g % 8`, least significant first, of byte `g / 8`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Receipt(Vec<u8>);
+
+impl Receipt {
+    /// Makes a receipt from its bytes; groups beyond the last byte are absent.
+    pub fn new(bytes: Vec<u8>) -> Self {
+        Self(bytes)
+    }
+
+    /// Returns the bytes.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+
+    /// Tells whether the trainer has `group`.
+    pub fn contains(&self, group: u32) -> bool {
+        self.0
+            .get(group as usize / 8)
+            .is_some_and(|byte| byte & (1 << (group % 8)) != 0)
+    }
+
+    /// Adds `group`.
+    pub fn insert(&mut self, group: u32) {
+        let byte = group as usize / 8;
+        if self.0.len() <= byte {
+            self.0.resize(byte + 1, 0);
+        }
+        self.0[byte] |= 1 << (group % 8);
+    }
+
+    /// Returns how many groups the trainer has.
+    pub fn count(&self) -> u32 {
+        self.0.iter().map(|byte| byte.count_ones()).sum()
+    }
+
+    /// Tells whether all groups are below `groups`.
+    pub fn fits(&self, groups: u32) -> bool {
+        let whole = groups as usize / 8;
+        self.0.iter().enumerate().all(|(index, &byte)| {
+            index < whole || (index == whole && u32::from(byte) >> (groups % 8) == 0) || byte == 0
+        })
+    }
+}
--- /dev/null
+++ b/crates/shallotroute_rollout/src/scheduler.rs
@@ -0,0 +1,496 @@
+//! The scheduler of one pool: events in, actions out.
+
+mod attempts;
+mod dump;
+mod placement;
+mod pulls;
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    mem,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+use shallotroute_types::{
+    name::Name, node::Id, node::Incarnation, outcome::Outcome, sample::Identity, version::Version,
+};
+
+use crate::{
+    configuration::Configuration,
+    counters::Counters,
+    delivery::{Answer, Refusal},
+    engine::{Engine, POLL_INTERVAL, Poll, Report},
+    provenance::{Chunk, Recorder},
+    receipt::Receipt,
+    staleness::Policy,
+    step::{Attempt, Key, Origin, Progress, Specification, Step},
+};
+
+/// How many settled steps of a trainer are kept for answers that were lost.
+pub const SETTLED_STEPS: usize = 2;
+
+/// How many unsettled steps a trainer may have.
+pub const OPEN_STEPS: usize = 16;
+
+/// What happens to a scheduler.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Another revision is in force.
+    Configured(Arc<Configuration>),
+    /// A trainer submitted a step that was checked with [`Scheduler::admit`].
+    Submitted(Key, Arc<Specification>),
+    /// A trainer is at a version whose weights are in the store.
+    Announced(Name, Version),
+    /// A copy tells what a trainer announced to an earlier owner. It counts only until the trainer
+    /// itself says something.
+    Recovered(Name, Version),
+    /// A trainer asks for groups.
+    Pulled(Pull),
+    /// A trainer gave up a pull.
+    Abandoned(u64),
+    /// A trainer needs no more of a step.
+    Deleted(Key),
+    /// A poll gave an engine's state, or none when the engine could not be read.
+    Polled(Name, u64, Option<Report>),
+    /// A command to load a model was sent to an engine.
+    Commanded(Name, Name),
+    /// The command ended, whatever its result.
+    CommandEnded(Name),
+    /// Tokens arrived on an attempt's stream with the identity that the engine reports.
+    Tokens(Attempt, String, Chunk),
+    /// The end marker arrived with that identity and the count of tokens.
+    Ended(Attempt, String, u32),
+    /// The stream failed or closed.
+    Failed(Attempt, Outcome),
+    /// The scorer answered, or none when it failed.
+    Scored(Key, u32, Attempt, Option<f64>),
+    /// Time passed.
+    Tick,
+}
+
+/// A trainer's request for groups.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pull {
+    /// A number that the caller chose, unique within the scheduler.
+    pub number: u64,
+    /// The step.
+    pub key: Key,
+    /// The groups that the trainer has.
+    pub receipt: Receipt,
+    /// The trainer's version.
+    pub version: Version,
+    /// The most groups in the answer.
+    pub max_groups: usize,
+    /// When it was opened.
+    pub opened: Instant,
+    /// When an empty answer is given.
+    pub deadline: Instant,
+}
+
+/// What a scheduler wants done.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Start an attempt on an engine.
+    Start(Box<Start>),
+    /// Drop the stream of an attempt, which frees its place in the engine.
+    Cancel(Attempt),
+    /// Ask the trainer's scorer.
+    Score(Box<Score>),
+    /// Answer a pull.
+    Answer(u64, Result<Answer, Refusal>),
+    /// Read an engine's state.
+    Poll {
+        /// The engine.
+        server: Name,
+        /// Where it listens.
+        address: SocketAddr,
+        /// The number of the poll.
+        number: u64,
+    },
+}
+
+/// An attempt to start.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// The attempt.
+    pub attempt: Attempt,
+    /// The sample.
+    pub sample: Identity,
+    /// The identity that the engine repeats; unique over all nodes and restarts.
+    pub identity: String,
+    /// The engine.
+    pub server: Name,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The model.
+    pub model: Name,
+    /// The prompt.
+    pub prompt: Arc<str>,
+    /// The most tokens to generate.
+    pub max_tokens: u32,
+    /// A lower number is served first.
+    pub priority: u8,
+}
+
+/// A sample to score.
+#[derive(Clone, Debug)]
+pub struct Score {
+    /// The step.
+    pub key: Key,
+    /// The sample's position in the step.
+    pub position: u32,
+    /// The attempt that gave the sample.
+    pub attempt: Attempt,
+    /// The sample.
+    pub sample: Identity,
+    /// The scorer's name.
+    pub scorer: Name,
+    /// The prompt.
+    pub prompt: Arc<str>,
+    /// The text.
+    pub text: String,
+}
+
+/// Why a step is not taken.
+#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
+pub enum Inadmissible {
+    /// The trainer is not one of the pool's.
+    #[display("the trainer does not sample on this pool")]
+    UnknownTrainer,
+    /// The step exists with another specification.
+    #[display("the step exists with another specification")]
+    Conflict,
+    /// The trainer has too many open steps.
+    #[display("the trainer has too many open steps")]
+    TooMany,
+}
+
+/// Runs the steps of the trainers of one pool.
+#[derive(Debug)]
+pub struct Scheduler {
+    configuration: Arc<Configuration>,
+    node: Id,
+    incarnation: Incarnation,
+    started: Instant,
+    random: ChaCha8Rng,
+    engines: BTreeMap<Name, Engine>,
+    trainers: BTreeMap<Name, Trainer>,
+    steps: BTreeMap<Key, Step>,
+    attempts: HashMap<Attempt, Running>,
+    pulls: BTreeMap<u64, Pull>,
+    counters: Counters,
+    actions: Vec<Action>,
+    next: u64,
+    cursor: Option<Name>,
+}
+
+/// What is known of a trainer.
+#[derive(Debug, Default)]
+struct Trainer {
+    version: Option<Version>,
+    /// Mean seconds of a whole attempt, exponentially weighted.
+    sample_seconds: Option<f64>,
+}
+
+/// An attempt that runs.
+#[derive(Debug)]
+struct Running {
+    key: Key,
+    position: u32,
+    origin: Origin,
+    recorder: Recorder,
+    started: Instant,
+    last: Instant,
+}
+
+impl Scheduler {
+    /// Makes a scheduler without steps. `seed` feeds the random choice of engines.
+    pub fn new(
+        now: Instant,
+        configuration: Arc<Configuration>,
+        node: Id,
+        incarnation: Incarnation,
+        seed: u64,
+    ) -> Self {
+        let mut scheduler = Self {
+            configuration: Arc::clone(&configuration),
+            node,
+            incarnation,
+            started: now,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            engines: BTreeMap::new(),
+            trainers: BTreeMap::new(),
+            steps: BTreeMap::new(),
+            attempts: HashMap::new(),
+            pulls: BTreeMap::new(),
+            counters: Counters::default(),
+            actions: Vec::new(),
+            next: 0,
+            cursor: None,
+        };
+        scheduler.configure(now, configuration);
+        scheduler
+    }
+
+    /// Takes an event and returns what is to be done.
+    pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Action> {
+        match event {
+            Event::Configured(configuration) => self.configure(now, configuration),
+            Event::Submitted(key, specification) => self.submit(now, key, specification),
+            Event::Announced(trainer, version) => self.announce(now, &trainer, version),
+            Event::Recovered(trainer, version) => {
+                if self.version(&trainer).is_none() {
+                    self.announce(now, &trainer, version);
+                }
+            }
+            Event::Pulled(pull) => self.pull(now, pull),
+            Event::Abandoned(number) => drop(self.pulls.remove(&number)),
+            Event::Deleted(key) => self.delete(now, &key, Refusal::UnknownStep),
+            Event::Polled(server, number, report) => self.polled(now, &server, number, report),
+            Event::Commanded(server, model) => {
+                if let Some(engine) = self.engines.get_mut(&server) {
+                    engine.commanded = Some(model);
+                }
+            }
+            Event::CommandEnded(server) => {
+                if let Some(engine) = self.engines.get_mut(&server) {
+                    engine.commanded = None;
+                    engine.forget();
+                }
+                self.poll(now);
+            }
+            Event::Tokens(attempt, identity, chunk) => self.tokens(now, attempt, &identity, &chunk),
+            Event::Ended(attempt, identity, tokens) => self.ended(now, attempt, &identity, tokens),
+            Event::Failed(attempt, outcome) => self.failed(now, attempt, outcome),
+            Event::Scored(key, position, attempt, score) => {
+                self.scored(now, &key, position, attempt, score);
+            }
+            Event::Tick => self.tick(now),
+        }
+        mem::take(&mut self.actions)
+    }
+
+    /// Tells whether a step may be submitted; a step that exists with the same specification may.
+    ///
+    /// # Errors
+    ///
+    /// The trainer is not the pool's, has too many open steps, or the step differs from the
+    /// existing one.
+    pub fn admit(&self, key: &Key, specification: &Specification) -> Result<(), Inadmissible> {
+        if !self.configuration.trainers.contains_key(&key.trainer) {
+            return Err(Inadmissible::UnknownTrainer);
+        }
+        if let Some(step) = self.steps.get(key) {
+            return match *step.specification == *specification {
+                true => Ok(()),
+                false => Err(Inadmissible::Conflict),
+            };
+        }
+        let open = self
+            .steps_of(&key.trainer)
+            .filter(|(_, step)| !step.is_settled());
+        match open.count() < OPEN_STEPS {
+            true => Ok(()),
+            false => Err(Inadmissible::TooMany),
+        }
+    }
+
+    /// Returns a step's specification.
+    pub fn specification(&self, key: &Key) -> Option<Arc<Specification>> {
+        self.steps
+            .get(key)
+            .map(|step| Arc::clone(&step.specification))
+    }
+
+    /// Returns the keys of the steps.
+    pub fn keys(&self) -> impl Iterator<Item = &Key> {
+        self.steps.keys()
+    }
+
+    /// Returns the trainer's version as last announced or pulled with.
+    pub fn version(&self, trainer: &str) -> Option<Version> {
+        self.trainers
+            .get(trainer)
+            .and_then(|trainer| trainer.version)
+    }
+
+    /// Returns the counts since the last call.
+    pub fn take_counters(&mut self) -> Counters {
+        mem::take(&mut self.counters)
+    }
+
+    fn configure(&mut self, now: Instant, configuration: Arc<Configuration>) {
+        let servers = &configuration.servers;
+        let gone: Vec<Attempt> = self
+            .engines
+            .iter()
+            .filter(|(name, engine)| {
+                servers
+                    .get(*name)
+                    .is_none_or(|server| server.address != engine.address)
+            })
+            .flat_map(|(_, engine)| engine.attempts.iter().copied())
+            .collect();
+        for attempt in gone {
+            self.cancel(attempt);
+            self.requeue(attempt, None);
+        }
+        let mut engines = mem::take(&mut self.engines);
+        for (name, server) in servers {
+            let known = engines
+                .remove(name)
+                .filter(|engine| engine.address == server.address);
+            let mut engine = known
+                .unwrap_or_else(|| Engine::new(server.address, server.zone.clone(), server.slots));
+            engine.slots = server.slots;
+            engine.leaving = server.leaving;
+            self.engines.insert(name.clone(), engine);
+        }
+        self.configuration = configuration;
+        let removed: Vec<Key> = self
+            .steps
+            .keys()
+            .filter(|key| !self.configuration.trainers.contains_key(&key.trainer))
+            .cloned()
+            .collect();
+        for key in removed {
+            self.delete(now, &key, Refusal::Moved);
+        }
+        self.poll(now);
+        self.place(now);
+    }
+
+    fn submit(&mut self, now: Instant, key: Key, specification: Arc<Specification>) {
+        if self.steps.contains_key(&key) {
+            return;
+        }
+        let sequence = self.number();
+        let trainer = key.trainer.clone();
+        self.steps
+            .insert(key, Step::new(specification, now, sequence));
+        self.evict(now, &trainer);
+        self.place(now);
+    }
+
+    fn evict(&mut self, now: Instant, trainer: &Name) {
+        let settled: Vec<Key> = self
+            .steps_of(trainer)
+            .filter(|(_, step)| step.is_settled())
+            .map(|(key, _)| key.clone())
+            .collect();
+        let excess = settled.len().saturating_sub(SETTLED_STEPS);
+        for key in settled.into_iter().take(excess) {
+            self.delete(now, &key, Refusal::UnknownStep);
+        }
+    }
+
+    fn delete(&mut self, now: Instant, key: &Key, refusal: Refusal) {
+        let Some(step) = self.steps.remove(key) else {
+            return;
+        };
+        for sample in step.samples {
+            if let Progress::Running(attempts) = sample.progress {
+                for attempt in attempts {
+                    self.cancel(attempt);
+                }
+            }
+        }
+        self.refuse(key, refusal);
+        self.place(now);
+    }
+
+    fn announce(&mut self, now: Instant, trainer: &Name, version: Version) {
+        self.trainers.entry(trainer.clone()).or_default().version = Some(version);
+        for pull in self
+            .pulls
+            .values_mut()
+            .filter(|pull| pull.key.trainer == *trainer)
+        {
+            pull.version = pull.version.max(version);
+        }
+        self.stop_doomed(trainer);
+        self.place(now);
+    }
+
+    fn polled(&mut self, now: Instant, server: &str, number: u64, report: Option<Report>) {
+        let Some(engine) = self.engines.get_mut(server) else {
+            return;
+        };
+        match report {
+            Some(report) => engine.take(now, number, report),
+            None if engine.poll.is_some_and(|poll| poll.number == number) => {
+                engine.report = None;
+                engine.poll = None;
+            }
+            None => {}
+        }
+        self.place(now);
+    }
+
+    fn poll(&mut self, now: Instant) {
+        for (name, engine) in &mut self.engines {
+            let due = engine.polled.is_none_or(|at| now >= at + POLL_INTERVAL);
+            if engine.poll.is_some() || !due {
+                continue;
+            }
+            self.next += 1;
+            engine.polled = Some(now);
+            engine.poll = Some(Poll {
+                number: self.next,
+                attempts: engine.attempts.len(),
+            });
+            self.actions.push(Action::Poll {
+                server: name.clone(),
+                address: engine.address,
+                number: self.next,
+            });
+        }
+    }
+
+    fn tick(&mut self, now: Instant) {
+        self.poll(now);
+        self.stop_stalled(now);
+        self.score_due(now);
+        self.expire_pulls(now);
+        self.place(now);
+    }
+
+    fn number(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    fn steps_of<'a>(
+        &'a self,
+        trainer: &Name,
+    ) -> impl Iterator<Item = (&'a Key, &'a Step)> + use<'a> {
+        let first = Key {
+            trainer: trainer.clone(),
+            step: 0,
+        };
+        let last = Key {
+            trainer: trainer.clone(),
+            step: u64::MAX,
+        };
+        self.steps.range(first..=last)
+    }
+
+    fn policy(&self, trainer: &str) -> Option<Policy> {
+        let object = self.configuration.trainers.get(trainer)?;
+        Some(Policy {
+            bound: object.staleness_bound,
+            idle_weight: object.idle_weight,
+        })
+    }
+
+    fn trainer_version(&self, trainer: &str) -> Version {
+        self.version(trainer).unwrap_or_default()
+    }
+
+    fn since_start(&self, time: Instant) -> Duration {
+        time.saturating_duration_since(self.started)
+    }
+}
--- /dev/null
+++ b/crates/shallotroute_rollout/src/scheduler/attempts.rs
@@ -0,0 +1,342 @@
+//! Attempts: tokens, ends, failures, scores.
+
+use std::time::{Duration, Instant};
+
+use shallotroute_types::{
+    name::Name, outcome::Outcome, provenance::Span, sample::Identity, version::Version,
+};
+
+use super::{Action, Running, Scheduler, Score};
+use crate::{
+    provenance::Chunk,
+    staleness::oldest,
+    step::{self, Attempt, Key, Progress, Scoring},
+};
+
+/// How long a stream may bring nothing before its attempt counts as failed.
+const STALL_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// The pause before a sample is attempted again after a failure.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// The longest pause after repeated failures of an engine or a scorer.
+const MAX_PAUSE: Duration = Duration::from_secs(5);
+
+/// The weight of a new observation in a mean.
+const MEAN_WEIGHT: f64 = 0.1;
+
+impl Scheduler {
+    pub(super) fn tokens(&mut self, now: Instant, attempt: Attempt, identity: &str, chunk: &Chunk) {
+        let Some(running) = self.attempts.get_mut(&attempt) else {
+            self.counters.foreign += 1;
+            return;
+        };
+        match running.recorder.push(identity, chunk) {
+            Ok(true) => running.last = now,
+            Ok(false) => self.counters.foreign += 1,
+            Err(_) => return self.malformed(now, attempt),
+        }
+        if self.is_attempt_doomed(attempt) {
+            self.stop(attempt);
+            self.place(now);
+        }
+    }
+
+    pub(super) fn ended(&mut self, now: Instant, attempt: Attempt, identity: &str, tokens: u32) {
+        let Some(running) = self.attempts.get_mut(&attempt) else {
+            self.counters.foreign += 1;
+            return;
+        };
+        let product = match running.recorder.end(identity, tokens) {
+            Ok(Some(product)) => product,
+            Ok(None) => {
+                self.counters.foreign += 1;
+                return;
+            }
+            Err(_) => return self.malformed(now, attempt),
+        };
+        let Some(running) = self.release(attempt) else {
+            return;
+        };
+        self.observe(now, &running, product.tokens);
+        let key = running.key;
+        let Some(step) = self.steps.get_mut(&key) else {
+            return;
+        };
+        let position = running.position;
+        let index = step.place(position).1;
+        let attempts = step.samples[position as usize].attempts;
+        let sample = step::sample(index, product, attempts, &running.origin);
+        let scorer = self.configuration.trainers.get(&key.trainer);
+        let progress = match scorer.and_then(|trainer| trainer.scorer.as_ref()) {
+            Some(_) => Progress::Scoring(Box::new(Scoring {
+                attempt,
+                sample,
+                due: Some(now),
+                failures: 0,
+            })),
+            None => Progress::Done(Box::new(sample)),
+        };
+        let others = step.set(position, progress);
+        for other in others.into_iter().filter(|other| *other != attempt) {
+            self.cancel(other);
+        }
+        self.score_due(now);
+        self.answer(now, &key);
+        self.place(now);
+    }
+
+    pub(super) fn failed(&mut self, now: Instant, attempt: Attempt, outcome: Outcome) {
+        let Some(running) = self.attempts.get(&attempt) else {
+            return;
+        };
+        self.counters.failed += 1;
+        if let Some(engine) = self.engines.get_mut(&running.origin.server) {
+            engine.failures += 1;
+            engine.not_before = Some(now + pause(engine.failures));
+            // A stream that breaks may mean a restart, after which the engine may have other
+            // weights.
+            if outcome != Outcome::Ran {
+                engine.forget();
+            }
+        }
+        self.requeue(attempt, Some(now + RETRY_PAUSE));
+        self.place(now);
+    }
+
+    fn malformed(&mut self, now: Instant, attempt: Attempt) {
+        self.counters.malformed += 1;
+        self.cancel_stream(attempt);
+        self.failed(now, attempt, Outcome::Unknown);
+    }
+
+    pub(super) fn scored(
+        &mut self,
+        now: Instant,
+        key: &Key,
+        position: u32,
+        attempt: Attempt,
+        score: Option<f64>,
+    ) {
+        let Some(step) = self.steps.get_mut(key) else {
+            return;
+        };
+        let Some(sample) = step.samples.get_mut(position as usize) else {
+            return;
+        };
+        let Progress::Scoring(scoring) = &mut sample.progress else {
+            return;
+        };
+        if scoring.attempt != attempt {
+            return;
+        }
+        let Some(score) = score else {
+            scoring.failures += 1;
+            scoring.due = Some(now + pause(scoring.failures));
+            return;
+        };
+        let mut done = scoring.sample.clone();
+        done.score = Some(score);
+        step.set(position, Progress::Done(Box::new(done)));
+        self.answer(now, key);
+    }
+
+    /// Asks the scorers for the answers that are due.
+    pub(super) fn score_due(&mut self, now: Instant) {
+        for (key, step) in &mut self.steps {
+            let trainer = self.configuration.trainers.get(&key.trainer);
+            let Some(scorer) = trainer.and_then(|trainer| trainer.scorer.as_ref()) else {
+                continue;
+            };
+            for &position in &step.scoring {
+                let (group, index) = (
+                    position / step.specification.group_size,
+                    position % step.specification.group_size,
+                );
+                let Progress::Scoring(scoring) = &mut step.samples[position as usize].progress
+                else {
+                    continue;
+                };
+                if scoring.due.is_none_or(|due| now < due) {
+                    continue;
+                }
+                scoring.due = None;
+                self.actions.push(Action::Score(Box::new(Score {
+                    key: key.clone(),
+                    position,
+                    attempt: scoring.attempt,
+                    sample: Identity {
+                        trainer: key.trainer.clone(),
+                        step: key.step,
+                        group,
+                        index,
+                    },
+                    scorer: scorer.clone(),
+                    prompt: step.specification.prompts[group as usize].clone(),
+                    text: scoring.sample.text.clone(),
+                })));
+            }
+        }
+    }
+
+    /// Ends an attempt's stream and takes it from its engine.
+    pub(super) fn cancel(&mut self, attempt: Attempt) {
+        self.cancel_stream(attempt);
+        self.release(attempt);
+    }
+
+    fn cancel_stream(&mut self, attempt: Attempt) {
+        if self.attempts.contains_key(&attempt) {
+            self.counters.cancelled += 1;
+            self.actions.push(Action::Cancel(attempt));
+        }
+    }
+
+    fn release(&mut self, attempt: Attempt) -> Option<Running> {
+        let running = self.attempts.remove(&attempt)?;
+        if let Some(engine) = self.engines.get_mut(&running.origin.server) {
+            engine.attempts.remove(&attempt);
+        }
+        Some(running)
+    }
+
+    /// Takes a failed attempt from its sample, which waits again if no other attempt runs.
+    pub(super) fn requeue(&mut self, attempt: Attempt, not_before: Option<Instant>) {
+        let Some(running) = self.release(attempt) else {
+            return;
+        };
+        let Some(step) = self.steps.get_mut(&running.key) else {
+            return;
+        };
+        let position = running.position;
+        let sample = &mut step.samples[position as usize];
+        let Progress::Running(attempts) = &mut sample.progress else {
+            return;
+        };
+        attempts.retain(|other| *other != attempt);
+        if attempts.is_empty() {
+            sample.not_before = not_before;
+            step.set(position, Progress::Waiting);
+        }
+    }
+
+    /// Stops a doomed attempt; its sample is attempted again.
+    fn stop(&mut self, attempt: Attempt) {
+        self.counters.doomed += 1;
+        self.counters.replaced += 1;
+        self.cancel_stream(attempt);
+        self.requeue(attempt, None);
+    }
+
+    /// Discards a doomed answer; its sample is attempted again.
+    pub(super) fn discard(&mut self, key: &Key, position: u32) {
+        self.counters.doomed += 1;
+        self.counters.replaced += 1;
+        if let Some(step) = self.steps.get_mut(key) {
+            step.set(position, Progress::Waiting);
+        }
+    }
+
+    /// Stops the trainer's attempts, and discards its answers at the scorer, that would be too
+    /// stale for its version.
+    pub(super) fn stop_doomed(&mut self, trainer: &Name) {
+        let doomed: Vec<Attempt> = self
+            .attempts
+            .iter()
+            .filter(|(_, running)| running.key.trainer == *trainer)
+            .map(|(attempt, _)| *attempt)
+            .filter(|attempt| self.is_attempt_doomed(*attempt))
+            .collect();
+        for attempt in doomed {
+            self.stop(attempt);
+        }
+        let stale: Vec<(Key, u32)> = self
+            .steps_of(trainer)
+            .flat_map(|(key, step)| {
+                step.scoring
+                    .iter()
+                    .map(move |position| (key, step, *position))
+            })
+            .filter(
+                |(_, step, position)| match &step.samples[*position as usize].progress {
+                    Progress::Scoring(scoring) => self.is_stale(trainer, &scoring.sample.spans),
+                    _ => false,
+                },
+            )
+            .map(|(key, _, position)| (key.clone(), position))
+            .collect();
+        for (key, position) in stale {
+            self.discard(&key, position);
+        }
+    }
+
+    fn is_attempt_doomed(&self, attempt: Attempt) -> bool {
+        self.attempts
+            .get(&attempt)
+            .is_some_and(|running| self.is_stale(&running.key.trainer, running.recorder.spans()))
+    }
+
+    fn is_stale(&self, trainer: &Name, spans: &[Span]) -> bool {
+        let (Some(policy), Some(oldest)) = (self.policy(trainer), oldest(spans)) else {
+            return false;
+        };
+        !policy.allows(self.trainer_version(trainer), oldest) || self.has_withdrawn(trainer, spans)
+    }
+
+    /// Tells whether tokens come from a version that operators withdrew.
+    pub(super) fn has_withdrawn(&self, trainer: &str, spans: &[Span]) -> bool {
+        !self.configuration.withdrawn.is_empty()
+            && spans
+                .iter()
+                .any(|span| self.is_withdrawn(trainer, span.version))
+    }
+
+    pub(super) fn is_withdrawn(&self, trainer: &str, version: Version) -> bool {
+        let object = self.configuration.trainers.get(trainer);
+        object.is_some_and(|object| {
+            self.configuration
+                .withdrawn
+                .contains(&(object.model.clone(), version))
+        })
+    }
+
+    /// Ends attempts whose streams bring nothing.
+    pub(super) fn stop_stalled(&mut self, now: Instant) {
+        let mut stalled: Vec<Attempt> = self
+            .attempts
+            .iter()
+            .filter(|(_, running)| now >= running.last + STALL_TIMEOUT)
+            .map(|(attempt, _)| *attempt)
+            .collect();
+        stalled.sort_unstable();
+        for attempt in stalled {
+            self.cancel_stream(attempt);
+            self.failed(now, attempt, Outcome::Unknown);
+        }
+    }
+
+    fn observe(&mut self, now: Instant, running: &Running, tokens: u32) {
+        let seconds = now.saturating_duration_since(running.started).as_secs_f64();
+        let trainer = self
+            .trainers
+            .entry(running.key.trainer.clone())
+            .or_default();
+        trainer.sample_seconds = Some(mean(trainer.sample_seconds, seconds));
+        if let Some(engine) = self.engines.get_mut(&running.origin.server) {
+            engine.failures = 0;
+            engine.token_seconds = Some(mean(
+                engine.token_seconds,
+                seconds / f64::from(tokens.max(1)),
+            ));
+        }
+    }
+}
+
+fn mean(before: Option<f64>, value: f64) -> f64 {
+    before.map_or(value, |before| before + MEAN_WEIGHT * (value - before))
+}
+
+fn pause(failures: u32) -> Duration {
+    let factor = 1 << failures.saturating_sub(1).min(10);
+    (RETRY_PAUSE * factor).min(MAX_PAUSE)
+}
--- /dev/null
+++ b/crates/shallotroute_rollout/src/scheduler/placement.rs
@@ -0,0 +1,290 @@
+//! Which sample gets the next free slot, and on which engine.
+
+use std::{sync::Arc, time::Instant};
+
+use rand_chacha::rand_core::Rng;
+use shallotroute_config::object::Selection;
+use shallotroute_types::{class::Class, name::Name, sample::Identity};
+
+use super::{Action, Running, Scheduler, Start};
+use crate::{
+    engine::{Blocked, Engine},
+    order::{Candidate, compare},
+    provenance::Recorder,
+    step::{Attempt, Key, Origin, Progress, Step},
+};
+
+/// The share of an engine's slots that stays free when callers' requests go to the same pool.
+const RESERVE: f64 = 0.125;
+
+/// The expected seconds of a token before any was observed.
+const DEFAULT_TOKEN_SECONDS: f64 = 0.02;
+
+impl Scheduler {
+    /// Starts attempts until no waiting sample finds a slot.
+    pub(super) fn place(&mut self, now: Instant) {
+        while self.place_one(now) {}
+    }
+
+    fn place_one(&mut self, now: Instant) -> bool {
+        if !self
+            .engines
+            .values()
+            .any(|engine| engine.free(self.reserve(engine)) > 0)
+        {
+            return false;
+        }
+        let order = self.configuration.order();
+        let mut candidates = self.candidates(now);
+        candidates.sort_by(|left, right| compare(order, &left.1, &right.1));
+        for (key, candidate, position) in candidates {
+            if let Some(server) = self.select(now, &key, candidate.ahead, position, &[]) {
+                self.start(now, &key, position, &server, candidate.ahead);
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Returns the next sample of each trainer's earliest step that has one.
+    fn candidates(&self, now: Instant) -> Vec<(Key, Candidate, u32)> {
+        let mut candidates = Vec::new();
+        for trainer in self.configuration.trainers.keys() {
+            let mut ahead = 0;
+            for (key, step) in self.steps_of(trainer) {
+                let next = step.waiting.iter().copied().find(|&position| {
+                    let sample = &step.samples[position as usize];
+                    sample.not_before.is_none_or(|time| now >= time)
+                });
+                if let Some(position) = next {
+                    candidates.push((key.clone(), self.candidate(key, step, ahead), position));
+                    break;
+                }
+                ahead += u64::from(!step.is_settled());
+            }
+        }
+        candidates
+    }
+
+    fn candidate(&self, key: &Key, step: &Step, ahead: u64) -> Candidate {
+        let object = self.configuration.trainers.get(&key.trainer);
+        let known = self
+            .trainers
+            .get(&key.trainer)
+            .and_then(|trainer| trainer.sample_seconds);
+        let expected = f64::from(step.specification.max_tokens) * DEFAULT_TOKEN_SECONDS;
+        let slots: u32 = self.engines.values().map(|engine| engine.slots).sum();
+        let seconds = known.unwrap_or(expected) / f64::from(slots.max(1));
+        let running = self
+            .steps_of(&key.trainer)
+            .map(|(_, step)| step.running.len())
+            .sum::<usize>();
+        Candidate {
+            sequence: step.sequence,
+            submitted: self.since_start(step.submitted),
+            ahead,
+            running: running as u32,
+            share: object.map_or(1.0, |object| object.share),
+            total_seconds: seconds * step.samples.len() as f64,
+            remaining_seconds: seconds * step.unfinished() as f64,
+        }
+    }
+
+    /// Returns how many slots of the engine stay free for callers' requests.
+    pub(super) fn reserve(&self, engine: &Engine) -> u32 {
+        match self.configuration.shared && engine.slots > 1 {
+            true => (f64::from(engine.slots) * RESERVE).ceil() as u32,
+            false => 0,
+        }
+    }
+
+    /// Tells whether the engine may take a sample of the trainer.
+    pub(super) fn usable(
+        &self,
+        now: Instant,
+        trainer: &Name,
+        ahead: u64,
+        engine: &Engine,
+    ) -> Result<(), Blocked> {
+        let object = self
+            .configuration
+            .trainers
+            .get(trainer)
+            .ok_or(Blocked::NotLoaded)?;
+        let loaded = engine.version(now, &object.model)?;
+        let admitted = self
+            .policy(trainer)
+            .is_some_and(|policy| policy.admits(self.trainer_version(trainer), ahead, loaded));
+        if !admitted || self.is_withdrawn(trainer, loaded) {
+            return Err(Blocked::Version);
+        }
+        match engine.free(self.reserve(engine)) {
+            0 => Err(Blocked::Full),
+            _ => Ok(()),
+        }
+    }
+
+    /// Chooses an engine for a sample, none of `except`.
+    pub(super) fn select(
+        &mut self,
+        now: Instant,
+        key: &Key,
+        ahead: u64,
+        position: u32,
+        except: &[Name],
+    ) -> Option<Name> {
+        let usable: Vec<&Name> = self
+            .engines
+            .iter()
+            .filter(|(name, _)| !except.contains(name))
+            .filter(|(_, engine)| self.usable(now, &key.trainer, ahead, engine).is_ok())
+            .map(|(name, _)| name)
+            .collect();
+        let chosen = match self.configuration.selection {
+            Selection::RoundRobin => {
+                let after = usable
+                    .iter()
+                    .find(|name| Some(**name) > self.cursor.as_ref());
+                after.or(usable.first()).copied()
+            }
+            Selection::LeastLoaded => usable
+                .iter()
+                .copied()
+                .min_by(|left, right| self.fill(left).total_cmp(&self.fill(right))),
+            Selection::Adaptive if usable.is_empty() => None,
+            Selection::Adaptive => {
+                let count = usable.len() as u64;
+                let mut draw = || usable[(self.random.next_u64() % count) as usize];
+                let (first, second) = (draw(), draw());
+                Some(self.better(key, position, &usable, first, second))
+            }
+        };
+        let chosen = chosen.cloned();
+        self.cursor.clone_from(&chosen);
+        chosen
+    }
+
+    /// Returns the better of two engines, or the engine of a sample of the same group, whose cache
+    /// holds the prompt, if it is not much fuller.
+    fn better<'a>(
+        &self,
+        key: &Key,
+        position: u32,
+        usable: &[&'a Name],
+        first: &'a Name,
+        second: &'a Name,
+    ) -> &'a Name {
+        let best = match self.cost(first).total_cmp(&self.cost(second)) {
+            std::cmp::Ordering::Greater => second,
+            _ => first,
+        };
+        let sibling = self.sibling(key, position);
+        match usable
+            .iter()
+            .copied()
+            .find(|name| Some(*name) == sibling.as_ref())
+        {
+            Some(name) if self.cost(name) <= self.cost(best) * AFFINITY_COST => name,
+            _ => best,
+        }
+    }
+
+    fn sibling(&self, key: &Key, position: u32) -> Option<Name> {
+        let step = self.steps.get(key)?;
+        let group = step.place(position).0;
+        step.positions(group)
+            .filter_map(|other| match &step.samples[other as usize].progress {
+                Progress::Running(attempts) => attempts.last(),
+                _ => None,
+            })
+            .filter_map(|attempt| self.attempts.get(attempt))
+            .map(|running| running.origin.server.clone())
+            .next_back()
+    }
+
+    fn fill(&self, server: &str) -> f64 {
+        self.engines.get(server).map_or(f64::MAX, |engine| {
+            f64::from(engine.load()) / f64::from(engine.slots.max(1))
+        })
+    }
+
+    /// Returns the expected relative time of a token on the engine after one more start.
+    fn cost(&self, server: &str) -> f64 {
+        self.engines.get(server).map_or(f64::MAX, |engine| {
+            let slots = f64::from(engine.slots.max(1));
+            let load = f64::from(engine.load() + 1) / slots;
+            load * engine.token_seconds.unwrap_or(DEFAULT_TOKEN_SECONDS)
+        })
+    }
+
+    pub(super) fn start(
+        &mut self,
+        now: Instant,
+        key: &Key,
+        position: u32,
+        server: &Name,
+        ahead: u64,
+    ) {
+        let attempt = Attempt(self.number());
+        let (Some(step), Some(engine), Some(object)) = (
+            self.steps.get_mut(key),
+            self.engines.get_mut(server),
+            self.configuration.trainers.get(&key.trainer),
+        ) else {
+            return;
+        };
+        let (group, index) = step.place(position);
+        let sample = Identity {
+            trainer: key.trainer.clone(),
+            step: key.step,
+            group,
+            index,
+        };
+        let identity = format!("{sample}/{}.{}.{attempt}", self.node, self.incarnation);
+        let prompt = Arc::clone(step.prompt(position));
+        let max_tokens = step.specification.max_tokens;
+        let entry = &mut step.samples[position as usize];
+        entry.attempts += 1;
+        match &mut entry.progress {
+            Progress::Running(attempts) => attempts.push(attempt),
+            _ => drop(step.set(position, Progress::Running(vec![attempt]))),
+        }
+        engine.attempts.insert(attempt);
+        let start = Start {
+            attempt,
+            sample,
+            identity: identity.clone(),
+            server: server.clone(),
+            address: engine.address,
+            model: object.model.clone(),
+            prompt,
+            max_tokens,
+            priority: Class::Training.priority() + ahead.min(MAX_AHEAD_PRIORITY) as u8,
+        };
+        let origin = Origin {
+            server: server.clone(),
+            revision: self.configuration.revision,
+            node: self.node.clone(),
+            pool: self.configuration.pool.clone(),
+        };
+        self.attempts.insert(
+            attempt,
+            Running {
+                key: key.clone(),
+                position,
+                origin,
+                recorder: Recorder::new(identity),
+                started: now,
+                last: now,
+            },
+        );
+        self.counters.started += 1;
+        self.actions.push(Action::Start(Box::new(start)));
+    }
+}
+
+/// How much costlier than the best candidate an engine with the prompt in its cache may be.
+const AFFINITY_COST: f64 = 1.25;
+
+/// Samples of later steps get priorities up to this much lower than those of the current step.
+const MAX_AHEAD_PRIORITY: u64 = 5;
--- /dev/null
+++ b/crates/shallotroute_rollout/src/step.rs
@@ -0,0 +1,260 @@
+//! A trainer's step: its specification and the progress of its samples.
+
+use std::{collections::BTreeSet, sync::Arc, time::Instant};
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+use shallotroute_types::name::Name;
+
+use crate::{delivery::Sample as Delivered, provenance::Product, receipt::Receipt};
+
+/// The most samples of one step; bounds the memory that one request takes.
+pub const MAX_SAMPLES: usize = 1 << 16;
+
+/// What a trainer asks for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Specification {
+    /// The prompts, one for each group.
+    pub prompts: Vec<Arc<str>>,
+    /// How many samples each group has.
+    pub group_size: u32,
+    /// The most tokens of a sample.
+    pub max_tokens: u32,
+}
+
+impl Specification {
+    /// Tells whether the step has samples and not more than [`MAX_SAMPLES`].
+    pub fn is_valid(&self) -> bool {
+        let samples = self.prompts.len().saturating_mul(self.group_size as usize);
+        (1..=MAX_SAMPLES).contains(&samples) && self.max_tokens > 0
+    }
+
+    /// Returns the number of groups.
+    pub fn groups(&self) -> u32 {
+        self.prompts.len() as u32
+    }
+}
+
+/// Names a step.
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[display("{trainer}/{step}")]
+pub struct Key {
+    /// The trainer.
+    pub trainer: Name,
+    /// The trainer's number of the step.
+    pub step: u64,
+}
+
+/// A number of an attempt, unique within a scheduler.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Attempt(pub u64);
+
+/// How far a sample is.
+#[derive(Clone, Debug)]
+pub enum Progress {
+    /// No attempt runs.
+    Waiting,
+    /// These attempts run; never empty.
+    Running(Vec<Attempt>),
+    /// An answer is being scored.
+    Scoring(Box<Scoring>),
+    /// Scored and not acknowledged by the trainer.
+    Done(Box<Delivered>),
+    /// The trainer has it.
+    Acknowledged,
+}
+
+/// An answer whose score is outstanding.
+#[derive(Clone, Debug)]
+pub struct Scoring {
+    /// The attempt that gave the answer.
+    pub attempt: Attempt,
+    /// The answer, without its score.
+    pub sample: Delivered,
+    /// When to ask the scorer; none while it is being asked.
+    pub due: Option<Instant>,
+    /// How often the scorer failed.
+    pub failures: u32,
+}
+
+/// One sample of a step.
+#[derive(Clone, Debug)]
+pub struct Sample {
+    /// How far it is.
+    pub progress: Progress,
+    /// Attempts started.
+    pub attempts: u32,
+    /// No attempt starts before this time; set after failures.
+    pub not_before: Option<Instant>,
+}
+
+/// A step in progress.
+#[derive(Clone, Debug)]
+pub struct Step {
+    /// What the trainer asked for.
+    pub specification: Arc<Specification>,
+    /// When it was submitted here.
+    pub submitted: Instant,
+    /// A number that rises with each submitted step of the pool.
+    pub sequence: u64,
+    /// The samples, group by group.
+    pub samples: Vec<Sample>,
+    /// The samples without an attempt.
+    pub waiting: BTreeSet<u32>,
+    /// The samples with attempts.
+    pub running: BTreeSet<u32>,
+    /// The samples that wait for their score.
+    pub scoring: BTreeSet<u32>,
+    /// The groups whose samples are all scored and not acknowledged.
+    pub ready: BTreeSet<u32>,
+    /// What the trainer has, by its last pull.
+    pub receipt: Receipt,
+    /// What the trainer has if the answers since then have arrived.
+    pub offered: Receipt,
+}
+
+impl Step {
+    /// Makes a step without progress.
+    pub fn new(specification: Arc<Specification>, submitted: Instant, sequence: u64) -> Self {
+        let count = specification.groups() * specification.group_size;
+        let sample = Sample {
+            progress: Progress::Waiting,
+            attempts: 0,
+            not_before: None,
+        };
+        Self {
+            specification,
+            submitted,
+            sequence,
+            samples: vec![sample; count as usize],
+            waiting: (0..count).collect(),
+            running: BTreeSet::new(),
+            scoring: BTreeSet::new(),
+            ready: BTreeSet::new(),
+            receipt: Receipt::default(),
+            offered: Receipt::default(),
+        }
+    }
+
+    /// Returns the group and the index within it of the sample at `position`.
+    pub fn place(&self, position: u32) -> (u32, u32) {
+        let size = self.specification.group_size;
+        (position / size, position % size)
+    }
+
+    /// Returns the positions of a group's samples.
+    pub fn positions(&self, group: u32) -> std::ops::Range<u32> {
+        let size = self.specification.group_size;
+        group * size..(group + 1) * size
+    }
+
+    /// Returns the prompt of the sample at `position`.
+    pub fn prompt(&self, position: u32) -> &Arc<str> {
+        &self.specification.prompts[self.place(position).0 as usize]
+    }
+
+    /// Returns how many samples still need generation.
+    pub fn unfinished(&self) -> usize {
+        self.waiting.len() + self.running.len()
+    }
+
+    /// Tells whether all groups were in answers. The trainer may still ask again after a lost one.
+    pub fn is_settled(&self) -> bool {
+        self.offered.count() == self.specification.groups()
+    }
+
+    /// Tells whether the trainer has all groups.
+    pub fn is_complete(&self) -> bool {
+        self.receipt.count() == self.specification.groups()
+    }
+
+    /// Sets how far a sample is and returns the attempts that ran before and no longer count.
+    pub fn set(&mut self, position: u32, progress: Progress) -> Vec<Attempt> {
+        self.waiting.remove(&position);
+        self.running.remove(&position);
+        self.scoring.remove(&position);
+        match &progress {
+            Progress::Waiting => drop(self.waiting.insert(position)),
+            Progress::Running(_) => drop(self.running.insert(position)),
+            Progress::Scoring(_) => drop(self.scoring.insert(position)),
+            Progress::Done(_) | Progress::Acknowledged => {}
+        }
+        let done = matches!(progress, Progress::Done(_));
+        let sample = &mut self.samples[position as usize];
+        let before = std::mem::replace(&mut sample.progress, progress);
+        let group = self.place(position).0;
+        if done && self.group(group).is_some() {
+            self.ready.insert(group);
+        } else if !done {
+            self.ready.remove(&group);
+        }
+        match before {
+            Progress::Running(attempts) => attempts,
+            _ => Vec::new(),
+        }
+    }
+
+    /// Applies a trainer's receipt: groups in it need no more work; groups that an earlier receipt
+    /// had and this one lacks, as after a restart from a checkpoint, are generated again. Returns
+    /// the attempts that no longer count.
+    pub fn apply(&mut self, receipt: Receipt) -> Vec<Attempt> {
+        let mut stopped = Vec::new();
+        for group in 0..self.specification.groups() {
+            let (had, has) = (self.receipt.contains(group), receipt.contains(group));
+            if had == has {
+                continue;
+            }
+            for position in self.positions(group) {
+                let progress = if has {
+                    Progress::Acknowledged
+                } else {
+                    Progress::Waiting
+                };
+                stopped.extend(self.set(position, progress));
+            }
+        }
+        self.offered = receipt.clone();
+        self.receipt = receipt;
+        stopped
+    }
+
+    /// Returns a group's samples if all are scored.
+    pub fn group(&self, group: u32) -> Option<Vec<&Delivered>> {
+        self.positions(group)
+            .map(|position| match &self.samples[position as usize].progress {
+                Progress::Done(sample) => Some(&**sample),
+                _ => None,
+            })
+            .collect()
+    }
+}
+
+/// Makes a sample of an engine's answer, without its score.
+pub fn sample(index: u32, product: Product, attempts: u32, origin: &Origin) -> Delivered {
+    Delivered {
+        index,
+        text: product.text,
+        tokens: product.tokens,
+        spans: product.spans,
+        backend_server: origin.server.clone(),
+        attempts,
+        revision: origin.revision,
+        node: origin.node.clone(),
+        route: format!("pool/{}", origin.pool),
+        score: None,
+    }
+}
+
+/// Where an attempt ran.
+#[derive(Clone, Debug)]
+pub struct Origin {
+    /// The engine.
+    pub server: Name,
+    /// The revision in force when it started.
+    pub revision: shallotroute_types::revision::Revision,
+    /// The node that ran it.
+    pub node: Name,
+    /// The pool.
+    pub pool: Name,
+}
--- /dev/null
+++ b/crates/shallotroute_rollout/tests/support/mod.rs
@@ -0,0 +1,211 @@
+//! A pool with scripted engines around the pure scheduler.
+#![allow(dead_code, reason = "each test file uses another part")]
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use shallotroute_config::{
+    object::{
+        Backend, Fencing, Object, Order, Pool, Selection, Server, ServerState, Swap, Tail, Trainer,
+    },
+    set::Set,
+};
+use shallotroute_rollout::{
+    configuration::Configuration,
+    delivery::{Answer, Refusal},
+    engine::Report,
+    provenance::Chunk,
+    receipt::Receipt,
+    scheduler::{Action, Event, Pull, Scheduler, Start},
+    step::{Attempt, Key, Specification},
+};
+use shallotroute_types::{name::Name, node::Incarnation, revision::Revision, version::Version};
+
+pub(crate) fn trainer(name: &str) -> Trainer {
+    Trainer {
+        name: name.into(),
+        model: format!("model-{name}").into(),
+        pool: "samplers".into(),
+        scorer: None,
+        staleness_bound: 1,
+        idle_weight: 0.5,
+        share: 1.0,
+        order: Order::Fcfs,
+        tail: Tail::None,
+        swap: Swap::AllAtOnce,
+    }
+}
+
+pub(crate) fn pool(engines: usize, slots: u32) -> Pool {
+    let server = |index: usize| Server {
+        name: format!("engine-{index}").into(),
+        address: ([127, 0, 0, 1], 9000 + index as u16).into(),
+        zone: "colombo".into(),
+        slots,
+        state: ServerState::Active,
+    };
+    Pool {
+        name: "samplers".into(),
+        backend: Backend::Engine,
+        fencing: Some(Fencing::Checked),
+        models: vec!["model-a".into(), "model-b".into()],
+        selection: Selection::LeastLoaded,
+        servers: (0..engines).map(server).collect(),
+    }
+}
+
+pub(crate) fn configuration(pool: Pool, trainers: Vec<Trainer>) -> Arc<Configuration> {
+    let name = pool.name.clone();
+    let objects = trainers
+        .into_iter()
+        .map(Object::Trainer)
+        .chain([Object::Pool(pool)]);
+    let set = Set::new(objects);
+    Arc::new(Configuration::new(&set, Revision(7), &name).expect("the pool should exist"))
+}
+
+pub(crate) fn specification(groups: usize, group_size: u32) -> Arc<Specification> {
+    Arc::new(Specification {
+        prompts: (0..groups)
+            .map(|group| format!("prompt {group}").into())
+            .collect(),
+        group_size,
+        max_tokens: 100,
+    })
+}
+
+pub(crate) fn key(trainer: &str, step: u64) -> Key {
+    Key {
+        trainer: trainer.into(),
+        step,
+    }
+}
+
+pub(crate) struct Bench {
+    pub(crate) scheduler: Scheduler,
+    pub(crate) now: Instant,
+    pub(crate) running: BTreeMap<Attempt, Start>,
+    pub(crate) cancelled: Vec<Attempt>,
+    pub(crate) polls: Vec<(Name, u64)>,
+    pub(crate) answers: BTreeMap<u64, Result<Answer, Refusal>>,
+    pub(crate) started: usize,
+    pulls: u64,
+}
+
+impl Bench {
+    pub(crate) fn new(configuration: Arc<Configuration>) -> Self {
+        let now = Instant::now();
+        let scheduler = Scheduler::new(now, configuration, "node-1".into(), Incarnation(1), 1);
+        let mut bench = Self {
+            scheduler,
+            now,
+            running: BTreeMap::new(),
+            cancelled: Vec::new(),
+            polls: Vec::new(),
+            answers: BTreeMap::new(),
+            started: 0,
+            pulls: 0,
+        };
+        bench.event(Event::Tick);
+        bench
+    }
+
+    pub(crate) fn event(&mut self, event: Event) {
+        for action in self.scheduler.handle(self.now, event) {
+            match action {
+                Action::Start(start) => {
+                    self.started += 1;
+                    self.running.insert(start.attempt, *start);
+                }
+                Action::Cancel(attempt) => {
+                    self.running.remove(&attempt);
+                    self.cancelled.push(attempt);
+                }
+                Action::Answer(number, answer) => drop(self.answers.insert(number, answer)),
+                Action::Poll { server, number, .. } => self.polls.push((server, number)),
+                Action::Score(_) => {}
+            }
+        }
+    }
+
+    /// Answers all polls: every engine has `version` of both models.
+    pub(crate) fn report(&mut self, version: u64) {
+        for (server, number) in std::mem::take(&mut self.polls) {
+            let report = loaded(version);
+            self.event(Event::Polled(server, number, Some(report)));
+        }
+    }
+
+    /// Lets time pass in the rhythm of the polls, which find `version`.
+    pub(crate) fn pass(&mut self, time: Duration, version: u64) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += Duration::from_millis(250);
+            self.event(Event::Tick);
+            self.report(version);
+        }
+    }
+
+    pub(crate) fn tokens(&mut self, attempt: Attempt, start: u32, count: u32, version: u64) {
+        let identity = self.running[&attempt].identity.clone();
+        let text = format!("[{attempt}:{start}]");
+        let chunk = Chunk {
+            start,
+            count,
+            text,
+            version: Version(version),
+        };
+        self.event(Event::Tokens(attempt, identity, chunk));
+    }
+
+    pub(crate) fn end(&mut self, attempt: Attempt, tokens: u32) {
+        let Some(start) = self.running.remove(&attempt) else {
+            return;
+        };
+        self.event(Event::Ended(attempt, start.identity, tokens));
+    }
+
+    /// Completes all attempts with ten tokens of `version` until none runs.
+    pub(crate) fn finish(&mut self, version: u64) {
+        while let Some(attempt) = self.running.keys().next().copied() {
+            self.tokens(attempt, 0, 10, version);
+            self.end(attempt, 10);
+        }
+    }
+
+    /// Opens a pull and returns its number.
+    pub(crate) fn pull(&mut self, key: &Key, groups: &[u32], version: u64) -> u64 {
+        self.pulls += 1;
+        let mut receipt = Receipt::default();
+        groups.iter().for_each(|group| receipt.insert(*group));
+        self.event(Event::Pulled(Pull {
+            number: self.pulls,
+            key: key.clone(),
+            receipt,
+            version: Version(version),
+            max_groups: 100,
+            opened: self.now,
+            deadline: self.now + Duration::from_secs(10),
+        }));
+        self.pulls
+    }
+
+    /// Returns the groups in the answer to a pull.
+    pub(crate) fn groups(&self, pull: u64) -> Option<Vec<u32>> {
+        let answer = self.answers.get(&pull)?.as_ref().ok()?;
+        Some(answer.groups.iter().map(|group| group.group).collect())
+    }
+}
+
+pub(crate) fn loaded(version: u64) -> Report {
+    let models = ["model-a", "model-b"].map(|model| (model.into(), Version(version)));
+    Report {
+        incarnation: 1,
+        models: models.into_iter().collect(),
+        slots: 8,
+        ..Report::default()
+    }
+}
--- /dev/null
+++ b/crates/shallotroute_sampling/src/attempt.rs
@@ -0,0 +1,155 @@
+//! Calls to engines and scorers, each in a task that reports events to its pool.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use error_stack::Report;
+use futures::StreamExt;
+use shallotroute_platform::{
+    engine::{self, Engine, Generate},
+    error::{Error, Kind},
+    scorer::{self, Scorer},
+};
+use shallotroute_rollout::{
+    engine as known,
+    provenance::Chunk,
+    scheduler::{Event, Score, Start},
+};
+use shallotroute_types::{name::Name, outcome::Outcome};
+use tokio::sync::mpsc;
+
+use crate::pool::Message;
+
+/// How long an engine may take to report its state.
+const STATE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Where events go.
+#[derive(Clone)]
+pub(crate) struct Outlet(pub(crate) mpsc::Sender<Message>);
+
+impl Outlet {
+    async fn send(&self, event: Event) {
+        // A stopped pool needs no more events.
+        let _ = self.0.send(Message::Event(event)).await;
+    }
+}
+
+/// Runs an attempt to its end.
+pub(crate) async fn generate(engine: Arc<dyn Engine>, outlet: Outlet, start: Start) {
+    let attempt = start.attempt;
+    let identity = start.identity;
+    let request = Generate {
+        request_id: identity.clone(),
+        model: start.model,
+        prompt: start.prompt.to_string(),
+        max_tokens: start.max_tokens,
+        priority: start.priority,
+    };
+    let mut events = match engine.generate(start.address, request).await {
+        Ok(events) => events,
+        Err(report) => return outlet.send(failed(attempt, &report)).await,
+    };
+    while let Some(event) = events.next().await {
+        match event {
+            Ok(engine::Event::Tokens {
+                request_id,
+                start,
+                count,
+                text,
+                version,
+            }) => {
+                let chunk = Chunk {
+                    start,
+                    count,
+                    text,
+                    version,
+                };
+                outlet.send(Event::Tokens(attempt, request_id, chunk)).await;
+            }
+            Ok(engine::Event::End {
+                request_id, tokens, ..
+            }) => {
+                let own = request_id == identity;
+                outlet.send(Event::Ended(attempt, request_id, tokens)).await;
+                if own {
+                    return;
+                }
+            }
+            Err(report) => return outlet.send(failed(attempt, &report)).await,
+        }
+    }
+    // The stream closed without an end marker: the answer is cut.
+    outlet.send(Event::Failed(attempt, Outcome::Unknown)).await;
+}
+
+fn failed(attempt: shallotroute_rollout::step::Attempt, report: &Report<Error>) -> Event {
+    spdlog::debug!("attempt {} failed: {}", attempt, report);
+    Event::Failed(attempt, report.current_context().outcome())
+}
+
+/// A scorer.
+pub(crate) struct Target {
+    /// The interface.
+    pub(crate) scorer: Arc<dyn Scorer>,
+    /// Where it listens.
+    pub(crate) address: SocketAddr,
+    /// The time limit for one score.
+    pub(crate) timeout: Duration,
+}
+
+/// Scores a sample.
+pub(crate) async fn score(target: Option<Target>, outlet: Outlet, score: Score) {
+    let request = scorer::Request {
+        sample: score.sample,
+        prompt: score.prompt.to_string(),
+        text: score.text,
+    };
+    let value = match target {
+        None => None,
+        Some(target) => {
+            let result = target
+                .scorer
+                .score(target.address, request, target.timeout)
+                .await;
+            if let Err(report) = &result {
+                spdlog::debug!("scoring a sample of {} failed: {}", score.key, report);
+            }
+            result.ok()
+        }
+    };
+    outlet
+        .send(Event::Scored(
+            score.key,
+            score.position,
+            score.attempt,
+            value,
+        ))
+        .await;
+}
+
+/// Reads an engine's state.
+pub(crate) async fn poll(
+    engine: Arc<dyn Engine>,
+    outlet: Outlet,
+    server: Name,
+    address: SocketAddr,
+    number: u64,
+) {
+    let result = tokio::time::timeout(STATE_TIMEOUT, engine.state(address))
+        .await
+        .unwrap_or_else(|_| {
+            let error = Error::new("engine.state", address.to_string(), Kind::Lost);
+            Err(Report::new(error))
+        });
+    if let Err(report) = &result {
+        spdlog::debug!("state of engine {} could not be read: {}", server, report);
+    }
+    let report = result.ok().map(|state| known::Report {
+        incarnation: state.incarnation,
+        models: state.models,
+        swapping: state.swapping,
+        load: state.running + state.waiting,
+        slots: state.slots,
+        leaving: state.leaving,
+    });
+    outlet.send(Event::Polled(server, number, report)).await;
+}
--- /dev/null
+++ b/crates/shallotroute_sampling/src/copies.rs
@@ -0,0 +1,78 @@
+//! Copies of specifications and announcements that this node keeps for pools of other nodes.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use shallotroute_rollout::step::{Key, Specification};
+use shallotroute_types::name::Name;
+
+use crate::service::Announcement;
+
+/// How many specifications of one trainer are kept; the oldest copy goes first.
+const COPIES_PER_TRAINER: usize = 20;
+
+/// The copies.
+#[derive(Default)]
+pub(crate) struct Copies(Mutex<Inner>);
+
+#[derive(Default)]
+struct Inner {
+    specifications: BTreeMap<Key, Arc<Specification>>,
+    order: BTreeMap<Name, VecDeque<u64>>,
+    announcements: BTreeMap<Name, Announcement>,
+}
+
+impl Copies {
+    /// Keeps a specification.
+    pub(crate) fn insert(&self, key: Key, specification: Arc<Specification>) {
+        let mut inner = self.lock();
+        let steps = inner.order.entry(key.trainer.clone()).or_default();
+        steps.retain(|step| *step != key.step);
+        steps.push_back(key.step);
+        let excess = match steps.len() > COPIES_PER_TRAINER {
+            true => steps.pop_front(),
+            false => None,
+        };
+        if let Some(step) = excess {
+            let trainer = key.trainer.clone();
+            inner.specifications.remove(&Key { trainer, step });
+        }
+        inner.specifications.insert(key, specification);
+    }
+
+    /// Returns a specification.
+    pub(crate) fn get(&self, key: &Key) -> Option<Arc<Specification>> {
+        self.lock().specifications.get(key).cloned()
+    }
+
+    /// Drops a specification.
+    pub(crate) fn remove(&self, key: &Key) {
+        let mut inner = self.lock();
+        inner.specifications.remove(key);
+        if let Some(steps) = inner.order.get_mut(&key.trainer) {
+            steps.retain(|step| *step != key.step);
+        }
+    }
+
+    /// Keeps an announcement unless a later one is known.
+    pub(crate) fn announce(&self, announcement: Announcement) {
+        let mut inner = self.lock();
+        let known = inner.announcements.get(&announcement.trainer);
+        if known.is_none_or(|known| known.at <= announcement.at) {
+            inner
+                .announcements
+                .insert(announcement.trainer.clone(), announcement);
+        }
+    }
+
+    /// Returns the last announcement of a trainer.
+    pub(crate) fn announced(&self, trainer: &str) -> Option<Announcement> {
+        self.lock().announcements.get(trainer).cloned()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/shallotroute_sampling/src/endpoint.rs
@@ -0,0 +1,183 @@
+//! The HTTP endpoints of trainers, below `/v1/trainers/`.
+
+use std::{
+    sync::Arc,
+    time::{Duration, UNIX_EPOCH},
+};
+
+use data_encoding::HEXLOWER_PERMISSIVE;
+use http::{HeaderValue, Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::{Deserialize, de::DeserializeOwned};
+use serde_json::json;
+use shallotroute_http::body::{self, Body};
+use shallotroute_rollout::{
+    receipt::Receipt,
+    step::{Key, Specification},
+};
+use shallotroute_types::{name::Name, version::Version};
+
+use crate::{
+    Sampler, access,
+    failure::{Failure, Result},
+    service::{Announcement, Pull},
+};
+
+/// The longest body of a request, in bytes; below the longest frame between nodes.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
+/// The longest wait of a pull.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+
+/// The most groups in one answer.
+const MAX_GROUPS: usize = 256;
+
+/// What a trainer asks for by method and path.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Operation {
+    Announce(Version),
+    Submit(u64),
+    Pull(u64),
+    Delete(u64),
+}
+
+/// The body of a pull.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PullBody {
+    /// The groups that the trainer has, hexadecimal.
+    #[serde(default)]
+    receipt: String,
+    version: Version,
+    #[serde(default)]
+    wait_ms: u64,
+    max_groups: Option<usize>,
+}
+
+impl Sampler {
+    /// Answers a trainer's request.
+    pub(crate) async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let request_id = uuid();
+        let parsed = parse(request.method(), request.uri().path());
+        let step = match &parsed {
+            Ok((_, Operation::Announce(_))) => "trainer.announce",
+            Ok((_, Operation::Submit(_))) => "trainer.submit",
+            Ok((_, Operation::Pull(_))) => "trainer.pull",
+            Ok((_, Operation::Delete(_))) => "trainer.delete",
+            Err(_) => "trainer.request",
+        };
+        let result = match parsed {
+            Ok((trainer, operation)) => self.carry_out(request, trainer, operation).await,
+            Err(failure) => Err(failure),
+        };
+        let mut response = result.unwrap_or_else(|failure| failure.response(step, &request_id));
+        if let Ok(value) = HeaderValue::from_str(&request_id) {
+            response.headers_mut().insert("x-request-id", value);
+        }
+        if let Ok(value) = HeaderValue::from_str(&self.context.local.id) {
+            response.headers_mut().insert("x-shallotroute-node", value);
+        }
+        response
+    }
+
+    async fn carry_out(
+        &self,
+        request: Request<Incoming>,
+        trainer: Name,
+        operation: Operation,
+    ) -> Result<Response<Body>> {
+        let snapshot = self.context.configuration.borrow().clone();
+        let snapshot = snapshot
+            .filter(|_| self.context.ready())
+            .ok_or_else(|| Failure::Unavailable("the node takes no new work".to_owned()))?;
+        access::check(request.headers(), &snapshot.set, &trainer)?;
+        let object = snapshot.set.trainers.get(&trainer);
+        let pool = object.ok_or(Failure::UnknownTrainer)?.pool.clone();
+        match operation {
+            Operation::Announce(version) => {
+                let announcement = Announcement {
+                    trainer,
+                    version,
+                    at: self.wall_ms(),
+                };
+                self.announce(&pool, announcement).await?;
+                Ok(body::json(StatusCode::OK, &json!({ "version": version })))
+            }
+            Operation::Submit(step) => {
+                let specification: Specification = read(request).await?;
+                if !specification.is_valid() {
+                    return Err(Failure::Invalid(
+                        "the step has no or too many samples".to_owned(),
+                    ));
+                }
+                let groups = specification.groups();
+                let key = Key { trainer, step };
+                self.submit(&pool, key, Arc::new(specification)).await?;
+                Ok(body::json(StatusCode::OK, &json!({ "groups": groups })))
+            }
+            Operation::Pull(step) => {
+                let pull = pull(Key { trainer, step }, &read(request).await?)?;
+                let answer = self.pull(&pool, pull).await?;
+                Ok(body::json(StatusCode::OK, &answer))
+            }
+            Operation::Delete(step) => {
+                self.delete(&pool, Key { trainer, step }).await?;
+                Ok(body::json(StatusCode::OK, &json!({})))
+            }
+        }
+    }
+
+    fn wall_ms(&self) -> u64 {
+        let wall = self.context.clock.wall();
+        let since = wall.duration_since(UNIX_EPOCH).unwrap_or_default();
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
+fn pull(key: Key, body: &PullBody) -> Result<Pull> {
+    let receipt = HEXLOWER_PERMISSIVE
+        .decode(body.receipt.as_bytes())
+        .map_err(|error| Failure::Invalid(format!("receipt: {error}")))?;
+    Ok(Pull {
+        key,
+        receipt: Receipt::new(receipt),
+        version: body.version,
+        wait_ms: body.wait_ms.min(MAX_WAIT.as_millis() as u64),
+        max_groups: body.max_groups.unwrap_or(MAX_GROUPS).clamp(1, MAX_GROUPS),
+    })
+}
+
+fn parse(method: &Method, path: &str) -> Result<(Name, Operation)> {
+    let rest = path
+        .strip_prefix("/v1/trainers/")
+        .ok_or(Failure::NotFound)?;
+    let parts: Vec<&str> = rest.split('/').collect();
+    let number = |text: &str| {
+        text.parse::<u64>()
+            .map_err(|error| Failure::Invalid(format!("{text}: {error}")))
+    };
+    let (trainer, operation) = match (method, parts.as_slice()) {
+        (&Method::PUT, [trainer, "versions", version]) => {
+            (trainer, Operation::Announce(Version(number(version)?)))
+        }
+        (&Method::PUT, [trainer, "steps", step]) => (trainer, Operation::Submit(number(step)?)),
+        (&Method::DELETE, [trainer, "steps", step]) => (trainer, Operation::Delete(number(step)?)),
+        (&Method::POST, [trainer, "steps", step, "pull"]) => {
+            (trainer, Operation::Pull(number(step)?))
+        }
+        _ => return Err(Failure::NotFound),
+    };
+    Ok((Name::from(*trainer), operation))
+}
+
+async fn read<T: DeserializeOwned>(request: Request<Incoming>) -> Result<T> {
+    let bytes = body::read(request.into_body(), MAX_BODY_BYTES)
+        .await
+        .map_err(|error| Failure::Invalid(error.to_string()))?;
+    serde_json::from_slice(&bytes).map_err(|error| Failure::Invalid(error.to_string()))
+}
+
+fn uuid() -> String {
+    use rand::RngExt;
+    format!("{:032x}", rand::rng().random::<u128>())
+}
--- /dev/null
+++ b/crates/shallotroute_sampling/src/failure.rs
@@ -0,0 +1,175 @@
+//! Why a trainer's request fails, on the wire between nodes and as an HTTP answer.
+
+use derive_more::Display;
+use http::{HeaderValue, Response, StatusCode, header};
+use serde::{Deserialize, Serialize};
+use shallotroute_http::body::{self, Body};
+use shallotroute_rollout::{delivery::Refusal, scheduler::Inadmissible};
+use shallotroute_types::outcome::Outcome;
+
+/// The result of a trainer's request.
+pub(crate) type Result<T> = std::result::Result<T, Failure>;
+
+/// Why a trainer's request fails.
+#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Failure {
+    /// The request can't be understood.
+    #[display("{_0}")]
+    Invalid(String),
+    /// No key, or a key of no caller.
+    #[display("the key belongs to no caller")]
+    Unauthorized,
+    /// The caller may not act for the trainer.
+    #[display("the caller may not act for this trainer")]
+    Forbidden,
+    /// The path or its method does not exist.
+    #[display("no such resource")]
+    NotFound,
+    /// The trainer is not in the configuration in force.
+    #[display("the trainer is not in the configuration in force")]
+    UnknownTrainer,
+    /// No live member has the step.
+    #[display("no live node has the step; submit it again")]
+    UnknownStep,
+    /// The step exists with another specification.
+    #[display("the step exists with another specification")]
+    Conflict,
+    /// The trainer has too many open steps.
+    #[display("the trainer has too many open steps")]
+    TooMany,
+    /// A later pull took the place of this one.
+    #[display("a later pull took the place of this one")]
+    Superseded,
+    /// The pool's owner is changing or can't be reached.
+    #[display("the owner of the pool is not available: {_0}")]
+    Unavailable(String),
+    /// The call to the owner brought no answer.
+    #[display("the owner of the pool gave no answer: {_0}")]
+    Lost(String),
+}
+
+impl Failure {
+    fn status(&self) -> StatusCode {
+        match self {
+            Self::Invalid(_) => StatusCode::BAD_REQUEST,
+            Self::Unauthorized => StatusCode::UNAUTHORIZED,
+            Self::Forbidden => StatusCode::FORBIDDEN,
+            Self::NotFound | Self::UnknownTrainer | Self::UnknownStep => StatusCode::NOT_FOUND,
+            Self::Conflict | Self::Superseded => StatusCode::CONFLICT,
+            Self::TooMany => StatusCode::TOO_MANY_REQUESTS,
+            Self::Unavailable(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Lost(_) => StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    fn code(&self) -> &'static str {
+        match self {
+            Self::Invalid(_) => "invalid_request",
+            Self::Unauthorized => "unauthorized",
+            Self::Forbidden => "forbidden",
+            Self::NotFound => "not_found",
+            Self::UnknownTrainer => "unknown_trainer",
+            Self::UnknownStep => "unknown_step",
+            Self::Conflict => "step_conflict",
+            Self::TooMany => "too_many_steps",
+            Self::Superseded => "superseded",
+            Self::Unavailable(_) => "owner_unavailable",
+            Self::Lost(_) => "owner_lost",
+        }
+    }
+
+    fn outcome(&self) -> Outcome {
+        match self {
+            Self::Lost(_) => Outcome::Unknown,
+            _ => Outcome::NotRun,
+        }
+    }
+
+    fn retry_after_ms(&self) -> Option<u64> {
+        match self {
+            Self::Unavailable(_) | Self::Lost(_) => Some(RETRY_AFTER_MS),
+            Self::TooMany => Some(TOO_MANY_RETRY_AFTER_MS),
+            _ => None,
+        }
+    }
+
+    /// Returns the HTTP answer.
+    pub(crate) fn response(&self, step: &'static str, request_id: &str) -> Response<Body> {
+        let retry_after_ms = self.retry_after_ms();
+        let document = Document {
+            error: Detail {
+                message: self.to_string(),
+                r#type: "rollout_error",
+                code: self.code(),
+                step,
+                peer: None,
+                outcome: self.outcome(),
+                retry_after_ms,
+                request_id,
+            },
+        };
+        let mut response = body::json(self.status(), &document);
+        if let Some(milliseconds) = retry_after_ms {
+            let seconds = milliseconds.div_ceil(1000);
+            response
+                .headers_mut()
+                .insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+        }
+        response
+    }
+}
+
+/// The time after which the owner is known again: members declare a dead node within 3 s.
+const RETRY_AFTER_MS: u64 = 500;
+
+/// The time after which a step may have been completed.
+const TOO_MANY_RETRY_AFTER_MS: u64 = 5_000;
+
+#[derive(Serialize)]
+struct Document<'a> {
+    error: Detail<'a>,
+}
+
+#[derive(Serialize)]
+struct Detail<'a> {
+    message: String,
+    r#type: &'static str,
+    code: &'static str,
+    step: &'static str,
+    peer: Option<&'a str>,
+    outcome: Outcome,
+    retry_after_ms: Option<u64>,
+    request_id: &'a str,
+}
+
+impl From<Refusal> for Failure {
+    fn from(refusal: Refusal) -> Self {
+        match refusal {
+            Refusal::UnknownStep => Self::UnknownStep,
+            Refusal::Superseded => Self::Superseded,
+            Refusal::BadReceipt => {
+                Self::Invalid("the receipt names a group that the step does not have".to_owned())
+            }
+            Refusal::Moved => Self::Unavailable("the pool moved to another node".to_owned()),
+        }
+    }
+}
+
+impl From<Inadmissible> for Failure {
+    fn from(reason: Inadmissible) -> Self {
+        match reason {
+            Inadmissible::UnknownTrainer => Self::UnknownTrainer,
+            Inadmissible::Conflict => Self::Conflict,
+            Inadmissible::TooMany => Self::TooMany,
+        }
+    }
+}
+
+impl From<crate::access::Denied> for Failure {
+    fn from(denied: crate::access::Denied) -> Self {
+        match denied {
+            crate::access::Denied::Unauthorized => Self::Unauthorized,
+            crate::access::Denied::Forbidden => Self::Forbidden,
+        }
+    }
+}
--- a/crates/shallotroute_sampling/src/lib.rs
+++ b/crates/shallotroute_sampling/src/lib.rs
@@ -1,18 +1,34 @@
 //! Trainers' steps: endpoints, attempts on engines, commands to engines. Start with [`Sampler`].
 
-use std::{net::SocketAddr, sync::Arc};
+mod access;
+mod attempt;
+mod copies;
+mod endpoint;
+mod failure;
+mod owner;
+mod peers;
+mod pool;
+mod service;
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
 
 use futures::future::BoxFuture;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response};
 use hyper::body::Incoming;
 use prometheus_client::registry::Registry;
+use shallotroute_config::snapshot::Snapshot;
 use shallotroute_context::Context;
-use shallotroute_http::{
-    body::{self, Body},
-    server::Handler,
-};
+use shallotroute_http::{body::Body, server::Handler};
 use shallotroute_peer::stream::Service;
 use shallotroute_platform::{engine::Engine, scorer::Scorer, store::Store};
+use shallotroute_rollout::{configuration::Configuration, scheduler::Event};
+use shallotroute_types::name::Name;
+
+use crate::{copies::Copies, owner::pool_key, peers::Peers, pool::Handle, service::Acceptor};
 
 /// The outside systems that sampling uses.
 #[derive(Clone)]
@@ -28,36 +44,127 @@
 /// Serves trainers below `/v1/trainers/`.
 pub struct Sampler {
     context: Context,
+    edges: Edges,
+    copies: Copies,
+    peers: Peers,
+    pools: Mutex<BTreeMap<Name, Handle>>,
 }
 
 impl Sampler {
     /// Makes a sampler and registers its metrics.
-    pub fn new(context: Context, _edges: Edges, _registry: &mut Registry) -> Arc<Self> {
-        Arc::new(Self { context })
+    pub fn new(context: Context, edges: Edges, _registry: &mut Registry) -> Arc<Self> {
+        Arc::new(Self {
+            context,
+            edges,
+            copies: Copies::default(),
+            peers: Peers::default(),
+            pools: Mutex::default(),
+        })
     }
 
     /// Returns the service that other nodes call.
     pub fn service(self: &Arc<Self>) -> Option<Arc<dyn Service>> {
-        None
+        Some(Arc::new(Acceptor(Arc::clone(self))))
     }
 
     /// Runs the pools that this node owns until the node stops.
     pub async fn run(self: Arc<Self>) {
-        self.context.stop.cancelled().await;
+        let mut configuration = self.context.configuration.clone();
+        let mut members = self.context.members.clone();
+        loop {
+            let snapshot = configuration.borrow_and_update().clone();
+            members.borrow_and_update();
+            Arc::clone(&self).reconcile(snapshot.as_deref()).await;
+            tokio::select! {
+                () = self.context.stop.cancelled() => break,
+                changed = configuration.changed() => if changed.is_err() { break },
+                changed = members.changed() => if changed.is_err() { break },
+            }
+        }
+        for (_, handle) in std::mem::take(&mut *self.lock()) {
+            handle.stop();
+        }
     }
 
     /// Returns the state for the dump.
     pub fn dump(&self) -> serde_json::Value {
-        serde_json::json!({})
+        let pools: Vec<serde_json::Value> = self.lock().values().map(Handle::dump).collect();
+        serde_json::json!({ "pools": pools })
+    }
+
+    /// Starts the pools that this node has come to own, stops those that it no longer owns, and
+    /// tells the others of the revision in force.
+    async fn reconcile(self: Arc<Self>, snapshot: Option<&Snapshot>) {
+        let mut wanted = self.owned(snapshot);
+        let mut kept = Vec::new();
+        let mut started = Vec::new();
+        {
+            let mut pools = self.lock();
+            pools.retain(|name, handle| match wanted.remove(name) {
+                Some(configuration) => {
+                    kept.push((handle.clone(), configuration));
+                    true
+                }
+                None => {
+                    spdlog::info!("pool {} is no longer owned by this node", name);
+                    handle.stop();
+                    false
+                }
+            });
+            for (name, configuration) in wanted {
+                spdlog::info!("pool {} is owned by this node", name);
+                let trainers: Vec<Name> = configuration.trainers.keys().cloned().collect();
+                let seed = rand::random();
+                let handle = Handle::start(&self.context, &self.edges, configuration, seed);
+                started.push((name.clone(), handle.clone(), trainers));
+                pools.insert(name, handle);
+            }
+        }
+        for (handle, configuration) in kept {
+            handle
+                .tell(Event::Configured(Arc::new(configuration)))
+                .await;
+        }
+        for (pool, handle, trainers) in started {
+            let sampler = Arc::clone(&self);
+            tokio::spawn(async move { sampler.recover(&pool, &handle, &trainers).await });
+        }
+    }
+
+    fn owned(&self, snapshot: Option<&Snapshot>) -> BTreeMap<Name, Configuration> {
+        let view = self.context.members.borrow();
+        let Some(snapshot) = snapshot else {
+            return BTreeMap::new();
+        };
+        let names = snapshot.set.pools.keys();
+        names
+            .filter(|name| view.is_owner(&pool_key(name)))
+            .filter_map(|name| {
+                let configuration = Configuration::new(&snapshot.set, snapshot.revision(), name)?;
+                (!configuration.trainers.is_empty()).then(|| (name.clone(), configuration))
+            })
+            .collect()
+    }
+
+    fn pool(&self, pool: &str) -> Option<Handle> {
+        self.lock().get(pool).cloned()
+    }
+
+    fn handles(&self) -> Vec<Handle> {
+        self.lock().values().cloned().collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<Name, Handle>> {
+        self.pools.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Handler for Sampler {
     fn handle(
         self: Arc<Self>,
-        _request: Request<Incoming>,
+        request: Request<Incoming>,
         _peer: SocketAddr,
     ) -> BoxFuture<'static, Response<Body>> {
-        Box::pin(async { body::json(StatusCode::SERVICE_UNAVAILABLE, &"no trainer") })
+        Box::pin(async move { self.answer(request).await })
     }
 }
--- /dev/null
+++ b/crates/shallotroute_sampling/src/pool.rs
@@ -0,0 +1,283 @@
+//! The task that runs one pool's scheduler and carries out its actions.
+
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use serde_json::Value;
+use shallotroute_config::snapshot::Snapshot;
+use shallotroute_context::Context;
+use shallotroute_rollout::{
+    configuration::Configuration,
+    delivery::{Answer, Refusal},
+    scheduler::{Action, Event, Pull, Scheduler},
+    step::{Attempt, Key, Specification},
+};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    task::AbortHandle,
+    time::MissedTickBehavior,
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    Edges,
+    attempt::{self, Outlet},
+    failure::{Failure, Result},
+    service,
+};
+
+/// How often the scheduler learns that time passed; the precision of its deadlines.
+const TICK: Duration = Duration::from_millis(20);
+
+/// How often the state for the dump is renewed.
+const DUMP_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Messages that wait for the scheduler; engines' streams pause when it is full.
+const QUEUE: usize = 4096;
+
+/// What the task is asked.
+pub(crate) enum Message {
+    /// Something happened.
+    Event(Event),
+    /// A trainer submits a step.
+    Submit(Key, Arc<Specification>, oneshot::Sender<Result<()>>),
+    /// A trainer pulls.
+    Pull(
+        service::Pull,
+        oneshot::Sender<std::result::Result<Answer, Refusal>>,
+    ),
+    /// Somebody asks for a specification.
+    Specification(Key, oneshot::Sender<Option<Arc<Specification>>>),
+}
+
+/// A running pool.
+#[derive(Clone)]
+pub(crate) struct Handle {
+    sender: mpsc::Sender<Message>,
+    state: watch::Receiver<Value>,
+    stop: CancellationToken,
+}
+
+impl Handle {
+    /// Starts the task of a pool.
+    pub(crate) fn start(
+        context: &Context,
+        edges: &Edges,
+        configuration: Configuration,
+        seed: u64,
+    ) -> Self {
+        let (sender, receiver) = mpsc::channel(QUEUE);
+        let (state, receiver_of_state) = watch::channel(Value::Null);
+        let stop = context.stop.child_token();
+        let now = context.clock.now();
+        let configuration = Arc::new(configuration);
+        let worker = Worker {
+            context: context.clone(),
+            edges: edges.clone(),
+            scheduler: Scheduler::new(
+                now,
+                Arc::clone(&configuration),
+                context.local.id.clone(),
+                context.local.incarnation,
+                seed,
+            ),
+            outlet: Outlet(sender.clone()),
+            attempts: HashMap::new(),
+            pulls: HashMap::new(),
+            next_pull: 0,
+            state,
+            dumped: None,
+        };
+        tokio::spawn(worker.run(receiver, stop.clone()));
+        Self {
+            sender,
+            state: receiver_of_state,
+            stop,
+        }
+    }
+
+    /// Stops the task: its attempts are cancelled and its pulls refused.
+    pub(crate) fn stop(&self) {
+        self.stop.cancel();
+    }
+
+    /// Tells the scheduler of an event.
+    pub(crate) async fn tell(&self, event: Event) {
+        let _ = self.sender.send(Message::Event(event)).await;
+    }
+
+    /// Asks the task.
+    ///
+    /// # Errors
+    ///
+    /// The task has stopped.
+    pub(crate) async fn ask<T>(
+        &self,
+        message: impl FnOnce(oneshot::Sender<T>) -> Message,
+    ) -> Result<T> {
+        let moved = || Failure::from(Refusal::Moved);
+        let (sender, receiver) = oneshot::channel();
+        self.sender
+            .send(message(sender))
+            .await
+            .map_err(|_| moved())?;
+        receiver.await.map_err(|_| moved())
+    }
+
+    /// Returns the state as of at most [`DUMP_INTERVAL`] ago.
+    pub(crate) fn dump(&self) -> Value {
+        self.state.borrow().clone()
+    }
+}
+
+struct Worker {
+    context: Context,
+    edges: Edges,
+    scheduler: Scheduler,
+    outlet: Outlet,
+    attempts: HashMap<Attempt, AbortHandle>,
+    pulls: HashMap<u64, oneshot::Sender<std::result::Result<Answer, Refusal>>>,
+    next_pull: u64,
+    state: watch::Sender<Value>,
+    dumped: Option<Instant>,
+}
+
+impl Worker {
+    async fn run(mut self, mut receiver: mpsc::Receiver<Message>, stop: CancellationToken) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => break,
+                message = receiver.recv() => match message {
+                    Some(message) => self.take(message),
+                    None => break,
+                },
+                _ = tick.tick() => self.tick(),
+            }
+        }
+        for (_, handle) in self.attempts.drain() {
+            handle.abort();
+        }
+        for (_, reply) in self.pulls.drain() {
+            let _ = reply.send(Err(Refusal::Moved));
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Event(event) => self.handle(event),
+            Message::Submit(key, specification, reply) => {
+                let admitted = self.scheduler.admit(&key, &specification);
+                if admitted.is_ok() {
+                    self.handle(Event::Submitted(key, specification));
+                }
+                let _ = reply.send(admitted.map_err(Failure::from));
+            }
+            Message::Pull(pull, reply) => self.pull(pull, reply),
+            Message::Specification(key, reply) => {
+                let _ = reply.send(self.scheduler.specification(&key));
+            }
+        }
+    }
+
+    fn pull(
+        &mut self,
+        pull: service::Pull,
+        reply: oneshot::Sender<std::result::Result<Answer, Refusal>>,
+    ) {
+        self.next_pull += 1;
+        let now = self.context.clock.now();
+        self.pulls.insert(self.next_pull, reply);
+        self.handle(Event::Pulled(Pull {
+            number: self.next_pull,
+            key: pull.key,
+            receipt: pull.receipt,
+            version: pull.version,
+            max_groups: pull.max_groups,
+            opened: now,
+            deadline: now + Duration::from_millis(pull.wait_ms),
+        }));
+    }
+
+    fn tick(&mut self) {
+        let closed: Vec<u64> = self
+            .pulls
+            .iter()
+            .filter(|(_, reply)| reply.is_closed())
+            .map(|(number, _)| *number)
+            .collect();
+        for number in closed {
+            self.pulls.remove(&number);
+            self.handle(Event::Abandoned(number));
+        }
+        self.attempts.retain(|_, handle| !handle.is_finished());
+        self.handle(Event::Tick);
+        let now = self.context.clock.now();
+        if self.dumped.is_none_or(|at| now >= at + DUMP_INTERVAL) {
+            self.dumped = Some(now);
+            self.state.send_replace(self.scheduler.dump(now));
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now: Instant = self.context.clock.now();
+        for action in self.scheduler.handle(now, event) {
+            self.perform(action);
+        }
+    }
+
+    fn perform(&mut self, action: Action) {
+        match action {
+            Action::Start(start) => {
+                let attempt = start.attempt;
+                let task =
+                    attempt::generate(Arc::clone(&self.edges.engine), self.outlet.clone(), *start);
+                self.attempts
+                    .insert(attempt, tokio::spawn(task).abort_handle());
+            }
+            // Dropping the task drops the engine's stream, which closes the connection.
+            Action::Cancel(attempt) => {
+                if let Some(handle) = self.attempts.remove(&attempt) {
+                    handle.abort();
+                }
+            }
+            Action::Score(score) => {
+                let scorer = self.scorer(&score.scorer);
+                tokio::spawn(attempt::score(scorer, self.outlet.clone(), *score));
+            }
+            Action::Answer(number, answer) => {
+                if let Some(reply) = self.pulls.remove(&number) {
+                    let _ = reply.send(answer);
+                }
+            }
+            Action::Poll {
+                server,
+                address,
+                number,
+            } => {
+                let engine = Arc::clone(&self.edges.engine);
+                tokio::spawn(attempt::poll(
+                    engine,
+                    self.outlet.clone(),
+                    server,
+                    address,
+                    number,
+                ));
+            }
+        }
+    }
+
+    fn scorer(&self, name: &str) -> Option<attempt::Target> {
+        let snapshot: Option<Arc<Snapshot>> = self.context.configuration.borrow().clone();
+        let object = snapshot?.set.scorers.get(name).cloned()?;
+        Some(attempt::Target {
+            scorer: Arc::clone(&self.edges.scorer),
+            address: object.address,
+            timeout: Duration::from_millis(object.timeout_ms),
+        })
+    }
+}
--- /dev/null
+++ b/crates/shallotroute_sampling/tests/support/mod.rs
@@ -0,0 +1,404 @@
+//! Nodes on loopback with engines, a scorer and a store in the same process.
+#![allow(dead_code, reason = "each test file uses another part")]
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use error_stack::Report;
+use futures::{FutureExt, StreamExt, future::BoxFuture, stream::BoxStream};
+use http::{Method, Request, StatusCode};
+use prometheus_client::registry::Registry;
+use serde_json::{Value, json};
+use shallotroute_config::{
+    object::Object,
+    set::Set,
+    snapshot::{Changes, Record, Snapshot},
+};
+use shallotroute_context::{Context, Local};
+use shallotroute_http::{body, client::Client, server};
+use shallotroute_peer::{
+    service::Kind as ServiceKind,
+    stream::{self, Services},
+};
+use shallotroute_platform::{
+    engine::{Engine, Event, Generate, Load, State},
+    error::{Error, Kind, Result},
+    scorer::{self, Scorer},
+    store::{Entry, Store},
+};
+use shallotroute_sampling::{Edges, Sampler};
+use shallotroute_types::{
+    clock::System,
+    member::{self, Member, View},
+    name::Name,
+    node::Incarnation,
+    revision::Revision,
+    version::Version,
+};
+use tokio::{net::TcpListener, sync::watch};
+use tokio_util::sync::CancellationToken;
+
+pub(crate) const KEY: &str = "key of trainer a";
+
+/// Engines, scorer and store.
+#[derive(Default)]
+pub(crate) struct Platform {
+    pub(crate) versions: Mutex<BTreeMap<SocketAddr, u64>>,
+    pub(crate) loads: Mutex<Vec<(SocketAddr, Load)>>,
+    pub(crate) values: Mutex<BTreeMap<String, Entry>>,
+    pub(crate) down: Mutex<bool>,
+    pub(crate) prompts: Mutex<BTreeSet<String>>,
+}
+
+impl Engine for Platform {
+    fn generate(
+        &self,
+        address: SocketAddr,
+        request: Generate,
+    ) -> BoxFuture<'_, Result<BoxStream<'static, Result<Event>>>> {
+        self.prompts.lock().unwrap().insert(request.prompt);
+        let version = Version(self.version(address));
+        let request_id = request.request_id;
+        let chunk = |start| Event::Tokens {
+            request_id: request_id.clone(),
+            start,
+            count: 2,
+            text: format!("{start} "),
+            version,
+        };
+        let end = Event::End {
+            request_id: request_id.clone(),
+            tokens: 4,
+            cached: 0,
+        };
+        let events = [Ok(chunk(0)), Ok(chunk(2)), Ok(end)];
+        let events = futures::stream::iter(events).then(|event| async {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+            event
+        });
+        async move { Ok(events.boxed()) }.boxed()
+    }
+
+    fn state(&self, address: SocketAddr) -> BoxFuture<'_, Result<State>> {
+        let models = [(Name::from("model-a"), Version(self.version(address)))];
+        let state = State {
+            incarnation: 1,
+            models: models.into(),
+            slots: 4,
+            ..State::default()
+        };
+        async move { Ok(state) }.boxed()
+    }
+
+    fn load(&self, address: SocketAddr, command: Load, _: Duration) -> BoxFuture<'_, Result<()>> {
+        self.versions
+            .lock()
+            .unwrap()
+            .insert(address, command.version.0);
+        self.loads.lock().unwrap().push((address, command));
+        async { Ok(()) }.boxed()
+    }
+}
+
+impl Platform {
+    fn version(&self, address: SocketAddr) -> u64 {
+        self.versions
+            .lock()
+            .unwrap()
+            .get(&address)
+            .copied()
+            .unwrap_or(1)
+    }
+
+    fn check(&self) -> Result<()> {
+        match *self.down.lock().unwrap() {
+            true => Err(Report::new(Error::new("store", "test", Kind::Unreachable))),
+            false => Ok(()),
+        }
+    }
+}
+
+impl Scorer for Platform {
+    fn score(
+        &self,
+        _: SocketAddr,
+        request: scorer::Request,
+        _: Duration,
+    ) -> BoxFuture<'_, Result<f64>> {
+        async move { Ok(request.text.len() as f64) }.boxed()
+    }
+}
+
+impl Store for Platform {
+    fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Entry>>> {
+        async move {
+            self.check()?;
+            Ok(self.values.lock().unwrap().get(key).cloned())
+        }
+        .boxed()
+    }
+
+    fn swap<'a>(&'a self, key: &'a str, expected: u64, value: Bytes) -> BoxFuture<'a, Result<u64>> {
+        async move {
+            self.check()?;
+            let mut values = self.values.lock().unwrap();
+            let found = values.get(key).map_or(0, |entry| entry.version);
+            if found != expected {
+                let kind = Kind::Conflict { found };
+                return Err(Report::new(Error::new("store.swap", "test", kind)));
+            }
+            let version = found + 1;
+            values.insert(key.to_owned(), Entry { value, version });
+            Ok(version)
+        }
+        .boxed()
+    }
+
+    fn watch<'a>(
+        &'a self,
+        key: &'a str,
+        _: u64,
+        _: Duration,
+    ) -> BoxFuture<'a, Result<Option<Entry>>> {
+        self.get(key)
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Vec<String>>> {
+        async move {
+            self.check()?;
+            let values = self.values.lock().unwrap();
+            Ok(values
+                .keys()
+                .filter(|key| key.starts_with(prefix))
+                .cloned()
+                .collect())
+        }
+        .boxed()
+    }
+}
+
+/// Nodes with the same configuration.
+pub(crate) struct Fleet {
+    pub(crate) platform: Arc<Platform>,
+    pub(crate) nodes: Vec<Node>,
+    client: Client,
+}
+
+/// A node.
+pub(crate) struct Node {
+    pub(crate) id: Name,
+    pub(crate) http: SocketAddr,
+    pub(crate) members: watch::Sender<Arc<View>>,
+    pub(crate) stop: CancellationToken,
+    pub(crate) sampler: Arc<Sampler>,
+    _configuration: watch::Sender<Option<Arc<Snapshot>>>,
+}
+
+impl Fleet {
+    /// Starts nodes with the objects of `fixture`.
+    pub(crate) async fn start(count: usize, fixture: &str) -> Self {
+        let platform = Arc::new(Platform::default());
+        let mut listeners = Vec::new();
+        let mut members = Vec::new();
+        for index in 0..count {
+            let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+            members.push(Member {
+                id: format!("node-{index}").into(),
+                region: "lk-west".into(),
+                zone: format!("zone-{index}").into(),
+                address: listener.local_addr().unwrap(),
+                incarnation: Incarnation(1),
+                state: member::State::Alive,
+                known: Revision(1),
+                in_force: Revision(1),
+            });
+            listeners.push(listener);
+        }
+        let snapshot = Arc::new(snapshot(fixture));
+        let mut nodes = Vec::new();
+        for (index, listener) in listeners.into_iter().enumerate() {
+            nodes.push(node(&platform, &snapshot, &members, index, listener).await);
+        }
+        Self {
+            platform,
+            nodes,
+            client: Client::new(Duration::from_secs(1)),
+        }
+    }
+
+    /// Returns the index of the owner of the pool.
+    pub(crate) fn owner(&self) -> usize {
+        let view = self.nodes[0].members.borrow().clone();
+        let owner = view.owner("pool/samplers").unwrap().id.clone();
+        self.nodes.iter().position(|node| node.id == owner).unwrap()
+    }
+
+    /// Stops a node and tells the others that it is dead.
+    pub(crate) fn kill(&self, index: usize) {
+        self.nodes[index].stop.cancel();
+        for node in &self.nodes {
+            node.members.send_modify(|view| {
+                let mut changed = (**view).clone();
+                changed.members[index].state = member::State::Dead;
+                *view = Arc::new(changed);
+            });
+        }
+    }
+
+    /// Sends a trainer's request to a node.
+    pub(crate) async fn call(
+        &self,
+        node: usize,
+        method: Method,
+        path: &str,
+        body: &Value,
+    ) -> (StatusCode, Value) {
+        self.call_with(KEY, node, method, &format!("a{path}"), body)
+            .await
+    }
+
+    pub(crate) async fn call_with(
+        &self,
+        key: &str,
+        node: usize,
+        method: Method,
+        path: &str,
+        body: &Value,
+    ) -> (StatusCode, Value) {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!(
+                "http://{}/v1/trainers/{path}",
+                self.nodes[node].http
+            ))
+            .header("authorization", format!("Bearer {key}"))
+            .body(body::full(body.to_string()))
+            .unwrap();
+        let response = self.client.send(request).await.unwrap();
+        let status = response.status();
+        let bytes = body::read(response.into_body(), 1 << 20).await.unwrap();
+        (status, serde_json::from_slice(&bytes).unwrap())
+    }
+
+    /// Pulls until the step is whole; retries while the owner changes. Returns the samples by group
+    /// and index.
+    pub(crate) async fn pull_all(
+        &self,
+        node: usize,
+        step: u64,
+        groups: u32,
+    ) -> BTreeMap<u64, Value> {
+        let mut all = BTreeMap::new();
+        for _ in 0..100 {
+            let mut receipt = vec![0_u8; groups.div_ceil(8) as usize];
+            for group in all.keys() {
+                receipt[*group as usize / 8] |= 1_u8 << (group % 8);
+            }
+            let receipt = data_encoding::HEXLOWER.encode(&receipt);
+            let body = json!({"receipt": receipt, "version": 1, "wait_ms": 500, "max_groups": 2});
+            let path = format!("/steps/{step}/pull");
+            let (status, answer) = self.call(node, Method::POST, &path, &body).await;
+            if status != StatusCode::OK {
+                assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{answer}");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+            for group in answer["groups"].as_array().unwrap() {
+                let before = all.insert(group["group"].as_u64().unwrap(), group["samples"].clone());
+                assert_eq!(before, None, "group delivered twice");
+            }
+            if answer["complete"] == true {
+                return all;
+            }
+        }
+        panic!(
+            "the step did not become whole: {} of {groups} groups",
+            all.len()
+        );
+    }
+}
+
+fn snapshot(fixture: &str) -> Snapshot {
+    let mut objects: Vec<Object> = serde_json::from_str(fixture).unwrap();
+    for object in &mut objects {
+        if let Object::Caller(caller) = object {
+            caller.key_hash = blake3::hash(KEY.as_bytes()).to_hex().to_string();
+        }
+    }
+    let record = Record {
+        revision: Revision(1),
+        parent: None,
+        publication: "test".into(),
+        author: "operator".into(),
+        at: std::time::SystemTime::UNIX_EPOCH,
+        reason: "test".into(),
+        changes: Changes::default(),
+        warnings: Vec::new(),
+        parts: Vec::new(),
+    };
+    Snapshot {
+        hash: "0".into(),
+        record,
+        set: Set::new(objects),
+    }
+}
+
+async fn node(
+    platform: &Arc<Platform>,
+    snapshot: &Arc<Snapshot>,
+    members: &[Member],
+    index: usize,
+    listener: TcpListener,
+) -> Node {
+    let local = &members[index];
+    let view = View {
+        local: Some(local.id.clone()),
+        members: members.to_vec(),
+        majority: true,
+    };
+    let (members, members_receiver) = watch::channel(Arc::new(view));
+    let (configuration, configuration_receiver) = watch::channel(Some(Arc::clone(snapshot)));
+    let stop = CancellationToken::new();
+    let context = Context {
+        local: Local {
+            id: local.id.clone(),
+            region: local.region.clone(),
+            zone: local.zone.clone(),
+            address: local.address,
+            incarnation: local.incarnation,
+        },
+        clock: Arc::new(System),
+        configuration: configuration_receiver,
+        confirmed: watch::channel(true).1,
+        members: members_receiver,
+        hosts: watch::channel(Arc::default()).1,
+        drain: CancellationToken::new(),
+        stop: stop.clone(),
+    };
+    let edges = Edges {
+        engine: Arc::clone(platform) as _,
+        scorer: Arc::clone(platform) as _,
+        store: Arc::clone(platform) as _,
+    };
+    let sampler = Sampler::new(context, edges, &mut Registry::default());
+    tokio::spawn(Arc::clone(&sampler).run());
+    let service = sampler.service().unwrap();
+    let services = Arc::new(Services::from([(ServiceKind::Rollouts, service)]));
+    tokio::spawn(stream::serve(listener, services, stop.clone()));
+    let http = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let address = http.local_addr().unwrap();
+    tokio::spawn(server::serve(http, Arc::clone(&sampler) as _, stop.clone()));
+    Node {
+        id: local.id.clone(),
+        http: address,
+        members,
+        stop,
+        sampler,
+        _configuration: configuration,
+    }
+}
