config: state-machine test of publication and adoption under faults

Change: a simulated fleet of 1 to 7 nodes runs the state machines over a simulated store and network; half of the cases are random scenes, half restart nodes in an outage after a revision that only a part of the nodes got.

--- /dev/null
+++ b/crates/shallotroute_config/tests/promises.rs
@@ -0,0 +1,64 @@
+//! Publication and adoption of several nodes under faults, against the promises of the service: no
+//! revert on any node, also over restarts; no accepted change lost; no wrong result of a publication;
+//! the newest revision in force everywhere once the faults stop.
+
+use proptest::{
+    prelude::*,
+    test_runner::{RngAlgorithm, TestRng, TestRunner},
+};
+use world::{Fault, World, any_faults};
+
+mod world;
+
+/// The number of fleets in all programs together.
+const CASES: u32 = 1_000;
+
+/// How many tests share the cases, so that they run at the same time.
+const SHARES: u32 = 4;
+
+fn run(share: u8) {
+    let config = ProptestConfig {
+        cases: CASES / SHARES,
+        failure_persistence: None,
+        max_shrink_iters: 200,
+        ..ProptestConfig::default()
+    };
+    let seed = [share; 32];
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &seed);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let fleet = (1..=7_usize, any_faults(), any::<u64>());
+    let result = runner.run(&fleet, |(count, faults, seed)| check(count, &faults, seed));
+    if let Err(error) = result {
+        panic!("share {share}: {error}");
+    }
+}
+
+fn check(count: usize, faults: &[Fault], seed: u64) -> Result<(), TestCaseError> {
+    let broken = World::new(count, faults, seed).run();
+    prop_assert!(broken.is_empty(), "{}", broken.join("\n"));
+    Ok(())
+}
+
+/// Guards against broken promises in the first quarter of the seeds.
+#[test]
+fn promises_hold_0() {
+    run(0);
+}
+
+/// Guards against broken promises in the second quarter of the seeds.
+#[test]
+fn promises_hold_1() {
+    run(1);
+}
+
+/// Guards against broken promises in the third quarter of the seeds.
+#[test]
+fn promises_hold_2() {
+    run(2);
+}
+
+/// Guards against broken promises in the last quarter of the seeds.
+#[test]
+fn promises_hold_3() {
+    run(3);
+}
--- /dev/null
+++ b/crates/shallotroute_config/tests/world/fault.rs
@@ -0,0 +1,194 @@
+//! What goes wrong, and what operators do.
+
+use std::ops::Range;
+
+use proptest::{collection::vec, prelude::*};
+
+use super::{FAULTS_END, Occurrence, World, operator};
+
+/// A fault or an operator's act, with times in milliseconds.
+#[derive(Clone, Debug)]
+pub(crate) enum Fault {
+    /// The key-value service serves nothing.
+    Outage { at: u64, length: u64 },
+    /// The key-value service answers after 2 s.
+    Slow { at: u64, length: u64 },
+    /// Half of the writes to the key-value service lose their answer or are delayed.
+    Lossy { at: u64, length: u64 },
+    /// The nodes in `small` (a bit for each) are cut off from the others.
+    Cut {
+        at: u64,
+        length: u64,
+        cut: Partition,
+    },
+    /// A node stops and starts again with nothing.
+    Restart { at: u64, length: u64, node: usize },
+    /// An operator publishes at a node; the head is read `delay` before the first write.
+    Publish { at: u64, node: usize, delay: u64 },
+    /// The end of the others.
+    Heal(Healed),
+}
+
+/// What ends.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Healed {
+    Outage,
+    Slow,
+    Lossy,
+    Cut,
+}
+
+/// Nodes cut off from each other.
+#[derive(Clone, Debug)]
+pub(crate) struct Partition {
+    small: u8,
+    /// Which side reaches the key-value service: 0 the small one, 1 the other one, 2 both.
+    store: u8,
+}
+
+impl Partition {
+    pub(super) fn is_small(&self, node: usize) -> bool {
+        self.small >> node & 1 == 1
+    }
+
+    pub(super) fn has_store(&self, node: usize) -> bool {
+        match self.store {
+            0 => self.is_small(node),
+            1 => !self.is_small(node),
+            _ => true,
+        }
+    }
+}
+
+impl Fault {
+    pub(super) fn at(&self) -> u64 {
+        match self {
+            Self::Outage { at, .. }
+            | Self::Slow { at, .. }
+            | Self::Lossy { at, .. }
+            | Self::Cut { at, .. }
+            | Self::Restart { at, .. }
+            | Self::Publish { at, .. } => *at,
+            Self::Heal(_) => FAULTS_END,
+        }
+    }
+}
+
+/// The longest outage, in milliseconds.
+const LONGEST: u64 = 7_000;
+
+/// The longest stop of a node, in milliseconds; short, so that it starts again within an outage.
+const LONGEST_STOP: u64 = 2_500;
+
+/// When the last fault begins at the latest, in milliseconds.
+const LAST: u64 = FAULTS_END - LONGEST;
+
+/// How far apart the faults of a scene begin at most, in milliseconds. A revision takes a few hundred
+/// milliseconds to come into force, so faults within a second hit it on its way.
+const SCENE: u64 = 1_000;
+
+/// Makes faults that all end before [`FAULTS_END`].
+pub(crate) fn any_faults() -> impl Strategy<Value = Vec<Fault>> {
+    let scene = (0..LAST - SCENE).prop_flat_map(|at| vec(any_fault(at..at + SCENE), 2..9));
+    prop_oneof![
+        vec(scene, 1..5).prop_map(|scenes| scenes.concat()),
+        overtaking(),
+    ]
+}
+
+/// Makes a revision that only some nodes get before the key-value service fails; then nodes restart
+/// while they may be connected only with nodes that did not get it.
+fn overtaking() -> impl Strategy<Value = Vec<Fault>> {
+    let node = 0..8_usize;
+    let first =
+        (200..800_u64, node.clone()).prop_map(|(at, node)| Fault::Publish { at, node, delay: 0 });
+    let second = (1_900..2_100_u64, node.clone()).prop_map(|(at, node)| Fault::Publish {
+        at,
+        node,
+        delay: 0,
+    });
+    let apart = (1_300..1_850_u64, 700..5_000_u64, any_cut())
+        .prop_map(|(at, length, cut)| Fault::Cut { at, length, cut });
+    let outage = (2_150..3_500_u64).prop_map(|at| Fault::Outage {
+        at,
+        length: FAULTS_END - at,
+    });
+    let stop = (2_100..6_000_u64, 50..LONGEST_STOP, node)
+        .prop_map(|(at, length, node)| Fault::Restart { at, length, node });
+    let later = (2_500..6_500_u64, 500..5_000_u64, any_cut())
+        .prop_map(|(at, length, cut)| Fault::Cut { at, length, cut });
+    (
+        first,
+        second,
+        apart,
+        outage,
+        vec(stop, 1..5),
+        vec(later, 0..3),
+    )
+        .prop_map(|(first, second, apart, outage, stops, later)| {
+            let mut faults = vec![first, second, apart, outage];
+            faults.extend(stops);
+            faults.extend(later);
+            faults
+        })
+}
+
+fn any_cut() -> impl Strategy<Value = Partition> {
+    (any::<u8>(), 0..3_u8).prop_map(|(small, store)| Partition { small, store })
+}
+
+fn any_fault(at: Range<u64>) -> impl Strategy<Value = Fault> {
+    let node = 0..8_usize;
+    let time = (at.clone(), 50..LONGEST);
+    let stop = (at.clone(), 50..LONGEST_STOP, node.clone());
+    let cut = any_cut();
+    prop_oneof![
+        3 => time.clone().prop_map(|(at, length)| Fault::Outage { at, length }),
+        1 => time.clone().prop_map(|(at, length)| Fault::Slow { at, length }),
+        2 => time.clone().prop_map(|(at, length)| Fault::Lossy { at, length }),
+        3 => (time, cut).prop_map(|((at, length), cut)| Fault::Cut { at, length, cut }),
+        5 => stop.prop_map(|(at, length, node)| Fault::Restart { at, length, node }),
+        7 => (at, node, 0..300_u64)
+            .prop_map(|(at, node, delay)| Fault::Publish { at, node, delay }),
+    ]
+}
+
+impl World {
+    pub(super) fn fault(&mut self, fault: Fault) {
+        let heal = |healed| Occurrence::Fault(Fault::Heal(healed));
+        match fault {
+            Fault::Outage { length, .. } => {
+                self.store.up = false;
+                self.after(length, heal(Healed::Outage));
+            }
+            Fault::Slow { length, .. } => {
+                self.store.delay = 2_000;
+                self.after(length, heal(Healed::Slow));
+            }
+            Fault::Lossy { length, .. } => {
+                self.store.lossy = true;
+                self.after(length, heal(Healed::Lossy));
+            }
+            Fault::Cut { length, cut, .. } => {
+                self.partition = Some(cut);
+                self.after(length, heal(Healed::Cut));
+            }
+            Fault::Restart { length, node, .. } => {
+                let node = node % self.nodes.len();
+                if self.nodes[node].adoption.is_some() {
+                    self.stop(node);
+                    self.after(length, Occurrence::Start(node));
+                }
+            }
+            Fault::Publish { node, delay, .. } => {
+                let node = node % self.nodes.len();
+                let submit = operator::Occurrence::Submit { node, delay };
+                self.operate(submit);
+            }
+            Fault::Heal(Healed::Outage) => self.store.up = true,
+            Fault::Heal(Healed::Slow) => self.store.delay = 0,
+            Fault::Heal(Healed::Lossy) => self.store.lossy = false,
+            Fault::Heal(Healed::Cut) => self.partition = None,
+        }
+    }
+}
