gateway: bounded queues, weighted shares and callers' limits

Cause: requests beyond the capacity went to the backend servers all the same. Change: a queue per pool with one lane per class and weighted shares; the capacity is the node's share of the pool's slots or what others leave free. Measured: cargo test -p shallotroute_routing -p shallotroute_gateway: 46 passed.

--- a/crates/shallotroute_gateway/src/attempt.rs
+++ b/crates/shallotroute_gateway/src/attempt.rs
@@ -18,6 +18,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
+    admission::Permit,
     entry::{Call, X_BACKEND, X_REQUEST_ID},
     failure::{Failure, Result, Step},
     forward,
@@ -42,14 +43,21 @@
     pool: Arc<Cell>,
     pub(crate) choice: Choice,
     at: std::time::Instant,
+    _permit: Arc<Permit>,
 }
 
 impl Sent {
-    pub(crate) fn new(pool: &Arc<Cell>, choice: Choice, at: std::time::Instant) -> Self {
+    pub(crate) fn new(
+        pool: &Arc<Cell>,
+        choice: Choice,
+        at: std::time::Instant,
+        permit: Arc<Permit>,
+    ) -> Self {
         Self {
             pool: Arc::clone(pool),
             choice,
             at,
+            _permit: permit,
         }
     }
 }
--- a/crates/shallotroute_gateway/src/dispatch.rs
+++ b/crates/shallotroute_gateway/src/dispatch.rs
@@ -1,5 +1,7 @@
 //! Attempts at a request until one gives a response.
 
+use std::sync::Arc;
+
 use http::{Response, StatusCode};
 use shallotroute_http::body::Body;
 use shallotroute_routing::{
@@ -11,13 +13,18 @@
 
 use crate::{
     Gateway,
+    admission::Permit,
     attempt::{self, Sent},
     entry::Call,
     failure::{Failure, Result, Step},
 };
 
 /// Sends a request, if need be several times, and returns a response.
-pub(crate) async fn run(gateway: &Gateway, call: &Call) -> Result<Response<Body>> {
+pub(crate) async fn run(
+    gateway: &Gateway,
+    call: &Call,
+    permit: Arc<Permit>,
+) -> Result<Response<Body>> {
     call.pool.state().pool.budget().deposit();
     let clock = &*gateway.context.clock;
     let mut tried = Vec::new();
@@ -35,7 +42,7 @@
             return Err(failure.with_outcome(outcome));
         };
         tried.push(choice.name.clone());
-        let sent = Sent::new(&call.pool, choice, clock.now());
+        let sent = Sent::new(&call.pool, choice, clock.now(), Arc::clone(&permit));
         let result = attempt::run(&gateway.client, clock, call, tried.len(), sent).await?;
         let broken = match result {
             Ok(response) => return Ok(response),
--- a/crates/shallotroute_gateway/src/entry.rs
+++ b/crates/shallotroute_gateway/src/entry.rs
@@ -19,7 +19,7 @@
 };
 
 use crate::{
-    Gateway, dispatch,
+    Gateway, admission, dispatch,
     failure::{Failure, Result, Step},
     runtime::{Cell, Runtime},
 };
@@ -102,7 +102,8 @@
         return Ok(response);
     }
     let call = read(runtime, request, id, client, received).await?;
-    dispatch::run(gateway, &call).await
+    let permit = admission::enter(gateway, &call).await?;
+    dispatch::run(gateway, &call, Arc::new(permit)).await
 }
 
 fn not_ready() -> Box<Failure> {
--- a/crates/shallotroute_gateway/src/failure.rs
+++ b/crates/shallotroute_gateway/src/failure.rs
@@ -17,6 +17,8 @@
 pub(crate) enum Step {
     #[display("entry")]
     Entry,
+    #[display("admission")]
+    Admission,
     #[display("selection")]
     Selection,
     #[display("dispatch")]
--- a/crates/shallotroute_gateway/src/lib.rs
+++ b/crates/shallotroute_gateway/src/lib.rs
@@ -1,5 +1,6 @@
 //! Requests of callers: entry, admission, selection, dispatch, answer. Start with [`Gateway`].
 
+mod admission;
 mod attempt;
 mod dispatch;
 mod entry;
@@ -10,6 +11,7 @@
 mod stream;
 
 use std::{
+    collections::HashMap,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
@@ -25,6 +27,8 @@
 use shallotroute_http::{body::Body, client::Client, server::Handler};
 use shallotroute_peer::stream::Service;
 use shallotroute_platform::engine::Engine;
+use shallotroute_routing::limit::Meter;
+use shallotroute_types::name::Name;
 use uuid::Uuid;
 
 /// How long a backend server may take to accept a connection.
@@ -37,6 +41,7 @@
     engine: Arc<dyn Engine>,
     random: Mutex<ChaCha8Rng>,
     runtime: runtime::Holder,
+    meters: Mutex<HashMap<Name, Meter>>,
     node_header: HeaderValue,
 }
 
@@ -64,6 +69,7 @@
             engine,
             random: Mutex::new(random),
             runtime: runtime::Holder::default(),
+            meters: Mutex::default(),
             node_header,
             context,
         })
--- a/crates/shallotroute_gateway/src/poll.rs
+++ b/crates/shallotroute_gateway/src/poll.rs
@@ -8,7 +8,7 @@
 use shallotroute_types::name::Name;
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
-use crate::{Gateway, runtime::Cell};
+use crate::{Gateway, admission, runtime::Cell};
 
 /// How often engines are asked.
 const INTERVAL: Duration = Duration::from_millis(500);
@@ -68,4 +68,5 @@
     };
     let now = gateway.context.clock.now();
     cell.state().pool.report(&name, mark, report, now);
+    admission::wake(&cell, &gateway.context.clock);
 }
--- a/crates/shallotroute_gateway/src/runtime.rs
+++ b/crates/shallotroute_gateway/src/runtime.rs
@@ -15,12 +15,15 @@
 use shallotroute_config::{object, snapshot::Snapshot};
 use shallotroute_platform::host::{self, Host};
 use shallotroute_routing::{
+    admission::Queue,
     pool::{Choice, Pool, Query},
     table::Table,
 };
 use shallotroute_types::name::Name;
 use tokio::sync::watch;
 
+use crate::admission::Ticket;
+
 /// One revision, indexed.
 pub(crate) struct Runtime {
     snapshot: Arc<Snapshot>,
@@ -38,6 +41,7 @@
 /// What a pool's lock protects.
 pub(crate) struct State {
     pub(crate) pool: Pool,
+    pub(crate) queue: Queue<Ticket>,
     random: ChaCha8Rng,
     /// The host list that the pool has taken over.
     listed: Option<Arc<Vec<Host>>>,
@@ -61,6 +65,7 @@
             pool,
             random,
             listed,
+            ..
         } = &mut *state;
         let hosts = hosts.borrow();
         if !listed.as_ref().is_some_and(|it| Arc::ptr_eq(it, &hosts)) {
@@ -148,6 +153,7 @@
             backend: object.backend,
             state: Mutex::new(State {
                 pool: Pool::new(object),
+                queue: Queue::default(),
                 random: random(),
                 listed: None,
             }),
--- a/crates/shallotroute_routing/src/lib.rs
+++ b/crates/shallotroute_routing/src/lib.rs
@@ -1,7 +1,9 @@
 //! Decisions on callers' requests: route, admission, selection, retry, identity.
 
+pub mod admission;
 pub mod answer;
 pub mod inference;
+pub mod limit;
 pub mod outcome;
 pub mod pool;
 pub mod retry;
--- a/crates/shallotroute_routing/src/pool.rs
+++ b/crates/shallotroute_routing/src/pool.rs
@@ -16,8 +16,8 @@
     server::{Availability, Mark, Report, Server},
 };
 
-/// How often the typical latency of the servers is calculated anew.
-const LATENCY_INTERVAL: Duration = Duration::from_millis(100);
+/// How often the typical latency and the capacity of the servers are calculated anew.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
 
 /// A pool in a node's view.
 #[derive(Clone, Debug)]
@@ -28,6 +28,7 @@
     budget: Budget,
     latency: Option<f64>,
     latency_at: Option<Instant>,
+    capacity: Option<(u32, Instant)>,
 }
 
 /// What a request asks of the choice.
@@ -62,6 +63,7 @@
             budget: Budget::new(Budget::SHARE),
             latency: None,
             latency_at: None,
+            capacity: None,
         };
         pool.update(object);
         pool
@@ -70,6 +72,7 @@
     /// Takes over a new revision of the object and keeps what is known of servers that stay.
     pub fn update(&mut self, object: &object::Pool) {
         self.selection = object.selection;
+        self.capacity = None;
         let mut known = std::mem::take(&mut self.servers);
         for object in &object.servers {
             let same = |server: &Server| {
@@ -94,6 +97,41 @@
         }
     }
 
+    /// Returns how many requests this node may run at once: its share of the slots among `members`
+    /// live members, or all slots that the requests of others leave free, if these are more.
+    pub fn capacity(&mut self, now: Instant, members: impl FnOnce() -> usize) -> u32 {
+        match self.capacity {
+            Some((capacity, at)) if now.saturating_duration_since(at) < REFRESH_INTERVAL => {
+                capacity
+            }
+            Some(_) | None => {
+                let capacity = self.slots(now, members());
+                self.capacity = Some((capacity, now));
+                capacity
+            }
+        }
+    }
+
+    /// Returns the capacity as last calculated.
+    pub fn last_capacity(&self) -> u32 {
+        self.capacity.map_or(1, |(capacity, _)| capacity)
+    }
+
+    fn slots(&self, now: Instant, members: usize) -> u32 {
+        let (mut slots, mut others) = (0_u32, 0_u32);
+        for server in &self.servers {
+            if server.availability(now) != Availability::Leaving {
+                slots = slots.saturating_add(server.object.slots);
+                let foreign = server.load(now) - server.in_progress();
+                others = others.saturating_add(foreign.min(server.object.slots));
+            }
+        }
+        let members = u32::try_from(members.max(1)).unwrap_or(u32::MAX);
+        let share = slots.div_ceil(members);
+        // At least one request passes, so that a pool without servers answers at once.
+        share.max(slots - others).max(1)
+    }
+
     /// Chooses a server and counts the request as sent to it. This is the check for leaving servers
     /// at the moment of sending.
     pub fn choose<R: Rng>(
@@ -188,7 +226,7 @@
     fn refresh(&mut self, now: Instant) {
         let due = self
             .latency_at
-            .is_none_or(|at| now.saturating_duration_since(at) >= LATENCY_INTERVAL);
+            .is_none_or(|at| now.saturating_duration_since(at) >= REFRESH_INTERVAL);
         if due {
             let latencies = self.servers.iter().filter_map(|it| it.latency(now));
             let mut latencies: Vec<f64> = latencies.collect();
