gateway: run non-idempotent requests at most once

Cause: a repeated Idempotency-Key ran the request again. Change: the record of a request is stored at three ranked members before the send; two copies are needed, and two of three members (or all of fewer) have to vouch that there was no earlier request. A restarted member fetches records from all live members after 2 s, by when records in progress have their copies. A stored response of at most 64 KiB answers a repetition. Nodes with the same seed now draw different identities: in a trial four nodes with one seed ran one request four times.

--- a/crates/shallotroute_gateway/src/admission.rs
+++ b/crates/shallotroute_gateway/src/admission.rs
@@ -1,7 +1,10 @@
 //! Admission of requests: callers' limits and the queues of the pools.
 
 use std::{
-    sync::{Arc, PoisonError},
+    sync::{
+        Arc, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -27,6 +30,19 @@
 pub(crate) struct Permit {
     _slot: Slot,
     _metered: Option<Metered>,
+    broken: AtomicBool,
+}
+
+impl Permit {
+    /// Takes note that the response broke off after a part of it went to the caller.
+    pub(crate) fn mark_broken(&self) {
+        self.broken.store(true, Ordering::Relaxed);
+    }
+
+    /// Tells whether the response broke off.
+    pub(crate) fn is_broken(&self) -> bool {
+        self.broken.load(Ordering::Relaxed)
+    }
 }
 
 /// A place among a pool's running requests.
@@ -109,6 +125,7 @@
     Ok(Permit {
         _slot: slot,
         _metered: metered,
+        broken: AtomicBool::new(false),
     })
 }
 
--- a/crates/shallotroute_gateway/src/attempt.rs
+++ b/crates/shallotroute_gateway/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Response, StatusCode, response::Parts};
 use hyper::body::{Body as _, Incoming};
 use shallotroute_config::object::Backend;
@@ -38,12 +39,16 @@
 /// When a server that refused may have room again.
 const REFUSAL_RETRY: Duration = Duration::from_secs(1);
 
+/// The bytes of a response that was read whole, kept as an extension of the response.
+#[derive(Clone)]
+pub(crate) struct Whole(pub(crate) Bytes);
+
 /// Counts a request as in progress at a backend server until it is dropped.
 pub(crate) struct Sent {
     pool: Arc<Cell>,
     pub(crate) choice: Choice,
     at: std::time::Instant,
-    _permit: Arc<Permit>,
+    pub(crate) permit: Arc<Permit>,
 }
 
 impl Sent {
@@ -57,7 +62,7 @@
             pool: Arc::clone(pool),
             choice,
             at,
-            _permit: permit,
+            permit,
         }
     }
 }
@@ -161,40 +166,50 @@
     let checked = call.pool.backend == Backend::Engine && parts.status.is_success();
     let inference = call.head.as_ref().filter(|_| checked);
     check_identity(&parts, identity, inference.is_some())?;
-    let body = match inference {
-        Some(head) if head.stream => {
+    let mut response = match inference {
+        Some(it) if it.stream => {
             let stream = Checked::new(incoming, sent, identity, call);
-            stream.prime().await?.into_body()
+            head(&parts, stream.prime().await?.into_body())
+        }
+        Some(_) => {
+            let bytes = body::read(incoming, MAX_ANSWER_BYTES).await;
+            let bytes = bytes.map_err(|_| Evidence::Cut)?;
+            check_whole(identity, &bytes)?;
+            whole(&parts, bytes)
+        }
+        None if is_short(&incoming) => {
+            let bytes = body::read(incoming, usize::MAX).await;
+            whole(&parts, bytes.map_err(|_| Evidence::Cut)?)
         }
-        Some(_) => whole(incoming, identity).await?,
-        None => pass(incoming, sent, call).await?,
+        None => head(
+            &parts,
+            Guarded::new(incoming, sent, call.deadline).into_body(),
+        ),
     };
-    let mut response = head(&parts, body);
     if let Ok(value) = backend {
         response.headers_mut().insert(X_BACKEND, value);
     }
     Ok(response)
 }
 
-/// Reads a non-streaming response of an engine and checks it.
-async fn whole(incoming: Incoming, identity: &str) -> std::result::Result<Body, Evidence> {
-    let bytes = body::read(incoming, MAX_ANSWER_BYTES).await;
-    let bytes = bytes.map_err(|_| Evidence::Cut)?;
-    match answer::whole(identity, &bytes) {
-        Ok(_usage) => Ok(body::full(bytes)),
+fn is_short(incoming: &Incoming) -> bool {
+    let size = incoming.size_hint().exact();
+    size.is_some_and(|size| size <= MAX_WHOLE_BYTES)
+}
+
+/// Checks a non-streaming response of an engine.
+fn check_whole(identity: &str, bytes: &Bytes) -> std::result::Result<(), Evidence> {
+    match answer::whole(identity, bytes) {
+        Ok(_usage) => Ok(()),
         Err(Fault::Foreign) => Err(Evidence::Foreign),
         Err(_) => Err(Evidence::Cut),
     }
 }
 
-/// Passes a response of any content on; a short one is read whole first.
-async fn pass(incoming: Incoming, sent: Sent, call: &Call) -> std::result::Result<Body, Evidence> {
-    let size = incoming.size_hint().exact();
-    if size.is_some_and(|size| size <= MAX_WHOLE_BYTES) {
-        let bytes = body::read(incoming, usize::MAX).await;
-        return Ok(body::full(bytes.map_err(|_| Evidence::Cut)?));
-    }
-    Ok(Guarded::new(incoming, sent, call.deadline).into_body())
+fn whole(parts: &Parts, bytes: Bytes) -> Response<Body> {
+    let mut response = head(parts, body::full(bytes.clone()));
+    response.extensions_mut().insert(Whole(bytes));
+    response
 }
 
 /// Engines repeat the identity of the attempt in their responses; services need not.
--- a/crates/shallotroute_gateway/src/entry.rs
+++ b/crates/shallotroute_gateway/src/entry.rs
@@ -21,6 +21,7 @@
 use crate::{
     Gateway, admission, dispatch,
     failure::{Failure, Result, Step},
+    replay,
     runtime::{Cell, Runtime},
 };
 
@@ -103,7 +104,11 @@
     }
     let call = read(runtime, request, id, client, received).await?;
     let permit = admission::enter(gateway, &call).await?;
-    dispatch::run(gateway, &call, Arc::new(permit)).await
+    let permit = Arc::new(permit);
+    match replay::key(&call) {
+        Some(key) => replay::run(gateway, &call, key, permit).await,
+        None => dispatch::run(gateway, &call, permit).await,
+    }
 }
 
 fn not_ready() -> Box<Failure> {
--- a/crates/shallotroute_gateway/src/failure.rs
+++ b/crates/shallotroute_gateway/src/failure.rs
@@ -19,6 +19,8 @@
     Entry,
     #[display("admission")]
     Admission,
+    #[display("identity")]
+    Identity,
     #[display("selection")]
     Selection,
     #[display("dispatch")]
--- a/crates/shallotroute_gateway/src/lib.rs
+++ b/crates/shallotroute_gateway/src/lib.rs
@@ -6,7 +6,11 @@
 mod entry;
 mod failure;
 mod forward;
+mod peer;
 mod poll;
+mod records;
+mod recovery;
+mod replay;
 mod runtime;
 mod stream;
 
@@ -23,7 +27,7 @@
 use prometheus_client::registry::Registry;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use shallotroute_context::Context;
+use shallotroute_context::{Context, Local};
 use shallotroute_http::{body::Body, client::Client, server::Handler};
 use shallotroute_peer::stream::Service;
 use shallotroute_platform::engine::Engine;
@@ -42,6 +46,7 @@
     random: Mutex<ChaCha8Rng>,
     runtime: runtime::Holder,
     meters: Mutex<HashMap<Name, Meter>>,
+    records: Arc<records::Records>,
     node_header: HeaderValue,
 }
 
@@ -51,8 +56,7 @@
         let mut seed = [0; 32];
         seed[..16].copy_from_slice(Uuid::now_v7().as_bytes());
         seed[16..].copy_from_slice(Uuid::now_v7().as_bytes());
-        let random = ChaCha8Rng::from_seed(*blake3::hash(&seed).as_bytes());
-        Self::with_random(context, engine, registry, random)
+        Self::with_random(context, engine, registry, ChaCha8Rng::from_seed(seed))
     }
 
     /// Makes a gateway that draws its random numbers from `random`.
@@ -62,6 +66,7 @@
         _registry: &mut Registry,
         random: ChaCha8Rng,
     ) -> Arc<Self> {
+        let random = distinct(random, &context.local);
         let node_header = HeaderValue::from_str(&context.local.id)
             .unwrap_or_else(|_| HeaderValue::from_static("unnamed"));
         Arc::new(Self {
@@ -70,6 +75,7 @@
             random: Mutex::new(random),
             runtime: runtime::Holder::default(),
             meters: Mutex::default(),
+            records: records::Records::new(context.clone()),
             node_header,
             context,
         })
@@ -77,12 +83,13 @@
 
     /// Returns the service that other nodes call for records of non-idempotent requests.
     pub fn service(self: &Arc<Self>) -> Option<Arc<dyn Service>> {
-        None
+        Some(Arc::new(self.records.local.clone()))
     }
 
     /// Does the upkeep until the node stops.
     pub async fn run(self: Arc<Self>) {
-        poll::run(self).await;
+        let recovery = recovery::run(Arc::clone(&self.records));
+        tokio::join!(poll::run(self), recovery);
     }
 
     /// Returns the state for the dump.
@@ -115,6 +122,18 @@
     }
 }
 
+/// Makes the random numbers of nodes with the same seed differ. Two requests with the same identity
+/// would share a record, and both would run.
+fn distinct(mut random: ChaCha8Rng, local: &Local) -> ChaCha8Rng {
+    let mut seed = [0; 32];
+    random.fill_bytes(&mut seed);
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&seed);
+    hasher.update(&local.incarnation.0.to_le_bytes());
+    hasher.update(local.id.as_bytes());
+    ChaCha8Rng::from_seed(*hasher.finalize().as_bytes())
+}
+
 impl Handler for Gateway {
     fn handle(
         self: Arc<Self>,
--- /dev/null
+++ b/crates/shallotroute_gateway/src/peer.rs
@@ -0,0 +1,151 @@
+//! The service by which nodes keep records of non-idempotent requests for each other.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+use derive_more::Display;
+use error_stack::{Report, ResultExt};
+use futures::StreamExt;
+use shallotroute_peer::{
+    service::Kind,
+    stream::{self, Service},
+};
+use shallotroute_routing::identity::{Begin, Export, Finish, Reply, Store};
+use shallotroute_types::clock::Clock;
+use tarpc::{
+    client::RpcError,
+    context::Context,
+    server::{BaseChannel, Channel},
+};
+use tokio::net::TcpStream;
+
+/// The result of a call to another node.
+pub(crate) type Result<T> = std::result::Result<T, Report<Error>>;
+
+/// A call to another node failed.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[display("the records of node {_0} can't be reached")]
+pub(crate) struct Error(SocketAddr);
+
+impl std::error::Error for Error {}
+
+/// Records of non-idempotent requests at another node.
+#[tarpc::service]
+pub(crate) trait Requests {
+    /// Stores a record before its request is sent.
+    async fn begin(begin: Begin) -> Reply;
+    /// Stores how a request has ended.
+    async fn finish(finish: Finish);
+    /// Returns all records without their responses.
+    async fn records() -> Export;
+}
+
+/// The local records as other nodes reach them.
+#[derive(Clone)]
+pub(crate) struct Local {
+    pub(crate) store: Arc<Mutex<Store>>,
+    pub(crate) clock: Arc<dyn Clock>,
+}
+
+impl Local {
+    pub(crate) fn with<T>(&self, action: impl FnOnce(&mut Store) -> T) -> T {
+        action(&mut self.store.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+impl Requests for Local {
+    async fn begin(self, _: Context, begin: Begin) -> Reply {
+        let now = self.clock.wall();
+        self.with(|store| store.begin(&begin, now))
+    }
+
+    async fn finish(self, _: Context, finish: Finish) {
+        let now = self.clock.wall();
+        self.with(|store| store.finish(finish, now));
+    }
+
+    async fn records(self, _: Context) -> Export {
+        self.with(|store| store.export())
+    }
+}
+
+impl Service for Local {
+    fn accept(&self, stream: TcpStream, _peer: SocketAddr) {
+        let channel = BaseChannel::with_defaults(stream::frame(stream));
+        let calls = channel.execute(self.clone().serve());
+        tokio::spawn(calls.for_each(|call| async {
+            tokio::spawn(call);
+        }));
+    }
+}
+
+/// Connections to other nodes, opened when they are needed.
+#[derive(Default)]
+pub(crate) struct Peers {
+    clients: Mutex<HashMap<SocketAddr, RequestsClient>>,
+}
+
+impl Peers {
+    pub(crate) async fn begin(
+        &self,
+        address: SocketAddr,
+        begin: Begin,
+        timeout: Duration,
+    ) -> Result<Reply> {
+        let client = self.client(address).await?;
+        let result = client.begin(context(timeout), begin).await;
+        self.check(address, result)
+    }
+
+    pub(crate) async fn finish(
+        &self,
+        address: SocketAddr,
+        finish: Finish,
+        timeout: Duration,
+    ) -> Result<()> {
+        let client = self.client(address).await?;
+        let result = client.finish(context(timeout), finish).await;
+        self.check(address, result)
+    }
+
+    pub(crate) async fn records(&self, address: SocketAddr, timeout: Duration) -> Result<Export> {
+        let client = self.client(address).await?;
+        let result = client.records(context(timeout)).await;
+        self.check(address, result)
+    }
+
+    async fn client(&self, address: SocketAddr) -> Result<RequestsClient> {
+        let known = self.clients().get(&address).cloned();
+        if let Some(client) = known {
+            return Ok(client);
+        }
+        let stream = stream::open(address, Kind::Requests).await;
+        let stream = stream.change_context_lazy(|| Error(address))?;
+        let config = tarpc::client::Config::default();
+        let client = RequestsClient::new(config, stream::frame(stream)).spawn();
+        self.clients().insert(address, client.clone());
+        Ok(client)
+    }
+
+    /// Closes the connection after a failed call, so that the next call opens a new one.
+    fn check<T>(&self, address: SocketAddr, result: std::result::Result<T, RpcError>) -> Result<T> {
+        if result.is_err() {
+            self.clients().remove(&address);
+        }
+        result.change_context_lazy(|| Error(address))
+    }
+
+    fn clients(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, RequestsClient>> {
+        self.clients.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn context(timeout: Duration) -> Context {
+    let mut context = tarpc::context::current();
+    context.deadline = Instant::now() + timeout;
+    context
+}
--- /dev/null
+++ b/crates/shallotroute_gateway/src/recovery.rs
@@ -0,0 +1,118 @@
+//! Fetching records of non-idempotent requests after a start and after the loss of a member.
+
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+
+use futures::future::try_join_all;
+use shallotroute_routing::{
+    identity::{Identity, SETTLE_TIME},
+    quorum::REPLICAS,
+};
+use shallotroute_types::{
+    member::{State, View},
+    node::Id,
+};
+use tokio::time::{Instant, sleep_until};
+
+use crate::records::Records;
+
+/// How long a member may take to send its records.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// When a fetch that failed is tried again.
+const RETRY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What is known of the members at the last look.
+struct Watch {
+    live: BTreeSet<Id>,
+    /// Members that were lost since the last fetch.
+    lost: usize,
+    due: Option<Instant>,
+}
+
+/// Fetches records when it is due until the node stops.
+pub(crate) async fn run(records: Arc<Records>) {
+    let context = records.context.clone();
+    let mut members = context.members.clone();
+    let settled = Instant::now() + SETTLE_TIME;
+    let mut watch = Watch {
+        live: BTreeSet::new(),
+        lost: 0,
+        due: Some(settled),
+    };
+    watch.look(&records, settled);
+    loop {
+        let due = watch.due.unwrap_or_else(|| Instant::now() + FETCH_TIMEOUT);
+        tokio::select! {
+            () = context.stop.cancelled() => return,
+            changed = members.changed() => match changed {
+                Ok(()) => watch.look(&records, settled),
+                Err(_) => return,
+            },
+            () = sleep_until(due), if watch.due.is_some() => {
+                watch.due = fetch(&records, &mut watch.lost).await;
+            }
+        }
+    }
+}
+
+impl Watch {
+    fn look(&mut self, records: &Records, settled: Instant) {
+        let view = Arc::clone(&records.context.members.borrow());
+        let live: BTreeSet<Id> = view.live().map(|member| member.id.clone()).collect();
+        let lost = self.live.difference(&live).count();
+        let is_recovering = records.local.with(|store| store.is_recovering());
+        if lost > 0 {
+            // This node may have become a replica of identities that others have records of.
+            let now = records.context.clock.wall();
+            records.local.with(|store| store.lose(now));
+            self.lost += lost;
+            self.due = Some(Instant::now() + SETTLE_TIME);
+        } else if is_recovering && live != self.live {
+            self.due = Some(settled.max(Instant::now()));
+        }
+        self.live = live;
+    }
+}
+
+/// Fetches the records of all other live members and returns when to fetch again, if need be.
+async fn fetch(records: &Records, lost: &mut usize) -> Option<Instant> {
+    let view = Arc::clone(&records.context.members.borrow());
+    let local = &records.context.local.id;
+    let others: Vec<SocketAddr> = view
+        .live()
+        .filter(|member| member.id != *local)
+        .map(|member| member.address)
+        .collect();
+    let calls = others
+        .iter()
+        .map(|address| records.peers.records(*address, FETCH_TIMEOUT));
+    let exports = match try_join_all(calls).await {
+        Ok(exports) => exports,
+        Err(error) => {
+            spdlog::warn!("records of requests could not be fetched: {}", error);
+            return Some(Instant::now() + RETRY_INTERVAL);
+        }
+    };
+    let now = records.context.clock.wall();
+    let is_recovering = records.local.with(|store| store.is_recovering());
+    if is_recovering {
+        // A member that was dead at the start of this node counts as lost with it.
+        *lost = (*lost).max(dead(&view));
+    }
+    let wanted = |identity: &Identity| is_replica(&view, local, identity);
+    records
+        .local
+        .with(|store| store.merge(exports, *lost, wanted, now));
+    *lost = 0;
+    None
+}
+
+fn dead(view: &View) -> usize {
+    let members = view.members.iter();
+    members.filter(|it| it.state == State::Dead).count()
+}
+
+fn is_replica(view: &View, local: &Id, identity: &Identity) -> bool {
+    let ranked = view.ranked(&identity.rank_key(), REPLICAS);
+    ranked.iter().any(|member| member.id == *local)
+}
--- a/crates/shallotroute_gateway/src/stream.rs
+++ b/crates/shallotroute_gateway/src/stream.rs
@@ -208,6 +208,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         if let Err(evidence) = ready!(self.poll_fill(context)) {
             self.state = State::Ended;
+            self.sent.permit.mark_broken();
             let event = self.error_event(evidence);
             self.ready.push_back(event);
         }
--- /dev/null
+++ b/crates/shallotroute_gateway/tests/identity.rs
@@ -0,0 +1,279 @@
+//! Non-idempotent requests with a key run at most once, over one node or several.
+
+mod support;
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant, SystemTime},
+};
+
+use googletest::prelude::*;
+use http::{Method, Response, StatusCode};
+use hyper::body::Incoming;
+use shallotroute_config::{object::Server, set::Set};
+use shallotroute_http::body;
+use shallotroute_types::{
+    clock::Clock,
+    member::{Member, State, View},
+    name::Name,
+    node::Incarnation,
+    revision::Revision,
+};
+use support::{Backend, Node};
+
+/// The calendar is set forward after the start, so that new keys are clearly younger.
+const SHIFT: Duration = Duration::from_secs(60);
+
+async fn service(bytes: usize) -> Backend {
+    Backend::start(move |request| async move {
+        match request.headers.contains_key("x-refuse") {
+            true => support::refusal("overloaded"),
+            false => {
+                let mut response = Response::new(body::full("x".repeat(bytes)));
+                *response.status_mut() = StatusCode::CREATED;
+                response
+                    .headers_mut()
+                    .insert("x-order", "7".parse().unwrap());
+                response
+            }
+        }
+    })
+    .await
+}
+
+fn servers(backend: &Backend) -> Vec<Server> {
+    vec![support::server("service-1", backend.address)]
+}
+
+async fn start(id: &str, backend: &Backend) -> Node {
+    let set = Set::new(support::objects(Vec::new(), servers(backend)));
+    Node::start_as(id, set, Arc::new(View::default())).await
+}
+
+/// Makes a key that carries the time of the node's calendar.
+fn key(node: &Node) -> String {
+    let since = node
+        .clock
+        .wall()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap();
+    let millis = u64::try_from(since.as_millis()).unwrap();
+    let uuid = uuid::Builder::from_unix_timestamp_millis(millis, &[3; 10]).into_uuid();
+    uuid.to_string()
+}
+
+async fn order(node: &Node, key: &str) -> Response<Incoming> {
+    let request = node
+        .request(Method::POST, "/orders")
+        .header("idempotency-key", key);
+    node.send(request.body(body::full("two boxes")).unwrap())
+        .await
+}
+
+/// Guards against a repeated request that runs again or loses its response.
+#[tokio::test]
+async fn a_repetition_gets_the_stored_response() {
+    let backend = service(64 << 10).await;
+    let node = start("node-1", &backend).await;
+    node.clock.set(SHIFT);
+    let key = key(&node);
+    for _ in 0..3 {
+        let response = order(&node, &key).await;
+        assert_that!(response.status(), eq(StatusCode::CREATED));
+        assert_that!(response.headers()["x-order"], eq("7"));
+        assert_that!(support::text(response).await.len(), eq(64 << 10));
+    }
+    assert_that!(backend.count(), eq(1));
+}
+
+/// Guards against a second run when the response is too long to be stored.
+#[tokio::test]
+async fn a_repetition_without_a_stored_response_is_told_that_it_ran() {
+    let backend = service((64 << 10) + 1).await;
+    let node = start("node-1", &backend).await;
+    node.clock.set(SHIFT);
+    let key = key(&node);
+    let first = order(&node, &key).await;
+    assert_that!(support::text(first).await.len(), eq((64 << 10) + 1));
+    let response = order(&node, &key).await;
+    assert_that!(response.status(), eq(StatusCode::CONFLICT));
+    let error = support::error(response).await;
+    assert_that!(error["code"], eq("already_ran"));
+    assert_that!(error["outcome"], eq("ran"));
+    assert_that!(backend.count(), eq(1));
+}
+
+/// Guards against a key that stays blocked after a refusal, which ran nothing.
+#[tokio::test]
+async fn a_request_that_did_not_run_may_come_again() {
+    let backend = service(10).await;
+    let node = start("node-1", &backend).await;
+    node.clock.set(SHIFT);
+    let key = key(&node);
+    let request = node
+        .request(Method::POST, "/orders")
+        .header("x-refuse", "1");
+    let request = request.header("idempotency-key", &key);
+    let refused = node.send(request.body(body::empty()).unwrap()).await;
+    assert_that!(refused.status(), eq(StatusCode::SERVICE_UNAVAILABLE));
+    assert_that!(support::error(refused).await["outcome"], eq("not_run"));
+    // The server is held back for half a second after its refusal.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    assert_that!(order(&node, &key).await.status(), eq(StatusCode::CREATED));
+}
+
+/// Guards against a restarted node that runs what may have run before its start.
+#[tokio::test]
+async fn a_restarted_node_refuses_older_keys() {
+    let backend = service(10).await;
+    let node = start("node-1", &backend).await;
+    node.clock.set(SHIFT);
+    let old = key(&node);
+    drop(node);
+    let node = start("node-1", &backend).await;
+    node.clock.set(SHIFT);
+    node.clock.set(2 * SHIFT);
+    assert_that!(
+        order(&node, &key(&node)).await.status(),
+        eq(StatusCode::CREATED)
+    );
+    node.clock.set(SHIFT);
+    for key in [old, "order-1".to_owned()] {
+        let early = start("node-1", &backend).await;
+        early.clock.set(Duration::ZERO);
+        let response = order(&early, &key).await;
+        assert_that!(response.status(), eq(StatusCode::SERVICE_UNAVAILABLE));
+        assert_that!(support::error(response).await["outcome"], eq("unknown"));
+    }
+    assert_that!(backend.count(), eq(1));
+}
+
+fn view(nodes: &[&Node]) -> View {
+    let member = |node: &&Node| Member {
+        id: node.context.local.id.clone(),
+        region: Name::from("lk-west"),
+        zone: Name::from(format!("zone-{}", node.context.local.id)),
+        address: node.peer_address,
+        incarnation: Incarnation(1),
+        state: State::Alive,
+        known: Revision(1),
+        in_force: Revision(1),
+    };
+    View {
+        local: None,
+        members: nodes.iter().map(member).collect(),
+        majority: true,
+    }
+}
+
+async fn fleet(backend: &Backend) -> Vec<Node> {
+    let mut nodes = Vec::new();
+    for id in ["node-1", "node-2", "node-3", "node-4"] {
+        nodes.push(start(id, backend).await);
+    }
+    let shared = Arc::new(view(&nodes.iter().collect::<Vec<_>>()));
+    for node in &nodes {
+        node.members.send_replace(Arc::clone(&shared));
+        node.clock.set(SHIFT);
+    }
+    nodes
+}
+
+/// Sends an order until its stored response comes.
+async fn replay(node: &Node, key: &str) {
+    let started = Instant::now();
+    loop {
+        let response = order(node, key).await;
+        if response.status() == StatusCode::CREATED {
+            return;
+        }
+        assert_that!(response.status(), eq(StatusCode::CONFLICT));
+        assert_that!(started.elapsed(), lt(Duration::from_secs(5)));
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Guards against a request that runs again because the caller repeats it at another node.
+#[tokio::test]
+async fn a_repetition_at_another_node_does_not_run() {
+    let backend = service(10).await;
+    let nodes = fleet(&backend).await;
+    let key = key(&nodes[0]);
+    assert_that!(
+        order(&nodes[0], &key).await.status(),
+        eq(StatusCode::CREATED)
+    );
+    for node in &nodes {
+        replay(node, &key).await;
+    }
+    assert_that!(backend.count(), eq(1));
+}
+
+/// Guards against a request that runs at several nodes at once.
+#[tokio::test]
+async fn concurrent_requests_with_one_key_run_at_most_once() {
+    let backend = service(10).await;
+    let nodes = fleet(&backend).await;
+    for round in 0..20 {
+        let key = format!("{}{round:02}", &key(&nodes[0])[..34]);
+        let before = backend.count();
+        let orders = nodes.iter().map(|node| order(node, &key));
+        let responses = futures::future::join_all(orders).await;
+        let ran = backend.count() - before;
+        assert_that!(ran, le(1));
+        for response in responses {
+            if response.status() != StatusCode::CREATED {
+                assert_that!(support::error(response).await["outcome"], eq("unknown"));
+            }
+        }
+    }
+}
+
+/// Guards against copies that are lost with a node and its successor, which starts empty.
+#[tokio::test]
+async fn a_restarted_member_fetches_its_records() {
+    let backend = service(10).await;
+    let mut nodes = fleet(&backend).await;
+    let key = key(&nodes[0]);
+    assert_that!(
+        order(&nodes[0], &key).await.status(),
+        eq(StatusCode::CREATED)
+    );
+    for node in &nodes {
+        replay(node, &key).await;
+    }
+    // Each member restarts in turn, so that in the end no first copy is left.
+    for index in 0..nodes.len() {
+        let id = nodes[index].context.local.id.clone();
+        nodes[index] = start(&id, &backend).await;
+        nodes[index].clock.set(SHIFT);
+        let shared = Arc::new(view(&nodes.iter().collect::<Vec<_>>()));
+        for node in &nodes {
+            node.members.send_replace(Arc::clone(&shared));
+        }
+        tokio::time::sleep(Duration::from_millis(2_500)).await;
+    }
+    for node in &nodes {
+        let response = order(node, &key).await;
+        assert_that!(response.status(), eq(StatusCode::CONFLICT));
+        assert_that!(support::error(response).await["outcome"], eq("ran"));
+    }
+    assert_that!(backend.count(), eq(1));
+}
+
+/// Guards against two parts of a divided fleet that both accept a request.
+#[tokio::test]
+async fn a_node_without_a_majority_refuses_keys() {
+    let backend = service(10).await;
+    let nodes = fleet(&backend).await;
+    let mut alone = view(&nodes.iter().collect::<Vec<_>>());
+    alone.majority = false;
+    nodes[0].members.send_replace(Arc::new(alone));
+    let response = order(&nodes[0], &key(&nodes[0])).await;
+    assert_that!(response.status(), eq(StatusCode::SERVICE_UNAVAILABLE));
+    assert_that!(
+        support::error(response).await["code"],
+        eq("identity_unvouched")
+    );
+    assert_that!(backend.count(), eq(0));
+}
--- a/crates/shallotroute_gateway/tests/support/mod.rs
+++ b/crates/shallotroute_gateway/tests/support/mod.rs
@@ -5,7 +5,7 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{Arc, Mutex},
-    time::{Duration, SystemTime},
+    time::{Duration, Instant, SystemTime},
 };
 
 use bytes::Bytes;
@@ -34,7 +34,7 @@
     host::Host,
 };
 use shallotroute_types::{
-    class::Class, clock::System, member::View, name::Name, node::Incarnation, revision::Revision,
+    class::Class, clock::Clock, member::View, name::Name, node::Incarnation, revision::Revision,
 };
 use tokio::{net::TcpListener, sync::watch};
 use tokio_util::sync::CancellationToken;
@@ -168,6 +168,28 @@
     Error::new("state", address.to_string(), Kind::Lost)
 }
 
+/// The system's clock with a calendar that can be set forward.
+#[derive(Default)]
+pub struct Shifted {
+    shift: Mutex<Duration>,
+}
+
+impl Shifted {
+    pub fn set(&self, shift: Duration) {
+        *self.shift.lock().unwrap() = shift;
+    }
+}
+
+impl Clock for Shifted {
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now() + *self.shift.lock().unwrap()
+    }
+}
+
 /// A gateway with its listeners and the senders of its context.
 pub struct Node {
     pub gateway: Arc<Gateway>,
@@ -180,6 +202,7 @@
     pub hosts: watch::Sender<Arc<Vec<Host>>>,
     pub registry: Registry,
     pub context: Context,
+    pub clock: Arc<Shifted>,
     client: Client,
 }
 
@@ -189,6 +212,7 @@
     }
 
     pub async fn start_as(id: &str, set: Set, view: Arc<View>) -> Self {
+        let clock = Arc::new(Shifted::default());
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let peers = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
@@ -205,7 +229,7 @@
                 address: peer_address,
                 incarnation: Incarnation(1),
             },
-            clock: Arc::new(System),
+            clock: clock.clone(),
             configuration: configuration_receiver,
             confirmed: confirmed_receiver,
             members: members_receiver,
@@ -242,6 +266,7 @@
             hosts,
             registry,
             context,
+            clock,
             client: Client::new(Duration::from_secs(1)),
         }
     }
--- a/crates/shallotroute_routing/src/lib.rs
+++ b/crates/shallotroute_routing/src/lib.rs
@@ -2,10 +2,12 @@
 
 pub mod admission;
 pub mod answer;
+pub mod identity;
 pub mod inference;
 pub mod limit;
 pub mod outcome;
 pub mod pool;
+pub mod quorum;
 pub mod retry;
 pub mod selection;
 pub mod server;
