--- /dev/null
+++ b/crates/shallotroute_gateway/src/attempt.rs
@@ -0,0 +1,211 @@
+//! One attempt at a request at one backend server.
+
+use std::{sync::Arc, time::Duration};
+
+use http::{HeaderName, HeaderValue, Response, StatusCode, response::Parts};
+use hyper::body::{Body as _, Incoming};
+use shallotroute_config::object::Backend;
+use shallotroute_http::{
+    body::{self, Body},
+    client::{self, Client},
+};
+use shallotroute_routing::{
+    answer::{self, Fault},
+    outcome::{Evidence, Refusal},
+    pool::Choice,
+};
+use shallotroute_types::clock::Clock;
+use tokio::time::{Instant, timeout_at};
+
+use crate::{
+    entry::{Call, X_BACKEND, X_REQUEST_ID},
+    failure::{Failure, Result, Step},
+    forward,
+    runtime::Cell,
+    stream::{Checked, Guarded},
+};
+
+const X_SERVER_STATE: HeaderName = HeaderName::from_static("x-server-state");
+
+/// The longest response that is read whole before its head is sent to the caller, so that a broken
+/// one can still be replaced.
+pub(crate) const MAX_WHOLE_BYTES: u64 = 64 << 10;
+
+/// The longest non-streaming response of an engine, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// When a server that refused may have room again.
+const REFUSAL_RETRY: Duration = Duration::from_secs(1);
+
+/// Counts a request as in progress at a backend server until it is dropped.
+pub(crate) struct Sent {
+    pool: Arc<Cell>,
+    pub(crate) choice: Choice,
+    at: std::time::Instant,
+}
+
+impl Sent {
+    pub(crate) fn new(pool: &Arc<Cell>, choice: Choice, at: std::time::Instant) -> Self {
+        Self {
+            pool: Arc::clone(pool),
+            choice,
+            at,
+        }
+    }
+}
+
+impl Drop for Sent {
+    fn drop(&mut self) {
+        self.pool.state().pool.finish(&self.choice.name);
+    }
+}
+
+/// An attempt that gave no response to send to the caller.
+pub(crate) struct Broken {
+    pub(crate) evidence: Evidence,
+    pub(crate) failure: Box<Failure>,
+}
+
+impl Broken {
+    pub(crate) fn new(evidence: Evidence, peer: &str) -> Self {
+        let (status, code) = match evidence {
+            Evidence::NotSent => (StatusCode::BAD_GATEWAY, "connect_failed"),
+            Evidence::Refused(Refusal::Leaving) => {
+                (StatusCode::SERVICE_UNAVAILABLE, "server_leaving")
+            }
+            Evidence::Refused(Refusal::Overloaded) => {
+                (StatusCode::SERVICE_UNAVAILABLE, "server_overloaded")
+            }
+            Evidence::NoResponse => (StatusCode::BAD_GATEWAY, "connection_lost"),
+            Evidence::TimedOut => (StatusCode::GATEWAY_TIMEOUT, "deadline_exceeded"),
+            Evidence::Foreign => (StatusCode::BAD_GATEWAY, "foreign_response"),
+            Evidence::Cut | Evidence::Whole => (StatusCode::BAD_GATEWAY, "answer_cut"),
+        };
+        let message = format!("the backend server gave no response: {evidence}");
+        let failure = Failure::not_run(status, code, Step::Dispatch, message)
+            .with_peer(peer)
+            .with_outcome(evidence.outcome());
+        let failure = match evidence {
+            Evidence::NotSent | Evidence::Refused(_) => failure.with_retry_after(REFUSAL_RETRY),
+            _ => failure,
+        };
+        Self { evidence, failure }
+    }
+}
+
+/// Sends a request once. The inner result tells how the attempt ended; the outer one fails when the
+/// request can't be sent to any server.
+pub(crate) async fn run(
+    client: &Client,
+    clock: &dyn Clock,
+    call: &Call,
+    number: usize,
+    sent: Sent,
+) -> Result<std::result::Result<Response<Body>, Broken>> {
+    let identity = format!("{}.{number}", call.id);
+    let request = forward::request(call, sent.choice.address, &identity, clock.now());
+    let request = request.map_err(|error| {
+        let message = error.to_string();
+        Failure::not_run(
+            StatusCode::BAD_REQUEST,
+            "malformed_request",
+            Step::Dispatch,
+            message,
+        )
+    })?;
+    let (peer, at) = (sent.choice.name.clone(), sent.at);
+    let deadline = Instant::from_std(call.deadline);
+    let exchange = async {
+        let response =
+            client
+                .send(request)
+                .await
+                .map_err(|report| match report.current_context() {
+                    client::Error::Connect(_) => Evidence::NotSent,
+                    _ => Evidence::NoResponse,
+                })?;
+        accept(response, call, &identity, sent).await
+    };
+    let ended = timeout_at(deadline, exchange).await;
+    let result = ended.unwrap_or(Err(Evidence::TimedOut));
+    let evidence = result.as_ref().err().copied().unwrap_or(Evidence::Whole);
+    let now = clock.now();
+    let elapsed = now.saturating_duration_since(at);
+    let mut state = call.pool.state();
+    state.pool.observe(&peer, evidence, elapsed, now);
+    drop(state);
+    Ok(result.map_err(|evidence| Broken::new(evidence, &peer)))
+}
+
+async fn accept(
+    response: Response<Incoming>,
+    call: &Call,
+    identity: &str,
+    sent: Sent,
+) -> std::result::Result<Response<Body>, Evidence> {
+    let (parts, incoming) = response.into_parts();
+    let state = parts.headers.get(&X_SERVER_STATE);
+    let status = parts.status.as_u16();
+    if let Some(refusal) = Refusal::parse(status, state.map(HeaderValue::as_bytes)) {
+        return Err(Evidence::Refused(refusal));
+    }
+    let backend = HeaderValue::from_str(&sent.choice.name);
+    let checked = call.pool.backend == Backend::Engine && parts.status.is_success();
+    let inference = call.head.as_ref().filter(|_| checked);
+    check_identity(&parts, identity, inference.is_some())?;
+    let body = match inference {
+        Some(head) if head.stream => {
+            let stream = Checked::new(incoming, sent, identity, call);
+            stream.prime().await?.into_body()
+        }
+        Some(_) => whole(incoming, identity).await?,
+        None => pass(incoming, sent, call).await?,
+    };
+    let mut response = head(&parts, body);
+    if let Ok(value) = backend {
+        response.headers_mut().insert(X_BACKEND, value);
+    }
+    Ok(response)
+}
+
+/// Reads a non-streaming response of an engine and checks it.
+async fn whole(incoming: Incoming, identity: &str) -> std::result::Result<Body, Evidence> {
+    let bytes = body::read(incoming, MAX_ANSWER_BYTES).await;
+    let bytes = bytes.map_err(|_| Evidence::Cut)?;
+    match answer::whole(identity, &bytes) {
+        Ok(_usage) => Ok(body::full(bytes)),
+        Err(Fault::Foreign) => Err(Evidence::Foreign),
+        Err(_) => Err(Evidence::Cut),
+    }
+}
+
+/// Passes a response of any content on; a short one is read whole first.
+async fn pass(incoming: Incoming, sent: Sent, call: &Call) -> std::result::Result<Body, Evidence> {
+    let size = incoming.size_hint().exact();
+    if size.is_some_and(|size| size <= MAX_WHOLE_BYTES) {
+        let bytes = body::read(incoming, usize::MAX).await;
+        return Ok(body::full(bytes.map_err(|_| Evidence::Cut)?));
+    }
+    Ok(Guarded::new(incoming, sent, call.deadline).into_body())
+}
+
+/// Engines repeat the identity of the attempt in their responses; services need not.
+fn check_identity(
+    parts: &Parts,
+    identity: &str,
+    required: bool,
+) -> std::result::Result<(), Evidence> {
+    match parts.headers.get(&X_REQUEST_ID) {
+        Some(value) if value.as_bytes() == identity.as_bytes() => Ok(()),
+        None if !required => Ok(()),
+        Some(_) | None => Err(Evidence::Foreign),
+    }
+}
+
+fn head(parts: &Parts, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = parts.status;
+    forward::end_to_end(&parts.headers, response.headers_mut());
+    response.headers_mut().remove(X_REQUEST_ID);
+    response
+}
--- a/crates/shallotroute_routing/src/lib.rs
+++ b/crates/shallotroute_routing/src/lib.rs
@@ -1,1 +1,10 @@
 //! Decisions on callers' requests: route, admission, selection, retry, identity.
+
+pub mod answer;
+pub mod inference;
+pub mod outcome;
+pub mod pool;
+pub mod retry;
+pub mod selection;
+pub mod server;
+pub mod table;
