shallotroute: example quickstart

Cause: a newcomer needs one command that shows the whole service at work. Change: three nodes as processes, all stand-ins in the example's process, a publication, quotes, an order that must not run twice, and four steps.

--- /dev/null
+++ b/crates/shallotroute/examples/quickstart.rs
@@ -0,0 +1,327 @@
+//! Three nodes, stand-ins for everything around them, a published configuration, callers' requests
+//! and a trainer's steps, all on loopback addresses.
+
+// The example's output is its result.
+#![allow(clippy::print_stdout)]
+
+use std::{
+    process::ExitCode,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use argh::FromArgs;
+use serde_json::json;
+use shallotroute_standin::{
+    admin,
+    caller::{Caller, Completion},
+    configuration::{Configuration, Server},
+    engine::{self, Engine},
+    fleet::{self, Fleet, Layout, OPERATOR_KEY},
+    scorer::Scorer,
+    service::Service,
+    trainer::{self, Trainer},
+    truth::Truth,
+    weight,
+};
+use shallotroute_types::name::Name;
+
+/// Starts nodes and stand-ins, publishes, sends requests, runs a trainer's steps and ends.
+#[derive(Debug, FromArgs)]
+struct Arguments {
+    /// keep running until interrupted, and print the addresses and keys
+    #[argh(switch)]
+    serve: bool,
+}
+
+type Error = Box<dyn std::error::Error>;
+
+const ZONES: [&str; 3] = ["colombo", "gampaha", "kalutara"];
+const CALLER_KEY: &str = "quote-desk-key";
+const TRAINER_KEY: &str = "pricing-trainer-key";
+const SEED: u64 = 1;
+
+/// The time limit of each wait, so that the example ends within 30 s.
+const LIMIT: Duration = Duration::from_secs(8);
+
+/// How long the trainer's steps may take.
+const TRAINING_LIMIT: Duration = Duration::from_secs(12);
+
+/// The stand-ins that are not part of a fleet.
+struct Backends {
+    pricing: Vec<Engine>,
+    quotes: Vec<Engine>,
+    desk: Service,
+    scorer: Scorer,
+    weights: Arc<weight::Store>,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    match run(&arguments).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("quickstart: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(arguments: &Arguments) -> Result<(), Error> {
+    let binary = fleet::binary()?;
+    let started = Instant::now();
+    let backends = Backends::start().await?;
+    let fleet = Fleet::start(&binary, &Layout::new("lk-west", &ZONES)).await?;
+    let result = demonstrate(&fleet, &backends).await;
+    if result.is_err() {
+        eprintln!("{}", fleet.logs(20));
+    }
+    result?;
+    println!("done after {:.1} s", started.elapsed().as_secs_f64());
+    if arguments.serve {
+        print_addresses(&fleet);
+        tokio::signal::ctrl_c().await?;
+    }
+    Ok(())
+}
+
+async fn demonstrate(fleet: &Fleet, backends: &Backends) -> Result<(), Error> {
+    fleet.await_live(LIMIT).await?;
+    for node in &fleet.nodes {
+        let settings = node.settings();
+        println!(
+            "{} in {} is up at {}",
+            settings.id, settings.zone, settings.callers
+        );
+    }
+    publish(fleet, backends).await?;
+    for index in 0..6 {
+        ask_quote(fleet, index).await?;
+    }
+    accept_order(fleet, backends).await?;
+    train(fleet, backends).await
+}
+
+impl Backends {
+    async fn start() -> Result<Self, Error> {
+        let settings = weight::Settings {
+            bytes: 1 << 20,
+            rate: 50e6,
+        };
+        let weights = Arc::new(weight::Store::start(settings).await?);
+        let mut pricing = Vec::new();
+        let mut quotes = Vec::new();
+        for zone in ZONES {
+            let mut settings = engine::Settings::new(&format!("pricing-{zone}"), "pricing", SEED);
+            settings.weights = Some(weights.address());
+            pricing.push(Engine::start(settings).await?);
+            let settings = engine::Settings::new(&format!("quotes-{zone}"), "quotes", SEED);
+            quotes.push(Engine::start(settings).await?);
+        }
+        Ok(Self {
+            pricing,
+            quotes,
+            desk: Service::start("order-desk").await?,
+            scorer: Scorer::start().await?,
+            weights,
+        })
+    }
+
+    fn configuration(&self) -> Configuration {
+        let desk = Server {
+            name: self.desk.name().to_owned(),
+            address: self.desk.address(),
+            zone: ZONES[0].to_owned(),
+            slots: 8,
+        };
+        let trainer = json!({
+            "model": "pricing",
+            "pool": "pricing",
+            "scorer": "prices",
+            "staleness_bound": 2,
+        });
+        Configuration::new()
+            .with_model("pricing")
+            .with_model("quotes")
+            .with_engines(
+                "pricing",
+                &["pricing"],
+                "checked",
+                "adaptive",
+                &servers(&self.pricing),
+            )
+            .with_engines(
+                "quotes",
+                &["quotes"],
+                "checked",
+                "adaptive",
+                &servers(&self.quotes),
+            )
+            .with_services("orders", "/orders", false, &[desk])
+            .with(
+                "scorer",
+                "prices",
+                json!({ "address": self.scorer.address() }),
+            )
+            .with_caller("quote-desk", CALLER_KEY, "interactive")
+            .with_trainer("pricing", TRAINER_KEY, trainer)
+    }
+}
+
+fn servers(engines: &[Engine]) -> Vec<Server> {
+    let zones = ZONES.iter().cycle();
+    engines
+        .iter()
+        .zip(zones)
+        .map(|(engine, &zone)| Server {
+            name: engine.name().to_owned(),
+            address: engine.address(),
+            zone: zone.to_owned(),
+            slots: 8,
+        })
+        .collect()
+}
+
+async fn publish(fleet: &Fleet, backends: &Backends) -> Result<(), Error> {
+    let objects = backends.configuration().to_yaml();
+    let began = Instant::now();
+    let answer = fleet
+        .operator
+        .publish(fleet.admin(0), &objects, "first configuration")
+        .await?;
+    let revision = admin::published(&answer)
+        .ok_or_else(|| format!("the configuration was not published: {answer}"))?;
+    println!("node-0 published revision {revision}");
+    for index in 0..fleet.nodes.len() {
+        let admin = fleet.admin(index);
+        fleet
+            .operator
+            .await_in_force(admin, revision, LIMIT)
+            .await?;
+    }
+    let seconds = began.elapsed().as_secs_f64();
+    println!("revision {revision} is in force at all nodes after {seconds:.2} s");
+    fleet.await_ready(LIMIT).await?;
+    println!("all nodes are ready");
+    Ok(())
+}
+
+/// Asks a node that did not publish.
+async fn ask_quote(fleet: &Fleet, index: u64) -> Result<(), Error> {
+    let caller = Caller::new(fleet.client.clone(), CALLER_KEY);
+    let node = &fleet.nodes[1].settings();
+    let mut completion = Completion::new("quotes", format!("Quote {index} for 400 springs?"));
+    completion.stream = index.is_multiple_of(2);
+    completion.chat = index.is_multiple_of(3);
+    let reply = caller.complete(node.callers, &completion).await;
+    let content = reply.result.as_ref().map_err(ToString::to_string)?;
+    println!(
+        "quote {index} ({}) through {} from {}: {} tokens in {} ms",
+        if completion.stream {
+            "streamed"
+        } else {
+            "whole"
+        },
+        node.id,
+        reply.header("x-shallotroute-backend").unwrap_or_default(),
+        content.text.split_whitespace().count(),
+        reply.latency.as_millis(),
+    );
+    Ok(())
+}
+
+/// Sends a request that must not run twice, through two nodes with the same key.
+async fn accept_order(fleet: &Fleet, backends: &Backends) -> Result<(), Error> {
+    let caller = Caller::new(fleet.client.clone(), CALLER_KEY);
+    let key = uuid::Uuid::now_v7().to_string();
+    for node in [&fleet.nodes[1], &fleet.nodes[2]] {
+        let address = node.settings().callers;
+        let reply = caller
+            .call(
+                address,
+                http::Method::POST,
+                "/orders/17",
+                Some(&key),
+                "400 springs",
+            )
+            .await;
+        let answer = match &reply.result {
+            Ok(content) => format!("status {}", content.status.as_u16()),
+            Err(failure) => failure.to_string(),
+        };
+        println!("order 17 through {}: {answer}", node.settings().id);
+    }
+    let runs = backends
+        .desk
+        .runs_by_identity()
+        .remove(&key)
+        .unwrap_or_default();
+    println!("the order desk ran order 17 {runs} time(s)");
+    match runs {
+        1 => Ok(()),
+        _ => Err(format!("the order ran {runs} times").into()),
+    }
+}
+
+async fn train(fleet: &Fleet, backends: &Backends) -> Result<(), Error> {
+    let settings = trainer::Settings {
+        name: Name::from("pricing"),
+        model: Name::from("pricing"),
+        key: TRAINER_KEY.to_owned(),
+        nodes: fleet.callers(),
+        steps: 4,
+        groups: 16,
+        group_size: 4,
+        max_tokens: 400,
+        train_time: Duration::from_millis(200),
+        ahead: 1,
+        pull_wait: Duration::from_millis(500),
+        max_groups: 64,
+        seed: SEED,
+    };
+    let weights = Some(Arc::clone(&backends.weights));
+    let trainer = Trainer::new(settings, fleet.client.clone(), weights);
+    let whole = trainer.run(Instant::now() + TRAINING_LIMIT).await;
+    let record = trainer.record();
+    for (number, step) in &record.steps {
+        if let (Some(submitted), Some(done)) = (step.submitted, step.whole_at) {
+            let seconds = (done - submitted).as_secs_f64();
+            println!(
+                "step {number}: {} samples after {seconds:.2} s",
+                step.samples
+            );
+        }
+    }
+    let truth = Truth::new(&backends.pricing);
+    let wrong = record
+        .deliveries
+        .iter()
+        .filter(|delivery| !truth.provenance_is_right(delivery))
+        .count();
+    println!(
+        "{} samples delivered, {} twice, {} with wrong provenance; the trainer was idle for {:.0} % \
+         of the time",
+        record.deliveries.len(),
+        record.duplicates,
+        wrong,
+        100.0 * record.idle_fraction(),
+    );
+    match (whole, wrong, record.duplicates) {
+        (true, 0, 0) => Ok(()),
+        _ => Err(format!("the steps did not end well: {:?}", record.failures.last()).into()),
+    }
+}
+
+fn print_addresses(fleet: &Fleet) {
+    println!("caller key: {CALLER_KEY}, operator key: {OPERATOR_KEY}, trainer key: {TRAINER_KEY}");
+    for node in &fleet.nodes {
+        let settings = node.settings();
+        println!(
+            "{}: callers http://{}, operators http://{}",
+            settings.id, settings.callers, settings.admin
+        );
+    }
+    println!("settings and logs: {}", fleet.folder().display());
+    println!("interrupt to end");
+}
