standin: fault-injecting proxies of TCP and UDP

Cause: process tests put faults between nodes and the platform. Change: proxies that cut, delay, hold one direction, drop datagrams and lose an answer after its request passed; a trainer can be told to finish, and its idle time ends there. Conclusion: a proxy can stand before a stand-in. Between nodes it cannot stand yet, because a node announces its listener's own address to the others.

--- a/crates/shallotroute_standin/src/lib.rs
+++ b/crates/shallotroute_standin/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod host;
 pub mod length;
 pub mod process;
+pub mod proxy;
 mod reply;
 pub mod scorer;
 pub mod server;
--- a/crates/shallotroute_standin/src/trainer.rs
+++ b/crates/shallotroute_standin/src/trainer.rs
@@ -7,7 +7,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -63,6 +66,7 @@
     api: Api,
     weights: Option<Arc<weight::Store>>,
     record: Mutex<Record>,
+    finishing: AtomicBool,
 }
 
 /// The pause after a failed call.
@@ -74,6 +78,7 @@
         Self {
             api: Api::new(client, &settings),
             record: Mutex::new(Record::default()),
+            finishing: AtomicBool::new(false),
             settings,
             weights,
         }
@@ -89,6 +94,12 @@
         self.lock().clone()
     }
 
+    /// Submits no more steps; those submitted are still collected, without training on them.
+    pub fn finish(&self) {
+        self.finishing.store(true, Ordering::Relaxed);
+        self.lock().finished = Some(Instant::now());
+    }
+
     /// Trains until all steps are done or `deadline` has passed, and tells whether all are done.
     pub async fn run(&self, deadline: Instant) -> bool {
         self.lock().started = Some(Instant::now());
@@ -103,18 +114,28 @@
         let mut submitted = 0;
         for step in 0..self.settings.steps {
             self.lock().wait_from(step, Instant::now());
-            while submitted < self.settings.steps && submitted <= step + self.settings.ahead {
+            let last = self.settings.steps.min(step + self.settings.ahead + 1);
+            while submitted < last && !self.is_finishing() {
                 self.submit(submitted).await;
                 submitted += 1;
             }
+            if step == submitted {
+                return;
+            }
             self.collect(step, version).await;
             self.lock().whole_at(step, Instant::now());
-            tokio::time::sleep(self.settings.train_time).await;
-            version = version.next();
-            self.announce(version).await;
+            if !self.is_finishing() {
+                tokio::time::sleep(self.settings.train_time).await;
+                version = version.next();
+                self.announce(version).await;
+            }
         }
     }
 
+    fn is_finishing(&self) -> bool {
+        self.finishing.load(Ordering::Relaxed)
+    }
+
     async fn submit(&self, step: u64) {
         self.lock().submitted(step, &self.settings, Instant::now());
         let settings = &self.settings;
--- a/crates/shallotroute_standin/src/trainer/record.rs
+++ b/crates/shallotroute_standin/src/trainer/record.rs
@@ -14,6 +14,8 @@
 pub struct Record {
     /// When the run began.
     pub started: Option<Instant>,
+    /// When it was told to submit no more steps.
+    pub finished: Option<Instant>,
     /// When it ended.
     pub ended: Option<Instant>,
     /// The steps by number.
@@ -61,34 +63,35 @@
 }
 
 impl Record {
-    /// Returns how long the trainer waited for samples.
+    /// Returns how long the trainer waited for samples until it was told to finish.
     pub fn idle(&self) -> Duration {
-        let until = self.ended.unwrap_or_else(Instant::now);
+        let until = self.until();
         self.steps
             .values()
             .filter_map(|step| {
                 let from = step.wait_from?;
-                Some(
-                    step.whole_at
-                        .unwrap_or(until)
-                        .saturating_duration_since(from),
-                )
+                let to = step.whole_at.unwrap_or(until).min(until);
+                Some(to.saturating_duration_since(from))
             })
             .sum()
     }
 
-    /// Returns the share of the run in which the trainer waited.
+    /// Returns the share of that time in which the trainer waited.
     pub fn idle_fraction(&self) -> f64 {
         let Some(started) = self.started else {
             return 0.0;
         };
-        let total = self.ended.unwrap_or_else(Instant::now) - started;
+        let total = self.until().saturating_duration_since(started);
         match total.is_zero() {
             true => 0.0,
             false => self.idle().as_secs_f64() / total.as_secs_f64(),
         }
     }
 
+    fn until(&self) -> Instant {
+        self.finished.or(self.ended).unwrap_or_else(Instant::now)
+    }
+
     /// Returns the samples that were asked for and have not arrived.
     pub fn outstanding(&self) -> u64 {
         let asked: u64 = self.steps.values().map(|step| step.samples).sum();
--- /dev/null
+++ b/crates/shallotroute_standin/tests/proxy.rs
@@ -0,0 +1,116 @@
+//! The proxies pass data on, and each fault does what it says.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use googletest::prelude::*;
+use shallotroute_http::client::Client;
+use shallotroute_platform::{error::Kind, http, store::Store as _};
+use shallotroute_standin::{
+    proxy::{Fault, Tcp, Udp},
+    store::Store,
+};
+use tokio::net::UdpSocket;
+
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+async fn store() -> (Store, Tcp, http::Store) {
+    let store = Store::start().await.expect("a free port");
+    let proxy = Tcp::start(store.address()).await.expect("a free port");
+    let adapter = http::Store::new(Client::new(TIMEOUT), proxy.address(), TIMEOUT);
+    (store, proxy, adapter)
+}
+
+// Guards against a test that takes a request for lost that never passed.
+#[tokio::test]
+async fn a_lost_answer_means_that_the_request_passed() {
+    let (store, proxy, adapter) = store().await;
+    proxy.set_fault(Fault {
+        lose_answers: true,
+        ..Fault::default()
+    });
+    let report = adapter
+        .swap("k", 0, Bytes::from("a"))
+        .await
+        .expect_err("lost");
+    assert_that!(report.current_context().kind, eq(&Kind::Lost));
+    assert_that!(store.peek("k"), some(anything()));
+    proxy.set_fault(Fault::default());
+    assert_that!(adapter.get("k").await.expect("up"), some(anything()));
+}
+
+// Guards against a black hole that lets the other direction's data through or closes connections.
+#[tokio::test]
+async fn a_black_hole_holds_one_direction_until_it_ends() {
+    let (store, proxy, adapter) = store().await;
+    proxy.set_fault(Fault {
+        blackhole_requests: true,
+        ..Fault::default()
+    });
+    let report = adapter
+        .swap("k", 0, Bytes::from("a"))
+        .await
+        .expect_err("held");
+    assert_that!(report.current_context().kind, eq(&Kind::Lost));
+    assert_that!(store.peek("k"), none());
+    proxy.set_fault(Fault {
+        blackhole_answers: true,
+        ..Fault::default()
+    });
+    let report = adapter
+        .swap("l", 0, Bytes::from("a"))
+        .await
+        .expect_err("held");
+    assert_that!(report.current_context().kind, eq(&Kind::Lost));
+    assert_that!(store.peek("l"), some(anything()));
+}
+
+// Guards against a cut or a delay that open connections do not notice.
+#[tokio::test]
+async fn cut_and_delay_apply_to_open_connections() {
+    let (_store, proxy, adapter) = store().await;
+    adapter.get("k").await.expect("up");
+    let delay = Duration::from_millis(50);
+    proxy.set_fault(Fault {
+        delay,
+        ..Fault::default()
+    });
+    let started = Instant::now();
+    adapter.get("k").await.expect("up");
+    assert_that!(started.elapsed(), ge(delay * 2));
+    proxy.set_fault(Fault {
+        cut: true,
+        ..Fault::default()
+    });
+    assert_that!(adapter.get("k").await, err(anything()));
+}
+
+// Guards against datagrams that reach the wrong client or pass a cut proxy.
+#[tokio::test]
+async fn datagrams_pass_both_ways_until_they_are_dropped() {
+    let server = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+    let proxy = Udp::start(server.local_addr().expect("bound"))
+        .await
+        .expect("a free port");
+    let client = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+    let mut buffer = [0; 16];
+    client
+        .send_to(b"ping", proxy.address())
+        .await
+        .expect("sent");
+    let (length, from) = server.recv_from(&mut buffer).await.expect("received");
+    assert_that!(&buffer[..length], eq(b"ping"));
+    server.send_to(b"pong", from).await.expect("sent");
+    let length = client.recv(&mut buffer).await.expect("received");
+    assert_that!(&buffer[..length], eq(b"pong"));
+    proxy.set_fault(Fault {
+        cut: true,
+        ..Fault::default()
+    });
+    client
+        .send_to(b"ping", proxy.address())
+        .await
+        .expect("sent");
+    let silence = tokio::time::timeout(Duration::from_millis(100), server.recv_from(&mut buffer));
+    assert_that!(silence.await, err(anything()));
+}
