--- /dev/null
+++ b/crates/shallotroute/examples/measure/policy.rs
@@ -0,0 +1,82 @@
+//! The policies that a run can compare.
+
+use serde_json::json;
+use shallotroute_standin::configuration::Configuration;
+
+/// What differs from the service's defaults.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Policy {
+    /// Nothing.
+    Default,
+    /// Backend servers one after the other.
+    RoundRobin,
+    /// The backend server with the fewest requests in progress.
+    LeastLoaded,
+    /// No second attempts and no priority at the tail of a step.
+    NoTail,
+    /// A higher priority for the last samples of a step.
+    TailPriority,
+    /// All samplers change to a new version at once.
+    AllAtOnce,
+    /// Steps in the order of their arrival.
+    Fcfs,
+    /// Weighted fair shares.
+    Fair,
+    /// Steps by middle finish time.
+    Joint,
+}
+
+impl Policy {
+    pub(crate) const ALL: [Self; 9] = [
+        Self::Default,
+        Self::RoundRobin,
+        Self::LeastLoaded,
+        Self::NoTail,
+        Self::TailPriority,
+        Self::AllAtOnce,
+        Self::Fcfs,
+        Self::Fair,
+        Self::Joint,
+    ];
+
+    pub(crate) fn new(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|policy| policy.name() == name)
+    }
+
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::Default => "default",
+            Self::RoundRobin => "round_robin",
+            Self::LeastLoaded => "least_loaded",
+            Self::NoTail => "no_tail",
+            Self::TailPriority => "tail_priority",
+            Self::AllAtOnce => "all_at_once",
+            Self::Fcfs => "fcfs",
+            Self::Fair => "fair",
+            Self::Joint => "joint",
+        }
+    }
+
+    /// Returns the field `selection` of a pool.
+    pub(crate) const fn selection(self) -> &'static str {
+        match self {
+            Self::RoundRobin => "round_robin",
+            Self::LeastLoaded => "least_loaded",
+            _ => "adaptive",
+        }
+    }
+
+    /// Sets the policy in a trainer object.
+    pub(crate) fn apply(self, configuration: &mut Configuration, trainer: &str) {
+        let (field, value) = match self {
+            Self::Default | Self::RoundRobin | Self::LeastLoaded => return,
+            Self::NoTail => ("tail", "none"),
+            Self::TailPriority => ("tail", "priority"),
+            Self::AllAtOnce => ("swap", "all_at_once"),
+            Self::Fcfs => ("order", "fcfs"),
+            Self::Fair => ("order", "fair"),
+            Self::Joint => ("order", "joint"),
+        };
+        configuration.set("trainer", trainer, field, &json!(value));
+    }
+}
--- /dev/null
+++ b/crates/shallotroute/examples/measure/world.rs
@@ -0,0 +1,283 @@
+//! The stand-ins and nodes of a scenario.
+
+use std::{
+    collections::BTreeMap,
+    path::Path,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use serde_json::json;
+use shallotroute_platform::host;
+use shallotroute_standin::{
+    admin,
+    configuration::{Configuration, Server},
+    engine::{self, Engine},
+    fleet::{Fleet, Layout},
+    scorer::Scorer,
+    service::Service,
+    trainer::{self, Trainer},
+    weight,
+};
+use shallotroute_types::{name::Name, version::Version};
+
+use crate::{Error, policy::Policy, scenario::Scenario};
+
+/// The key of callers by class.
+pub(crate) const KEYS: [(&str, &str, &str); 2] = [
+    ("quote-desk", "quote-desk-key", "interactive"),
+    ("reconciliation", "reconciliation-key", "batch"),
+];
+
+/// The model of the quote desk or refill station.
+pub(crate) const QUOTE_MODEL: &str = "quotes";
+
+/// The path of orders, which must not run twice.
+pub(crate) const ORDER_PATH: &str = "/orders";
+
+/// How long the nodes may take to start and to bring the first configuration into force.
+const START_LIMIT: Duration = Duration::from_secs(6);
+
+/// How long the host list takes to show that a host leaves.
+const HOST_LIST_LAG: Duration = Duration::from_secs(30);
+
+/// Everything that a scenario needs.
+pub(crate) struct World {
+    pub(crate) fleet: Fleet,
+    pub(crate) samplers: Vec<Engine>,
+    pub(crate) quote_samplers: Vec<Engine>,
+    pub(crate) desks: Vec<Service>,
+    pub(crate) trainers: Vec<Trainer>,
+    pub(crate) leaving: Mutex<Vec<Leaving>>,
+    pub(crate) configuration: Mutex<Configuration>,
+    /// The revision of the first configuration.
+    pub(crate) first_revision: u64,
+    _scorer: Scorer,
+}
+
+/// A backend server that leaves.
+#[derive(Clone, Debug)]
+pub(crate) struct Leaving {
+    pub(crate) server: String,
+    pub(crate) since: Instant,
+}
+
+impl World {
+    pub(crate) async fn start(
+        binary: &Path,
+        scenario: &Scenario,
+        policy: Policy,
+        seed: u64,
+    ) -> Result<Self, Error> {
+        let weights = weight::Settings {
+            bytes: 1 << 20,
+            rate: 20e6,
+        };
+        let weights = Arc::new(weight::Store::start(weights).await?);
+        let samplers = engines(scenario, "sampler", scenario.samplers, seed, &weights).await?;
+        let quote_samplers = engines(
+            scenario,
+            QUOTE_MODEL,
+            scenario.quote_samplers,
+            seed,
+            &weights,
+        )
+        .await?;
+        let desks = vec![
+            Service::start("desk-0").await?,
+            Service::start("desk-1").await?,
+        ];
+        let scorer = Scorer::start().await?;
+        let fleet = Fleet::start(binary, &Layout::new(scenario.region, &scenario.zones)).await?;
+        let trainers = trainers(scenario, &fleet, &weights, seed);
+        let mut world = Self {
+            fleet,
+            samplers,
+            quote_samplers,
+            desks,
+            trainers,
+            leaving: Mutex::default(),
+            configuration: Mutex::default(),
+            first_revision: 0,
+            _scorer: scorer,
+        };
+        let configuration = world.objects(scenario, policy);
+        *world.configuration() = configuration;
+        world.publish_first().await?;
+        world.fleet.hosts.set_lag(HOST_LIST_LAG);
+        Ok(world)
+    }
+
+    pub(crate) fn engines(&self) -> impl Iterator<Item = &Engine> {
+        self.samplers.iter().chain(&self.quote_samplers)
+    }
+
+    pub(crate) fn configuration(&self) -> std::sync::MutexGuard<'_, Configuration> {
+        self.configuration
+            .lock()
+            .expect("no holder of the lock panics")
+    }
+
+    /// Records that a backend server leaves from now on.
+    pub(crate) fn note_leaving(&self, server: &str) {
+        let mut leaving = self.leaving.lock().expect("no holder of the lock panics");
+        leaving.push(Leaving {
+            server: server.to_owned(),
+            since: Instant::now(),
+        });
+    }
+
+    async fn publish_first(&mut self) -> Result<(), Error> {
+        let text = self.configuration().to_yaml();
+        self.fleet.await_live(START_LIMIT).await?;
+        let admin = self.fleet.admin(0);
+        let answer = self.fleet.operator.publish(admin, &text, "start").await?;
+        self.first_revision = admin::published(&answer)
+            .ok_or_else(|| format!("the first configuration was not published: {answer}"))?;
+        self.fleet.await_ready(START_LIMIT).await?;
+        Ok(())
+    }
+
+    fn objects(&self, scenario: &Scenario, policy: Policy) -> Configuration {
+        let fencing = if scenario.engine.fencing {
+            "checked"
+        } else {
+            "ignored"
+        };
+        let selection = policy.selection();
+        let models: Vec<&str> = scenario
+            .trainers
+            .iter()
+            .map(|trainer| trainer.name)
+            .collect();
+        let samplers = servers(scenario, &self.samplers);
+        let quotes = servers(scenario, &self.quote_samplers);
+        let desks = desks(scenario, &self.desks);
+        let mut configuration = Configuration::new()
+            .with_model(QUOTE_MODEL)
+            .with_engines("samplers", &models, fencing, selection, &samplers)
+            .with_engines(QUOTE_MODEL, &[QUOTE_MODEL], fencing, selection, &quotes)
+            .with_services("orders", ORDER_PATH, false, &desks)
+            .with(
+                "scorer",
+                "scores",
+                json!({ "address": self._scorer.address() }),
+            );
+        for (name, key, class) in KEYS {
+            configuration = configuration.with_caller(name, key, class);
+        }
+        for trainer in &scenario.trainers {
+            let fields = json!({
+                "model": trainer.name,
+                "pool": "samplers",
+                "scorer": "scores",
+                "staleness_bound": trainer.staleness_bound,
+                "idle_weight": trainer.idle_weight,
+            });
+            configuration = configuration.with_model(trainer.name).with_trainer(
+                trainer.name,
+                &trainer_key(trainer.name),
+                fields,
+            );
+            policy.apply(&mut configuration, trainer.name);
+        }
+        configuration
+    }
+}
+
+fn trainer_key(name: &str) -> String {
+    format!("{name}-trainer-key")
+}
+
+async fn engines(
+    scenario: &Scenario,
+    prefix: &str,
+    count: usize,
+    seed: u64,
+    weights: &Arc<weight::Store>,
+) -> Result<Vec<Engine>, Error> {
+    let mut engines = Vec::new();
+    for index in 0..count {
+        let mut settings = engine::Settings::new(&format!("{prefix}-{index}"), QUOTE_MODEL, seed);
+        let shared = &scenario.engine;
+        settings.slots = shared.slots;
+        settings.tokens_per_second = shared.tokens_per_second;
+        settings.length.median = shared.median_tokens;
+        settings.length.sigma = shared.sigma;
+        settings.load_time = shared.load_time;
+        settings.fencing = shared.fencing;
+        settings.weights = Some(weights.address());
+        if prefix != QUOTE_MODEL {
+            settings.models = models(scenario);
+        }
+        engines.push(Engine::start(settings).await?);
+    }
+    Ok(engines)
+}
+
+fn models(scenario: &Scenario) -> BTreeMap<Name, Version> {
+    let trainers = scenario.trainers.iter();
+    trainers
+        .map(|trainer| (Name::from(trainer.name), Version(0)))
+        .collect()
+}
+
+fn servers(scenario: &Scenario, engines: &[Engine]) -> Vec<Server> {
+    let zones = scenario.zones.iter().cycle();
+    engines
+        .iter()
+        .zip(zones)
+        .map(|(engine, &zone)| Server {
+            name: engine.name().to_owned(),
+            address: engine.address(),
+            zone: zone.to_owned(),
+            slots: scenario.engine.slots,
+        })
+        .collect()
+}
+
+fn desks(scenario: &Scenario, desks: &[Service]) -> Vec<Server> {
+    let zones = scenario.zones.iter().cycle();
+    desks
+        .iter()
+        .zip(zones)
+        .map(|(desk, &zone)| Server {
+            name: desk.name().to_owned(),
+            address: desk.address(),
+            zone: zone.to_owned(),
+            slots: 64,
+        })
+        .collect()
+}
+
+fn trainers(
+    scenario: &Scenario,
+    fleet: &Fleet,
+    weights: &Arc<weight::Store>,
+    seed: u64,
+) -> Vec<Trainer> {
+    let plans = scenario.trainers.iter();
+    plans
+        .map(|plan| {
+            let settings = trainer::Settings {
+                name: Name::from(plan.name),
+                model: Name::from(plan.name),
+                key: trainer_key(plan.name),
+                nodes: fleet.callers(),
+                steps: u64::MAX,
+                groups: plan.groups,
+                group_size: plan.group_size,
+                max_tokens: 2_000,
+                train_time: plan.train_time,
+                ahead: plan.ahead,
+                pull_wait: Duration::from_millis(500),
+                max_groups: 256,
+                seed,
+            };
+            Trainer::new(settings, fleet.client.clone(), Some(Arc::clone(weights)))
+        })
+        .collect()
+}
+
+/// Returns the host list's state of a leaving host.
+pub(crate) const LEAVING: host::State = host::State::Leaving;
--- a/crates/shallotroute_standin/src/service.rs
+++ b/crates/shallotroute_standin/src/service.rs
@@ -60,6 +60,7 @@
     fault: Fault,
     answers: u64,
     refused: u64,
+    last_arrival: Option<Instant>,
     runs: Vec<Run>,
 }
 
@@ -128,6 +129,11 @@
         counts
     }
 
+    /// Returns when the last request arrived, refused ones included, if one did.
+    pub fn last_arrival(&self) -> Option<Instant> {
+        self.shared.lock().last_arrival
+    }
+
     /// Returns how many requests were refused and not run.
     pub fn refused(&self) -> u64 {
         self.shared.lock().refused
@@ -149,6 +155,7 @@
         let content = reply::content(request.into_body()).await?;
         let fault = {
             let mut book = self.lock();
+            book.last_arrival = Some(run.at);
             if book.fault.leaving {
                 book.refused += 1;
                 return Ok(refusal());
--- a/crates/shallotroute_standin/src/trainer.rs
+++ b/crates/shallotroute_standin/src/trainer.rs
@@ -94,6 +94,13 @@
         self.lock().clone()
     }
 
+    /// Returns when the last sample arrived and the node that ran it.
+    pub fn last_node(&self) -> Option<(Instant, Name)> {
+        let record = self.lock();
+        let last = record.deliveries.last()?;
+        Some((last.at, last.sample.node.clone()?))
+    }
+
     /// Submits no more steps; those submitted are still collected, without training on them.
     pub fn finish(&self) {
         self.finishing.store(true, Ordering::Relaxed);
