--- a/crates/shallotroute/examples/measure/report.rs
+++ b/crates/shallotroute/examples/measure/report.rs
@@ -347,7 +347,9 @@
     let mut histogram: Histogram<u64> =
         Histogram::new(3).expect("three digits are a valid precision");
     for value in values {
-        histogram.saturating_record(u64::try_from(value.as_micros()).unwrap_or(u64::MAX));
+        histogram
+            .record(u64::try_from(value.as_micros()).unwrap_or(u64::MAX))
+            .expect("the histogram grows as needed");
     }
     let at = |micros: u64| round(micros as f64 * scale / 1e6, 3);
     json!({
--- a/crates/shallotroute/examples/measure/throughput.rs
+++ b/crates/shallotroute/examples/measure/throughput.rs
@@ -120,7 +120,9 @@
         match reply.is_ok() {
             true => {
                 let micros = u64::try_from(since.elapsed().as_micros()).unwrap_or(u64::MAX);
-                self.latency.saturating_record(micros);
+                self.latency
+                    .record(micros)
+                    .expect("the histogram grows as needed");
             }
             false => self.failed += 1,
         }
--- a/crates/shallotroute_standin/src/admin.rs
+++ b/crates/shallotroute_standin/src/admin.rs
@@ -127,14 +127,18 @@
         self.await_status(admin, "/ready", limit).await
     }
 
-    /// Returns the revision in force at a node.
+    /// Returns the revision in force at a node, 0 before there is one.
+    ///
+    /// The answer about readiness is read, because the status costs a read of the key-value service.
     ///
     /// # Errors
     ///
-    /// No answer came, or the node refused the call.
+    /// No answer came.
     pub async fn in_force(&self, admin: SocketAddr) -> Result<u64> {
-        let status = self.get(admin, "/admin/v1/status").await?;
-        Ok(status["in_force"].as_u64().unwrap_or_default())
+        let (status, text) = self.call(Method::GET, admin, "/ready", None).await?;
+        let value: Value = serde_json::from_str(&text)
+            .map_err(|_| Report::new(Error::Refused(admin, status, text)))?;
+        Ok(value["in_force"].as_u64().unwrap_or_default())
     }
 
     /// Waits until a revision or a later one is in force at a node.
