sampling: submissions take turns, deletions are remembered

Cause: two submissions of one step with different bodies could leave the copies at the members with another body than the scheduler had, and a copy that outlived a deletion brought the step back. A step that its trainer skipped without deleting it held back all later ones.

Change: submissions of a step take turns at the owner; deleted keys are remembered at the owner and at the members with copies; steps before the one that the trainer pulls no longer count as awaited and are dropped after two.

--- a/crates/shallotroute_rollout/src/scheduler.rs
+++ b/crates/shallotroute_rollout/src/scheduler.rs
@@ -2,172 +2,38 @@
 
 mod attempts;
 mod dump;
+mod event;
 mod placement;
 mod pulls;
 
 use std::{
     collections::{BTreeMap, HashMap},
     mem,
-    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
-use shallotroute_types::{
-    name::Name, node::Id, node::Incarnation, outcome::Outcome, sample::Identity, version::Version,
-};
+use shallotroute_types::{name::Name, node::Id, node::Incarnation, version::Version};
 
+pub use self::event::{Action, Event, Inadmissible, Pull, Score, Start};
 use crate::{
     configuration::Configuration,
     counters::Counters,
-    delivery::{Answer, Refusal},
+    delivery::Refusal,
     engine::{Engine, POLL_INTERVAL, Poll, Report},
-    provenance::{Chunk, Recorder},
-    receipt::Receipt,
+    provenance::Recorder,
     staleness::Policy,
     step::{Attempt, Key, Origin, Progress, Specification, Step},
 };
 
-/// How many settled steps of a trainer are kept for answers that were lost.
-pub const SETTLED_STEPS: usize = 2;
+/// How many steps of a trainer are kept that were delivered whole or that it has gone past. The last
+/// answers of a step may have been lost.
+pub const PAST_STEPS: usize = 2;
 
-/// How many unsettled steps a trainer may have.
+/// How many other steps a trainer may have.
 pub const OPEN_STEPS: usize = 16;
 
-/// What happens to a scheduler.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// Another revision is in force.
-    Configured(Arc<Configuration>),
-    /// A trainer submitted a step that was checked with [`Scheduler::admit`].
-    Submitted(Key, Arc<Specification>),
-    /// A trainer is at a version whose weights are in the store.
-    Announced(Name, Version),
-    /// A copy tells what a trainer announced to an earlier owner. It counts only until the trainer
-    /// itself says something.
-    Recovered(Name, Version),
-    /// A trainer asks for groups.
-    Pulled(Pull),
-    /// A trainer gave up a pull.
-    Abandoned(u64),
-    /// A trainer needs no more of a step.
-    Deleted(Key),
-    /// A poll gave an engine's state, or none when the engine could not be read.
-    Polled(Name, u64, Option<Report>),
-    /// A command to load a model was sent to an engine.
-    Commanded(Name, Name),
-    /// The command ended, whatever its result.
-    CommandEnded(Name),
-    /// Tokens arrived on an attempt's stream with the identity that the engine reports.
-    Tokens(Attempt, String, Chunk),
-    /// The end marker arrived with that identity and the count of tokens.
-    Ended(Attempt, String, u32),
-    /// The stream failed or closed.
-    Failed(Attempt, Outcome),
-    /// The scorer answered, or none when it failed.
-    Scored(Key, u32, Attempt, Option<f64>),
-    /// Time passed.
-    Tick,
-}
-
-/// A trainer's request for groups.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Pull {
-    /// A number that the caller chose, unique within the scheduler.
-    pub number: u64,
-    /// The step.
-    pub key: Key,
-    /// The groups that the trainer has.
-    pub receipt: Receipt,
-    /// The trainer's version.
-    pub version: Version,
-    /// The most groups in the answer.
-    pub max_groups: usize,
-    /// When it was opened.
-    pub opened: Instant,
-    /// When an empty answer is given.
-    pub deadline: Instant,
-}
-
-/// What a scheduler wants done.
-#[derive(Clone, Debug)]
-pub enum Action {
-    /// Start an attempt on an engine.
-    Start(Box<Start>),
-    /// Drop the stream of an attempt, which frees its place in the engine.
-    Cancel(Attempt),
-    /// Ask the trainer's scorer.
-    Score(Box<Score>),
-    /// Answer a pull.
-    Answer(u64, Result<Answer, Refusal>),
-    /// Read an engine's state.
-    Poll {
-        /// The engine.
-        server: Name,
-        /// Where it listens.
-        address: SocketAddr,
-        /// The number of the poll.
-        number: u64,
-    },
-}
-
-/// An attempt to start.
-#[derive(Clone, Debug)]
-pub struct Start {
-    /// The attempt.
-    pub attempt: Attempt,
-    /// The sample.
-    pub sample: Identity,
-    /// The identity that the engine repeats; unique over all nodes and restarts.
-    pub identity: String,
-    /// The engine.
-    pub server: Name,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// The model.
-    pub model: Name,
-    /// The prompt.
-    pub prompt: Arc<str>,
-    /// The most tokens to generate.
-    pub max_tokens: u32,
-    /// A lower number is served first.
-    pub priority: u8,
-}
-
-/// A sample to score.
-#[derive(Clone, Debug)]
-pub struct Score {
-    /// The step.
-    pub key: Key,
-    /// The sample's position in the step.
-    pub position: u32,
-    /// The attempt that gave the sample.
-    pub attempt: Attempt,
-    /// The sample.
-    pub sample: Identity,
-    /// The scorer's name.
-    pub scorer: Name,
-    /// The prompt.
-    pub prompt: Arc<str>,
-    /// The text.
-    pub text: String,
-}
-
-/// Why a step is not taken.
-#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
-pub enum Inadmissible {
-    /// The trainer is not one of the pool's.
-    #[display("the trainer does not sample on this pool")]
-    UnknownTrainer,
-    /// The step exists with another specification.
-    #[display("the step exists with another specification")]
-    Conflict,
-    /// The trainer has too many open steps.
-    #[display("the trainer has too many open steps")]
-    TooMany,
-}
-
 /// Runs the steps of the trainers of one pool.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -191,6 +57,8 @@
 #[derive(Debug, Default)]
 struct Trainer {
     version: Option<Version>,
+    /// The step of its last pull.
+    current: u64,
     /// Mean seconds of a whole attempt, exponentially weighted.
     sample_seconds: Option<f64>,
 }
@@ -289,9 +157,8 @@
                 false => Err(Inadmissible::Conflict),
             };
         }
-        let open = self
-            .steps_of(&key.trainer)
-            .filter(|(_, step)| !step.is_settled());
+        let steps = self.steps_of(&key.trainer);
+        let open = steps.filter(|(key, step)| !self.is_past(key, step));
         match open.count() < OPEN_STEPS {
             true => Ok(()),
             false => Err(Inadmissible::TooMany),
@@ -359,6 +226,11 @@
         for key in removed {
             self.delete(now, &key, Refusal::Moved);
         }
+        let trainers: Vec<Name> = self.configuration.trainers.keys().cloned().collect();
+        for trainer in &trainers {
+            self.stop_doomed(trainer);
+        }
+        self.discard_for_pulls();
         self.poll(now);
         self.place(now);
     }
@@ -376,17 +248,28 @@
     }
 
     fn evict(&mut self, now: Instant, trainer: &Name) {
-        let settled: Vec<Key> = self
+        let past: Vec<Key> = self
             .steps_of(trainer)
-            .filter(|(_, step)| step.is_settled())
+            .filter(|(key, step)| self.is_past(key, step))
             .map(|(key, _)| key.clone())
             .collect();
-        let excess = settled.len().saturating_sub(SETTLED_STEPS);
-        for key in settled.into_iter().take(excess) {
+        let excess = past.len().saturating_sub(PAST_STEPS);
+        for key in past.into_iter().take(excess) {
             self.delete(now, &key, Refusal::UnknownStep);
         }
     }
 
+    /// Tells whether a step was in answers as a whole or the trainer pulls a later one.
+    fn is_past(&self, key: &Key, step: &Step) -> bool {
+        step.is_settled() || key.step < self.current(&key.trainer)
+    }
+
+    fn current(&self, trainer: &str) -> u64 {
+        self.trainers
+            .get(trainer)
+            .map_or(0, |trainer| trainer.current)
+    }
+
     fn delete(&mut self, now: Instant, key: &Key, refusal: Refusal) {
         let Some(step) = self.steps.remove(key) else {
             return;
@@ -412,6 +295,7 @@
             pull.version = pull.version.max(version);
         }
         self.stop_doomed(trainer);
+        self.discard_for_pulls();
         self.place(now);
     }
 
--- a/crates/shallotroute_rollout/src/scheduler/placement.rs
+++ b/crates/shallotroute_rollout/src/scheduler/placement.rs
@@ -50,8 +50,13 @@
     fn candidates(&self, now: Instant) -> Vec<(Key, Candidate, u32)> {
         let mut candidates = Vec::new();
         for trainer in self.configuration.trainers.keys() {
+            let current = self.current(trainer);
+            let (past, coming): (Vec<_>, Vec<_>) = self
+                .steps_of(trainer)
+                .partition(|(key, _)| key.step < current);
             let mut ahead = 0;
-            for (key, step) in self.steps_of(trainer) {
+            // A trainer no longer waits for steps before the one that it pulls.
+            for (key, step) in coming.into_iter().chain(past) {
                 let next = step.waiting.iter().copied().find(|&position| {
                     let sample = &step.samples[position as usize];
                     sample.not_before.is_none_or(|time| now >= time)
@@ -60,7 +65,7 @@
                     candidates.push((key.clone(), self.candidate(key, step, ahead), position));
                     break;
                 }
-                ahead += u64::from(!step.is_settled());
+                ahead += u64::from(key.step >= current && !step.is_settled());
             }
         }
         candidates
--- a/crates/shallotroute_rollout/src/scheduler/pulls.rs
+++ b/crates/shallotroute_rollout/src/scheduler/pulls.rs
@@ -33,10 +33,9 @@
         for attempt in stopped {
             self.cancel(attempt);
         }
-        self.trainers
-            .entry(key.trainer.clone())
-            .or_default()
-            .version = Some(pull.version);
+        let trainer = self.trainers.entry(key.trainer.clone()).or_default();
+        trainer.version = Some(pull.version);
+        trainer.current = key.step;
         self.pulls.insert(number, pull);
         self.stop_doomed(&key.trainer);
         self.discard_doomed(&key);
@@ -138,6 +137,14 @@
         }
     }
 
+    /// Discards finished samples of the steps with open pulls that have become too stale.
+    pub(super) fn discard_for_pulls(&mut self) {
+        let keys: Vec<Key> = self.pulls.values().map(|pull| pull.key.clone()).collect();
+        for key in keys {
+            self.discard_doomed(&key);
+        }
+    }
+
     /// Discards finished samples that are too stale for the trainer's version, so that they are
     /// generated again. Only a pull does this: its receipt tells which answers have arrived.
     fn discard_doomed(&mut self, key: &Key) {
--- /dev/null
+++ b/crates/shallotroute_rollout/tests/receipt.rs
@@ -0,0 +1,18 @@
+//! The bitmap of groups.
+
+use googletest::prelude::*;
+use shallotroute_rollout::receipt::Receipt;
+
+/// Guards against another order of bits than trainers use, and against bits beyond the step.
+#[gtest]
+fn bits_are_counted_from_the_least_significant() {
+    let mut receipt = Receipt::new(vec![0b0000_0101]);
+    receipt.insert(9);
+    expect_that!(receipt.as_bytes(), eq(&[0b0000_0101, 0b0000_0010]));
+    expect_true!(receipt.contains(0) && receipt.contains(2) && receipt.contains(9));
+    expect_false!(receipt.contains(1) || receipt.contains(40));
+    expect_that!(receipt.count(), eq(3));
+    expect_true!(receipt.fits(10));
+    expect_false!(receipt.fits(9));
+    expect_true!(Receipt::new(vec![255, 0]).fits(8));
+}
--- a/crates/shallotroute_sampling/src/copies.rs
+++ b/crates/shallotroute_sampling/src/copies.rs
@@ -13,6 +13,10 @@
 /// How many specifications of one trainer are kept; the oldest copy goes first.
 const COPIES_PER_TRAINER: usize = 20;
 
+/// How many deleted steps are remembered, so that a copy that outlived its deletion at another
+/// member does not bring one back.
+const DELETED_STEPS: usize = 1024;
+
 /// The copies.
 #[derive(Default)]
 pub(crate) struct Copies(Mutex<Inner>);
@@ -22,12 +26,14 @@
     specifications: BTreeMap<Key, Arc<Specification>>,
     order: BTreeMap<Name, VecDeque<u64>>,
     announcements: BTreeMap<Name, Announcement>,
+    deleted: VecDeque<Key>,
 }
 
 impl Copies {
     /// Keeps a specification.
     pub(crate) fn insert(&self, key: Key, specification: Arc<Specification>) {
         let mut inner = self.lock();
+        inner.deleted.retain(|deleted| *deleted != key);
         let steps = inner.order.entry(key.trainer.clone()).or_default();
         steps.retain(|step| *step != key.step);
         steps.push_back(key.step);
@@ -47,13 +53,22 @@
         self.lock().specifications.get(key).cloned()
     }
 
-    /// Drops a specification.
+    /// Drops a specification that its trainer deleted.
     pub(crate) fn remove(&self, key: &Key) {
         let mut inner = self.lock();
         inner.specifications.remove(key);
         if let Some(steps) = inner.order.get_mut(&key.trainer) {
             steps.retain(|step| *step != key.step);
         }
+        if inner.deleted.len() >= DELETED_STEPS {
+            inner.deleted.pop_front();
+        }
+        inner.deleted.push_back(key.clone());
+    }
+
+    /// Tells whether the step was deleted and not submitted again.
+    pub(crate) fn is_deleted(&self, key: &Key) -> bool {
+        self.lock().deleted.contains(key)
     }
 
     /// Keeps an announcement unless a later one is known.
--- a/crates/shallotroute_sampling/src/lib.rs
+++ b/crates/shallotroute_sampling/src/lib.rs
@@ -48,8 +48,12 @@
     copies: Copies,
     peers: Peers,
     pools: Mutex<BTreeMap<Name, Handle>>,
+    turns: [tokio::sync::Mutex<()>; TURNS],
 }
 
+/// Submissions that may be in progress at once, as far as their hashes differ.
+const TURNS: usize = 64;
+
 impl Sampler {
     /// Makes a sampler and registers its metrics.
     pub fn new(context: Context, edges: Edges, _registry: &mut Registry) -> Arc<Self> {
@@ -59,6 +63,7 @@
             copies: Copies::default(),
             peers: Peers::default(),
             pools: Mutex::default(),
+            turns: [const { tokio::sync::Mutex::const_new(()) }; TURNS],
         })
     }
 
--- a/crates/shallotroute_sampling/src/owner.rs
+++ b/crates/shallotroute_sampling/src/owner.rs
@@ -1,6 +1,10 @@
 //! What the owner of a pool does for trainers' requests, and how other nodes reach it.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    sync::Arc,
+    time::Duration,
+};
 
 use futures::{StreamExt, stream::FuturesUnordered};
 use shallotroute_rollout::{
@@ -103,6 +107,9 @@
         specification: Arc<Specification>,
     ) -> Result<()> {
         let handle = self.handle_of(pool)?;
+        // Submissions of a step take turns: copies of one body must not be kept while the
+        // scheduler takes the other.
+        let _turn = self.turn(&key).lock().await;
         if let Some(known) = self.lookup(pool, &handle, &key).await?
             && *known != *specification
         {
@@ -197,6 +204,7 @@
         }
         let copy = match self.copies.get(key) {
             Some(copy) => Some(copy),
+            None if self.copies.is_deleted(key) => None,
             None => {
                 let call = |client: RolloutsClient, context| {
                     let key = key.clone();
@@ -298,6 +306,12 @@
         }
     }
 
+    fn turn(&self, key: &Key) -> &tokio::sync::Mutex<()> {
+        let mut hasher = DefaultHasher::new();
+        key.hash(&mut hasher);
+        &self.turns[hasher.finish() as usize % self.turns.len()]
+    }
+
     fn handle_of(&self, pool: &Name) -> Result<Handle> {
         if !self.context.ready() {
             return Err(Failure::Unavailable(
--- a/crates/shallotroute_sampling/tests/trainers.rs
+++ b/crates/shallotroute_sampling/tests/trainers.rs
@@ -91,3 +91,23 @@
         .await;
     expect_that!(status, eq(StatusCode::FORBIDDEN));
 }
+
+/// Guards against a deleted step that a copy brings back with its old body.
+#[gtest]
+#[tokio::test]
+async fn a_deleted_step_can_be_submitted_with_another_body() {
+    let fleet = Fleet::start(3, ONE_TRAINER).await;
+    let node = fleet.owner();
+    fleet.call(node, Method::PUT, "/steps/4", &step()).await;
+    let (status, _) = fleet
+        .call(node, Method::DELETE, "/steps/4", &json!({}))
+        .await;
+    expect_that!(status, eq(StatusCode::OK));
+    let pull = json!({"receipt": "", "version": 1});
+    let (status, _) = fleet.call(node, Method::POST, "/steps/4/pull", &pull).await;
+    expect_that!(status, eq(StatusCode::NOT_FOUND));
+    let body = json!({"prompts": ["p"], "group_size": 1, "max_tokens": 5});
+    let (status, _) = fleet.call(node, Method::PUT, "/steps/4", &body).await;
+    expect_that!(status, eq(StatusCode::OK));
+    expect_that!(fleet.pull_all(node, 4, 1).await.len(), eq(1));
+}
