rollout: priority and second attempts for the tail of a step

Cause: a few long samples hold back a whole step.

Change: the last tenth of a step's samples get a higher priority; with `hedge`, a sample whose attempt has run for 1.5 mean attempt times gets a second attempt on another engine, on slots that no waiting sample takes.

--- a/crates/shallotroute_node/src/admin.rs
+++ b/crates/shallotroute_node/src/admin.rs
@@ -49,7 +49,12 @@
             true => StatusCode::OK,
             false => StatusCode::SERVICE_UNAVAILABLE,
         };
-        let in_force = self.context.configuration.borrow().as_ref().map(|snapshot| snapshot.revision());
+        let in_force = self
+            .context
+            .configuration
+            .borrow()
+            .as_ref()
+            .map(|snapshot| snapshot.revision());
         let confirmed = *self.context.confirmed.borrow();
         let value = json!({
             "ready": ready, "leaving": leaving, "in_force": in_force, "confirmed": confirmed,
@@ -66,9 +71,10 @@
                 response.headers_mut().insert(header::CONTENT_TYPE, value);
                 response
             }
-            Err(error) => {
-                body::json(StatusCode::INTERNAL_SERVER_ERROR, &json!({"error": error.to_string()}))
-            }
+            Err(error) => body::json(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                &json!({"error": error.to_string()}),
+            ),
         }
     }
 }
--- a/crates/shallotroute_node/src/lib.rs
+++ b/crates/shallotroute_node/src/lib.rs
@@ -25,7 +25,11 @@
     let mut terminate = signal(SignalKind::terminate()).change_context(Error::Signal)?;
     let mut interrupt = signal(SignalKind::interrupt()).change_context(Error::Signal)?;
     let node = Node::start(&settings).await?;
-    spdlog::info!("node {} is listening for callers on {}", settings.node.id, settings.listen.callers);
+    spdlog::info!(
+        "node {} is listening for callers on {}",
+        settings.node.id,
+        settings.listen.callers
+    );
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
--- a/crates/shallotroute_node/src/log.rs
+++ b/crates/shallotroute_node/src/log.rs
@@ -33,10 +33,22 @@
         .formatter(JsonFormatter::new())
         .build()
         .change_context(Error::Log)?;
-    let modules: BTreeMap<String, LevelFilter> =
-        settings.modules.iter().map(|(name, level)| (name.clone(), filter(*level))).collect();
-    let most = settings.modules.values().copied().chain([settings.level]).max();
-    let sink = ModuleSink { inner, default: filter(settings.level), modules };
+    let modules: BTreeMap<String, LevelFilter> = settings
+        .modules
+        .iter()
+        .map(|(name, level)| (name.clone(), filter(*level)))
+        .collect();
+    let most = settings
+        .modules
+        .values()
+        .copied()
+        .chain([settings.level])
+        .max();
+    let sink = ModuleSink {
+        inner,
+        default: filter(settings.level),
+        modules,
+    };
     let logger = Logger::builder()
         .sink(Arc::new(sink))
         .level_filter(most.map_or(LevelFilter::Off, filter))
@@ -49,7 +61,9 @@
 
 impl ModuleSink {
     fn filter_of(&self, record: &Record<'_>) -> LevelFilter {
-        let path = record.source_location().map_or("", |location| location.module_path());
+        let path = record
+            .source_location()
+            .map_or("", |location| location.module_path());
         let crate_name = path.split("::").next().unwrap_or_default();
         let name = crate_name.strip_prefix(CRATE_PREFIX).unwrap_or(crate_name);
         self.modules.get(name).copied().unwrap_or(self.default)
--- a/crates/shallotroute_node/src/parts.rs
+++ b/crates/shallotroute_node/src/parts.rs
@@ -83,7 +83,12 @@
         let listeners = Listeners::open(settings).await?;
         let (context, senders) = connect(settings);
         let leaving = CancellationToken::new();
-        let Listeners { callers, admin, peers, heartbeats } = listeners;
+        let Listeners {
+            callers,
+            admin,
+            peers,
+            heartbeats,
+        } = listeners;
         let parts = Parts::new(settings, &context, senders, &leaving, heartbeats);
         let services = Arc::new(parts.services());
         let mut tasks = vec![
@@ -100,21 +105,35 @@
             leaving: leaving.clone(),
         };
         let stop = context.stop.clone();
-        tasks.push(tokio::spawn(server::serve(admin, Arc::new(admin_entry), stop)));
-        let entry = callers::Entry { gateway: parts.gateway, sampler: parts.sampler };
+        tasks.push(tokio::spawn(server::serve(
+            admin,
+            Arc::new(admin_entry),
+            stop,
+        )));
+        let entry = callers::Entry {
+            gateway: parts.gateway,
+            sampler: parts.sampler,
+        };
         let drain = context.drain.clone();
         let callers = tokio::spawn(server::serve(callers, Arc::new(entry), drain));
-        Ok(Self { context, leaving, callers, tasks })
+        Ok(Self {
+            context,
+            leaving,
+            callers,
+            tasks,
+        })
     }
 }
 
 impl Listeners {
     async fn open(settings: &Settings) -> Result<Self> {
         let listen = settings.listen;
-        let heartbeats = UdpSocket::bind(listen.peers).await.change_context(Error::Listen {
-            purpose: "heartbeats of other nodes",
-            address: listen.peers,
-        })?;
+        let heartbeats = UdpSocket::bind(listen.peers)
+            .await
+            .change_context(Error::Listen {
+                purpose: "heartbeats of other nodes",
+                address: listen.peers,
+            })?;
         Ok(Self {
             callers: open_tcp("callers", listen.callers).await?,
             admin: open_tcp("operators", listen.admin).await?,
@@ -125,7 +144,9 @@
 }
 
 async fn open_tcp(purpose: &'static str, address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).await.change_context(Error::Listen { purpose, address })
+    TcpListener::bind(address)
+        .await
+        .change_context(Error::Listen { purpose, address })
 }
 
 /// Makes the channels that connect the parts.
@@ -153,8 +174,20 @@
         drain: CancellationToken::new(),
         stop: CancellationToken::new(),
     };
-    let outputs = Outputs { configuration, confirmed, known, hosts };
-    (context, Senders { outputs, members, known: known_receiver })
+    let outputs = Outputs {
+        configuration,
+        confirmed,
+        known,
+        hosts,
+    };
+    (
+        context,
+        Senders {
+            outputs,
+            members,
+            known: known_receiver,
+        },
+    )
 }
 
 impl Parts {
@@ -188,7 +221,11 @@
         let heartbeat = Heartbeat::new(options, &mut registry);
         let gateway = Gateway::new(context.clone(), engine.clone(), &mut registry);
         let scorer = Arc::new(Scorer::new(client));
-        let edges = Edges { engine, scorer, store: store.clone() };
+        let edges = Edges {
+            engine,
+            scorer,
+            store: store.clone(),
+        };
         let sampler = Sampler::new(context.clone(), edges, &mut registry);
         let (dump, control_slot) = dump(&heartbeat, &gateway, &sampler);
         let operators = settings.operators.iter().map(operator).collect();
@@ -203,7 +240,13 @@
         );
         // The slot is new, so that setting it can't fail.
         let _ = control_slot.set(Arc::clone(&control));
-        Self { heartbeat, control, gateway, sampler, registry }
+        Self {
+            heartbeat,
+            control,
+            gateway,
+            sampler,
+            registry,
+        }
     }
 
     fn services(&self) -> Services {
@@ -241,5 +284,8 @@
 }
 
 fn operator(operator: &shallotroute_settings::Operator) -> Operator {
-    Operator { name: operator.name.clone(), key_hash: operator.key_hash.clone() }
+    Operator {
+        name: operator.name.clone(),
+        key_hash: operator.key_hash.clone(),
+    }
 }
--- a/crates/shallotroute_rollout/src/scheduler.rs
+++ b/crates/shallotroute_rollout/src/scheduler.rs
@@ -5,6 +5,7 @@
 mod event;
 mod placement;
 mod pulls;
+mod tail;
 
 use std::{
     collections::{BTreeMap, HashMap},
--- a/crates/shallotroute_rollout/src/scheduler/placement.rs
+++ b/crates/shallotroute_rollout/src/scheduler/placement.rs
@@ -4,7 +4,7 @@
 
 use rand_chacha::rand_core::Rng;
 use shallotroute_config::object::Selection;
-use shallotroute_types::{class::Class, name::Name, sample::Identity};
+use shallotroute_types::{name::Name, sample::Identity};
 
 use super::{Action, Running, Scheduler, Start};
 use crate::{
@@ -24,6 +24,7 @@
     /// Starts attempts until no waiting sample finds a slot.
     pub(super) fn place(&mut self, now: Instant) {
         while self.place_one(now) {}
+        self.hedge(now);
     }
 
     fn place_one(&mut self, now: Instant) -> bool {
@@ -231,6 +232,7 @@
         ahead: u64,
     ) {
         let attempt = Attempt(self.number());
+        let priority = self.priority(key, ahead);
         let (Some(step), Some(engine), Some(object)) = (
             self.steps.get_mut(key),
             self.engines.get_mut(server),
@@ -264,7 +266,7 @@
             model: object.model.clone(),
             prompt,
             max_tokens,
-            priority: Class::Training.priority() + ahead.min(MAX_AHEAD_PRIORITY) as u8,
+            priority,
         };
         let origin = Origin {
             server: server.clone(),
@@ -290,6 +292,3 @@
 
 /// How much costlier than the best candidate an engine with the prompt in its cache may be.
 const AFFINITY_COST: f64 = 1.25;
-
-/// Samples of later steps get priorities up to this much lower than those of the current step.
-const MAX_AHEAD_PRIORITY: u64 = 5;
--- /dev/null
+++ b/crates/shallotroute_rollout/src/scheduler/tail.rs
@@ -0,0 +1,96 @@
+//! The last samples of a step: higher priority, second attempts.
+
+use std::time::{Duration, Instant};
+
+use shallotroute_config::object::Tail;
+use shallotroute_types::{class::Class, name::Name};
+
+use super::Scheduler;
+use crate::step::{Attempt, Key, Progress, Step};
+
+/// The share of a step's samples that counts as its tail.
+const TAIL_SHARE: f64 = 0.1;
+
+/// A second attempt starts when the first one has run for this many mean attempt times. A fresh
+/// attempt is expected to take one.
+const HEDGE_AFTER: f64 = 1.5;
+
+/// How much higher the priority of samples in the tail is.
+const TAIL_PRIORITY: u8 = 2;
+
+/// Samples of later steps get priorities up to this much lower than those of the current step.
+const MAX_AHEAD_PRIORITY: u64 = 5;
+
+impl Scheduler {
+    /// Returns the priority of an attempt; a lower number is served first.
+    pub(super) fn priority(&self, key: &Key, ahead: u64) -> u8 {
+        let base = Class::Training.priority() + ahead.min(MAX_AHEAD_PRIORITY) as u8;
+        let step = self.steps.get(key);
+        match self.tail(&key.trainer) {
+            Tail::Priority | Tail::Hedge if ahead == 0 && step.is_some_and(in_tail) => {
+                base - TAIL_PRIORITY
+            }
+            Tail::None | Tail::Priority | Tail::Hedge => base,
+        }
+    }
+
+    /// Starts second attempts for the tails of current steps on slots that no waiting sample takes.
+    pub(super) fn hedge(&mut self, now: Instant) {
+        let mut candidates: Vec<(Instant, Key, u32, Name)> = Vec::new();
+        for trainer in self.configuration.trainers.keys() {
+            if self.tail(trainer) != Tail::Hedge {
+                continue;
+            }
+            let current = self.current(trainer);
+            let mut steps = self.steps_of(trainer);
+            let step = steps.find(|(key, step)| key.step >= current && !step.is_settled());
+            if let Some((key, step)) = step
+                && step.waiting.is_empty()
+                && in_tail(step)
+            {
+                candidates.extend(self.stragglers(now, key, step));
+            }
+        }
+        candidates.sort();
+        for (_, key, position, server) in candidates {
+            if let Some(other) = self.select(now, &key, 0, position, &[server]) {
+                self.counters.hedged += 1;
+                self.start(now, &key, position, &other, 0);
+            }
+        }
+    }
+
+    /// Returns the samples with one attempt that has run for long, with its start and engine.
+    fn stragglers(&self, now: Instant, key: &Key, step: &Step) -> Vec<(Instant, Key, u32, Name)> {
+        let trainer = self.trainers.get(&key.trainer);
+        let Some(mean) = trainer.and_then(|trainer| trainer.sample_seconds) else {
+            return Vec::new();
+        };
+        let patience = Duration::from_secs_f64(mean * HEDGE_AFTER);
+        let single = |position: &u32| match &step.samples[*position as usize].progress {
+            Progress::Running(attempts) if attempts.len() == 1 => Some(attempts[0]),
+            _ => None,
+        };
+        step.running
+            .iter()
+            .filter_map(|position| Some((*position, single(position)?)))
+            .filter_map(|(position, attempt): (u32, Attempt)| {
+                let running = self.attempts.get(&attempt)?;
+                let server = running.origin.server.clone();
+                (now >= running.started + patience)
+                    .then(|| (running.started, key.clone(), position, server))
+            })
+            .collect()
+    }
+
+    fn tail(&self, trainer: &str) -> Tail {
+        let object = self.configuration.trainers.get(trainer);
+        object.map_or(Tail::None, |object| object.tail)
+    }
+}
+
+/// Tells whether so few samples are unfinished that they are the step's tail.
+fn in_tail(step: &Step) -> bool {
+    let tail = (step.samples.len() as f64 * TAIL_SHARE).ceil() as usize;
+    step.unfinished() <= tail
+}
--- a/crates/shallotroute_sampling/tests/support/mod.rs
+++ b/crates/shallotroute_sampling/tests/support/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code, reason = "each test file uses another part")]
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     net::{Ipv4Addr, SocketAddr},
     sync::{Arc, Mutex},
     time::Duration,
@@ -52,7 +52,8 @@
     pub(crate) loads: Mutex<Vec<(SocketAddr, Load)>>,
     pub(crate) values: Mutex<BTreeMap<String, Entry>>,
     pub(crate) down: Mutex<bool>,
-    pub(crate) prompts: Mutex<BTreeSet<String>>,
+    /// Cloned into each endless stream, so that its count tells how many are open.
+    pub(crate) open: Arc<()>,
 }
 
 impl Engine for Platform {
@@ -61,7 +62,14 @@
         address: SocketAddr,
         request: Generate,
     ) -> BoxFuture<'_, Result<BoxStream<'static, Result<Event>>>> {
-        self.prompts.lock().unwrap().insert(request.prompt);
+        let open = Arc::clone(&self.open);
+        if request.prompt.starts_with("endless") {
+            let guard = Arc::clone(&open);
+            let endless = futures::stream::pending().inspect(move |_: &Result<Event>| {
+                let _ = &guard;
+            });
+            return async move { Ok(endless.boxed()) }.boxed();
+        }
         let version = Version(self.version(address));
         let request_id = request.request_id;
         let chunk = |start| Event::Tokens {
@@ -250,6 +258,17 @@
         }
     }
 
+    /// Waits up to five seconds until `condition` holds.
+    pub(crate) async fn wait(&self, what: &str, condition: impl Fn() -> bool) {
+        for _ in 0..500 {
+            if condition() {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("not in time: {what}");
+    }
+
     /// Sends a trainer's request to a node.
     pub(crate) async fn call(
         &self,
--- a/crates/shallotroute_sampling/tests/trainers.rs
+++ b/crates/shallotroute_sampling/tests/trainers.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::sync::Arc;
+
 use googletest::prelude::*;
 use http::{Method, StatusCode};
 use serde_json::{Value, json};
@@ -111,3 +113,24 @@
     expect_that!(status, eq(StatusCode::OK));
     expect_that!(fleet.pull_all(node, 4, 1).await.len(), eq(1));
 }
+
+/// Guards against cancelled attempts whose streams stay open and keep their engines busy.
+#[gtest]
+#[tokio::test]
+async fn a_cancelled_attempt_frees_its_engine() {
+    let fleet = Fleet::start(1, ONE_TRAINER).await;
+    let body = json!({"prompts": ["endless"], "group_size": 4, "max_tokens": 5});
+    let (status, _) = fleet.call(0, Method::PUT, "/steps/4", &body).await;
+    expect_that!(status, eq(StatusCode::OK));
+    fleet
+        .wait("the streams open", || {
+            Arc::strong_count(&fleet.platform.open) == 5
+        })
+        .await;
+    fleet.call(0, Method::DELETE, "/steps/4", &json!({})).await;
+    fleet
+        .wait("the streams close", || {
+            Arc::strong_count(&fleet.platform.open) == 1
+        })
+        .await;
+}
