rollout: controller of a pool's engines

Cause: announced versions reached no engine.

Change: a pure controller that commands loads under a fencing number: waves of 12.5% to 50% of the samplers by `idle_weight`, never all of them unless there is one; at most two engines fetch from the weight store at a time and none once an engine has the version; at most two load from one engine. After each command the state is read back. With engines that ignore fencing numbers a new holder waits for the command timeout. Without an announcement the newest loaded version counts.

--- a/crates/shallotroute_rollout/src/configuration.rs
+++ b/crates/shallotroute_rollout/src/configuration.rs
@@ -6,7 +6,7 @@
 };
 
 use shallotroute_config::{
-    object::{Backend, Order, Selection, ServerState, Trainer, VersionState},
+    object::{Backend, Fencing, Order, Selection, ServerState, Trainer, VersionState},
     set::Set,
 };
 use shallotroute_types::{name::Name, place::Zone, revision::Revision, version::Version};
@@ -28,6 +28,11 @@
     pub withdrawn: BTreeSet<(Name, Version)>,
     /// Whether callers' requests are routed to the pool.
     pub shared: bool,
+    /// The models and adapters that the engines serve, with the version that is loaded when no
+    /// trainer has announced one.
+    pub models: BTreeMap<Name, Version>,
+    /// What the engines do with commands that carry an old fencing number.
+    pub fencing: Fencing,
 }
 
 /// An engine of the pool.
@@ -77,6 +82,9 @@
             trainers: trainers.collect(),
             withdrawn: withdrawn.collect(),
             shared: set.routes.values().any(|route| route.pool == *pool),
+            models: models(set, &object.models),
+            // Engines of which nothing is known are treated as the less careful kind.
+            fencing: object.fencing.unwrap_or(Fencing::Ignored),
         })
     }
 
@@ -92,3 +100,17 @@
         best.map_or_else(Order::default, |trainer| trainer.order)
     }
 }
+
+fn models(set: &Set, names: &[Name]) -> BTreeMap<Name, Version> {
+    let initial = |name: &Name| {
+        let base = set
+            .adapters
+            .get(name)
+            .map_or(name, |adapter| &adapter.model);
+        set.models.get(base).map(|model| model.initial)
+    };
+    let known = names
+        .iter()
+        .map(|name| (name.clone(), initial(name).unwrap_or_default()));
+    known.collect()
+}
--- a/crates/shallotroute_rollout/src/lib.rs
+++ b/crates/shallotroute_rollout/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod scheduler;
 pub mod staleness;
 pub mod step;
+pub mod swap;
--- /dev/null
+++ b/crates/shallotroute_rollout/src/swap.rs
@@ -0,0 +1,483 @@
+//! Which engines of a pool load which version, when, and from where.
+
+use std::{
+    collections::BTreeMap,
+    mem,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use serde_json::{Value, json};
+use shallotroute_config::object::{Fencing, Swap, Trainer};
+use shallotroute_types::{fence::Fence, name::Name, version::Version};
+
+use crate::{configuration::Configuration, engine::Report, staleness::Policy};
+
+/// How long an engine may take to load a version; after that the command counts as lost.
+pub const COMMAND_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// How often an engine's state is read by the controller.
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How many engines fetch a version from the rate-limited weight store at the same time.
+const STORE_FETCHERS: usize = 2;
+
+/// How many engines load from one engine at the same time.
+const SOURCE_FANOUT: usize = 2;
+
+/// The least share of a trainer's samplers in one wave, with `idle_weight` 1.0.
+const LEAST_WAVE: f64 = 0.125;
+
+/// The greatest share of a trainer's samplers in one wave, with `idle_weight` 0.0.
+const GREATEST_WAVE: f64 = 0.5;
+
+/// The pause after a command that did not succeed; doubles with each further one.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// The longest pause after commands that did not succeed.
+const MAX_PAUSE: Duration = Duration::from_secs(8);
+
+/// What happens to a controller.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Another revision is in force.
+    Configured(Arc<Configuration>),
+    /// The node holds the lease with this fencing number, or does not hold it.
+    Held(Option<Fence>),
+    /// A trainer is at a version whose weights are in the store.
+    Announced(Name, Version),
+    /// A poll gave an engine's state, or none when the engine could not be read.
+    Polled(Name, u64, Option<Report>),
+    /// A command ended.
+    Ended(Name, Outcome),
+    /// Time passed.
+    Tick,
+}
+
+/// How a command ended. Whatever the result, the engine's state is read back before the next one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The engine says that it is done.
+    Done,
+    /// The engine has seen a higher fencing number.
+    Fenced,
+    /// It failed, or its answer was lost.
+    Failed,
+}
+
+/// What a controller wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Read an engine's state.
+    Poll {
+        /// The engine.
+        server: Name,
+        /// Where it listens.
+        address: SocketAddr,
+        /// The number of the poll.
+        number: u64,
+    },
+    /// Command an engine to load a version. The lease is checked once more before it is sent.
+    Load(Command),
+}
+
+/// A command to load a version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Command {
+    /// The engine.
+    pub server: Name,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The fencing number of the lease.
+    pub fence: Fence,
+    /// The model or adapter.
+    pub model: Name,
+    /// The version to load.
+    pub version: Version,
+    /// An engine that has the version; without one it comes from the weight store.
+    pub source: Option<SocketAddr>,
+}
+
+/// Commands the engines of one pool.
+#[derive(Debug)]
+pub struct Controller {
+    configuration: Arc<Configuration>,
+    announced: BTreeMap<Name, Version>,
+    engines: BTreeMap<Name, Engine>,
+    fence: Option<Fence>,
+    /// The earliest time of the first command under the present fencing number.
+    not_before: Instant,
+    next: u64,
+    actions: Vec<Action>,
+}
+
+#[derive(Debug)]
+struct Engine {
+    address: SocketAddr,
+    leaving: bool,
+    report: Option<Report>,
+    poll: Option<u64>,
+    polled: Option<Instant>,
+    loading: Option<Loading>,
+    /// The model and version of the last command, until the state is read back.
+    confirming: Option<(Name, Version)>,
+    failures: u32,
+    not_before: Option<Instant>,
+}
+
+#[derive(Clone, Debug)]
+struct Loading {
+    model: Name,
+    version: Version,
+    source: Option<SocketAddr>,
+}
+
+impl Controller {
+    /// Makes a controller that does not hold the lease.
+    pub fn new(now: Instant, configuration: Arc<Configuration>) -> Self {
+        let mut controller = Self {
+            configuration: Arc::clone(&configuration),
+            announced: BTreeMap::new(),
+            engines: BTreeMap::new(),
+            fence: None,
+            not_before: now,
+            next: 0,
+            actions: Vec::new(),
+        };
+        controller.configure(configuration);
+        controller
+    }
+
+    /// Takes an event and returns what is to be done.
+    pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Action> {
+        match event {
+            Event::Configured(configuration) => self.configure(configuration),
+            Event::Held(fence) => self.hold(now, fence),
+            Event::Announced(trainer, version) => drop(self.announced.insert(trainer, version)),
+            Event::Polled(server, number, report) => self.polled(&server, number, report),
+            Event::Ended(server, outcome) => self.ended(now, &server, outcome),
+            Event::Tick => {}
+        }
+        if self.fence.is_some() {
+            self.poll(now);
+            self.command(now);
+        }
+        mem::take(&mut self.actions)
+    }
+
+    /// Returns the version that the engines are to have of a model: the last announced one, or
+    /// else the newest that any engine has, and at least the configured initial one.
+    pub fn target(&self, model: &Name) -> Version {
+        let trainers = self.trainers(model);
+        let announced = trainers
+            .filter_map(|trainer| self.announced.get(&trainer.name))
+            .max();
+        let loaded = || {
+            self.engines
+                .values()
+                .filter_map(|engine| engine.loaded(model))
+                .max()
+        };
+        let initial = self
+            .configuration
+            .models
+            .get(model)
+            .copied()
+            .unwrap_or_default();
+        announced
+            .copied()
+            .unwrap_or_else(|| loaded().unwrap_or(initial).max(initial))
+    }
+
+    fn configure(&mut self, configuration: Arc<Configuration>) {
+        let mut engines = mem::take(&mut self.engines);
+        for (name, server) in &configuration.servers {
+            let known = engines
+                .remove(name)
+                .filter(|engine| engine.address == server.address);
+            let mut engine = known.unwrap_or_else(|| Engine::new(server.address));
+            engine.leaving = server.leaving;
+            self.engines.insert(name.clone(), engine);
+        }
+        self.configuration = configuration;
+    }
+
+    fn hold(&mut self, now: Instant, fence: Option<Fence>) {
+        if self.fence == fence {
+            return;
+        }
+        self.fence = fence;
+        for engine in self.engines.values_mut() {
+            engine.forget();
+            engine.loading = None;
+            engine.confirming = None;
+        }
+        // Commands of the previous holder may still reach engines that ignore fencing numbers, or
+        // be carried out by them, until they have timed out.
+        self.not_before = match self.configuration.fencing {
+            Fencing::Checked => now,
+            Fencing::Ignored => now + COMMAND_TIMEOUT,
+        };
+    }
+
+    fn polled(&mut self, server: &str, number: u64, report: Option<Report>) {
+        if let Some(engine) = self.engines.get_mut(server)
+            && engine.poll == Some(number)
+        {
+            engine.poll = None;
+            engine.report = report;
+            engine.confirming = None;
+        }
+    }
+
+    fn ended(&mut self, now: Instant, server: &str, outcome: Outcome) {
+        let Some(engine) = self.engines.get_mut(server) else {
+            return;
+        };
+        let loading = engine.loading.take();
+        engine.forget();
+        match outcome {
+            Outcome::Done => {
+                engine.failures = 0;
+                engine.confirming = loading.map(|loading| (loading.model, loading.version));
+            }
+            Outcome::Failed => {
+                engine.failures += 1;
+                let factor = 1 << (engine.failures - 1).min(8);
+                engine.not_before = Some(now + (RETRY_PAUSE * factor).min(MAX_PAUSE));
+            }
+            // Another node holds the lease; this one gives no command until it acquires it again.
+            Outcome::Fenced => self.fence = None,
+        }
+    }
+
+    fn poll(&mut self, now: Instant) {
+        for (name, engine) in &mut self.engines {
+            let due = engine.polled.is_none_or(|at| now >= at + POLL_INTERVAL);
+            if engine.poll.is_some() || engine.loading.is_some() || !due {
+                continue;
+            }
+            self.next += 1;
+            engine.polled = Some(now);
+            engine.poll = Some(self.next);
+            self.actions.push(Action::Poll {
+                server: name.clone(),
+                address: engine.address,
+                number: self.next,
+            });
+        }
+    }
+
+    fn command(&mut self, now: Instant) {
+        let Some(fence) = self.fence.filter(|_| now >= self.not_before) else {
+            return;
+        };
+        let models: Vec<Name> = self.configuration.models.keys().cloned().collect();
+        for model in models {
+            let target = self.target(&model);
+            while let Some((server, source)) = self.choose(now, &model, target) {
+                let Some(engine) = self.engines.get_mut(&server) else {
+                    break;
+                };
+                engine.loading = Some(Loading {
+                    model: model.clone(),
+                    version: target,
+                    source,
+                });
+                // A poll in flight does not tell what this command changes.
+                engine.poll = None;
+                self.actions.push(Action::Load(Command {
+                    server,
+                    address: engine.address,
+                    fence,
+                    model: model.clone(),
+                    version: target,
+                    source,
+                }));
+            }
+        }
+    }
+
+    /// Returns the next engine to load `target` and its source.
+    fn choose(
+        &self,
+        now: Instant,
+        model: &Name,
+        target: Version,
+    ) -> Option<(Name, Option<SocketAddr>)> {
+        let source = self.source(model, target)?;
+        let room = self.room(model, target);
+        let mut waiting: Vec<(&Name, &Engine)> = self
+            .engines
+            .iter()
+            .filter(|(_, engine)| engine.needs(now, model, target))
+            .filter(|(_, engine)| room > 0 || !self.serves(engine, model, target))
+            .collect();
+        // Engines that serve nobody load first: that costs no trainer a sampler.
+        waiting.sort_by_key(|(_, engine)| (self.serves(engine, model, target), engine.failures));
+        let (server, _) = waiting.first()?;
+        Some(((*server).clone(), source))
+    }
+
+    /// Returns where the next engine may load from: an engine with the version and few transfers,
+    /// the weight store (`Some(None)`), or nothing for now.
+    fn source(&self, model: &Name, target: Version) -> Option<Option<SocketAddr>> {
+        let loads = |source: Option<SocketAddr>| {
+            let all = self
+                .engines
+                .values()
+                .filter_map(|engine| engine.loading.as_ref());
+            all.filter(|loading| {
+                loading.model == *model && loading.version == target && loading.source == source
+            })
+            .count()
+        };
+        let holders: Vec<SocketAddr> = self
+            .engines
+            .values()
+            .filter(|engine| engine.loading.is_none() && !engine.leaving)
+            .filter(|engine| engine.loaded(model) == Some(target))
+            .map(|engine| engine.address)
+            .collect();
+        if holders.is_empty() {
+            let confirming = Some((model.clone(), target));
+            if self
+                .engines
+                .values()
+                .any(|engine| engine.confirming == confirming)
+            {
+                return None;
+            }
+            return (loads(None) < STORE_FETCHERS).then_some(None);
+        }
+        let best = holders
+            .into_iter()
+            .min_by_key(|address| loads(Some(*address)))?;
+        (loads(Some(best)) < SOURCE_FANOUT).then_some(Some(best))
+    }
+
+    /// Returns how many more engines that serve may be taken for the model at the same time.
+    fn room(&self, model: &Name, target: Version) -> usize {
+        let loading = |engine: &&Engine| engine.is_loading(model);
+        let taken = self.engines.values().filter(loading).count();
+        let serving = self
+            .engines
+            .values()
+            .filter(|engine| engine.loading.is_none() && self.serves(engine, model, target))
+            .count();
+        let (mut swap, mut idle_weight): (Option<Swap>, f64) = (None, 0.0);
+        for trainer in self.trainers(model) {
+            idle_weight = idle_weight.max(trainer.idle_weight);
+            if swap != Some(Swap::Waves) {
+                swap = Some(trainer.swap);
+            }
+        }
+        if swap == Some(Swap::AllAtOnce) && !self.configuration.shared {
+            return serving;
+        }
+        let total = taken + serving;
+        let weight = idle_weight.clamp(0.0, 1.0);
+        let share = GREATEST_WAVE - weight * (GREATEST_WAVE - LEAST_WAVE);
+        let wave = ((total as f64 * share).ceil() as usize).max(1);
+        // One sampler keeps serving, unless it is the only one and would never change.
+        let spare = match total {
+            1 => 1,
+            _ => serving.saturating_sub(1),
+        };
+        wave.saturating_sub(taken).min(spare)
+    }
+
+    /// Tells whether an engine's version of the model is of use to anybody: to a trainer within
+    /// its staleness bound, or to callers.
+    fn serves(&self, engine: &Engine, model: &Name, target: Version) -> bool {
+        let Some(loaded) = engine.loaded(model) else {
+            return false;
+        };
+        let allows = |trainer: &Trainer| {
+            let policy = Policy {
+                bound: trainer.staleness_bound,
+                idle_weight: trainer.idle_weight,
+            };
+            policy.allows(target, loaded)
+        };
+        self.configuration.shared || self.trainers(model).any(allows)
+    }
+
+    fn trainers<'a>(&'a self, model: &'a Name) -> impl Iterator<Item = &'a Trainer> {
+        let trainers = self.configuration.trainers.values();
+        trainers.filter(move |trainer| trainer.model == *model)
+    }
+
+    /// Returns the state for the dump.
+    pub fn dump(&self) -> Value {
+        let engines: Vec<Value> = self
+            .engines
+            .iter()
+            .map(|(name, engine)| {
+                let loading = engine.loading.as_ref();
+                json!({
+                    "server": name,
+                    "models": engine.report.as_ref().map(|report| &report.models),
+                    "loading": loading.map(|loading| (&loading.model, loading.version)),
+                    "failures": engine.failures,
+                })
+            })
+            .collect();
+        let models = self.configuration.models.keys();
+        let targets: BTreeMap<&Name, Version> =
+            models.map(|model| (model, self.target(model))).collect();
+        json!({
+            "pool": self.configuration.pool,
+            "fence": self.fence,
+            "targets": targets,
+            "engines": engines,
+        })
+    }
+}
+
+impl Engine {
+    fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            leaving: false,
+            report: None,
+            poll: None,
+            polled: None,
+            loading: None,
+            confirming: None,
+            failures: 0,
+            not_before: None,
+        }
+    }
+
+    fn forget(&mut self) {
+        self.report = None;
+        self.poll = None;
+        self.polled = None;
+    }
+
+    fn loaded(&self, model: &Name) -> Option<Version> {
+        self.report.as_ref()?.models.get(model).copied()
+    }
+
+    /// Tells whether the engine loads the model or its state was not read back since.
+    fn is_loading(&self, model: &Name) -> bool {
+        let loading = self.loading.as_ref().map(|loading| &loading.model);
+        let confirming = self.confirming.as_ref().map(|(model, _)| model);
+        loading.or(confirming) == Some(model)
+    }
+
+    /// Tells whether the engine is to load `target` and may be commanded now.
+    fn needs(&self, now: Instant, model: &Name, target: Version) -> bool {
+        let Some(report) = &self.report else {
+            return false;
+        };
+        self.loading.is_none()
+            && !self.leaving
+            && !report.leaving
+            && report.swapping.is_none()
+            && self.not_before.is_none_or(|time| now >= time)
+            && report.models.get(model) != Some(&target)
+    }
+}
