sampling: commands to engines under a lease

Cause: the controller of a pool's engines had no driver.

Change: the two members ranked first for a pool take part in the lease `lease/engines-<pool>` (3 s, renewed every second); the holder polls the engines and sends the controller's commands, each after a check of the lease's deadline. Announcements reach it as copies and, every 2 s, from the owner of the pool.

Conclusion: commands need the store, samples do not.

--- a/crates/shallotroute_sampling/src/attempt.rs
+++ b/crates/shallotroute_sampling/src/attempt.rs
@@ -126,7 +126,7 @@
         .await;
 }
 
-/// Reads an engine's state.
+/// Reads an engine's state and reports it to the pool.
 pub(crate) async fn poll(
     engine: Arc<dyn Engine>,
     outlet: Outlet,
@@ -134,6 +134,16 @@
     address: SocketAddr,
     number: u64,
 ) {
+    let report = state(&*engine, &server, address).await;
+    outlet.send(Event::Polled(server, number, report)).await;
+}
+
+/// Reads an engine's state; none when that fails.
+pub(crate) async fn state(
+    engine: &dyn Engine,
+    server: &Name,
+    address: SocketAddr,
+) -> Option<known::Report> {
     let result = tokio::time::timeout(STATE_TIMEOUT, engine.state(address))
         .await
         .unwrap_or_else(|_| {
@@ -143,13 +153,12 @@
     if let Err(report) = &result {
         spdlog::debug!("state of engine {} could not be read: {}", server, report);
     }
-    let report = result.ok().map(|state| known::Report {
+    result.ok().map(|state| known::Report {
         incarnation: state.incarnation,
         models: state.models,
         swapping: state.swapping,
         load: state.running + state.waiting,
         slots: state.slots,
         leaving: state.leaving,
-    });
-    outlet.send(Event::Polled(server, number, report)).await;
+    })
 }
--- a/crates/shallotroute_sampling/src/lib.rs
+++ b/crates/shallotroute_sampling/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod attempt;
+mod controller;
 mod copies;
 mod endpoint;
 mod failure;
@@ -48,6 +49,7 @@
     copies: Copies,
     peers: Peers,
     pools: Mutex<BTreeMap<Name, Handle>>,
+    controllers: Mutex<BTreeMap<Name, controller::Handle>>,
     turns: [tokio::sync::Mutex<()>; TURNS],
 }
 
@@ -63,6 +65,7 @@
             copies: Copies::default(),
             peers: Peers::default(),
             pools: Mutex::default(),
+            controllers: Mutex::default(),
             turns: [const { tokio::sync::Mutex::const_new(()) }; TURNS],
         })
     }
@@ -80,6 +83,7 @@
             let snapshot = configuration.borrow_and_update().clone();
             members.borrow_and_update();
             Arc::clone(&self).reconcile(snapshot.as_deref()).await;
+            self.reconcile_controllers(snapshot.as_deref()).await;
             tokio::select! {
                 () = self.context.stop.cancelled() => break,
                 changed = configuration.changed() => if changed.is_err() { break },
@@ -94,7 +98,10 @@
     /// Returns the state for the dump.
     pub fn dump(&self) -> serde_json::Value {
         let pools: Vec<serde_json::Value> = self.lock().values().map(Handle::dump).collect();
-        serde_json::json!({ "pools": pools })
+        let controllers = self.controllers();
+        let controllers: Vec<serde_json::Value> =
+            controllers.values().map(controller::Handle::dump).collect();
+        serde_json::json!({ "pools": pools, "controllers": controllers })
     }
 
     /// Starts the pools that this node has come to own, stops those that it no longer owns, and
@@ -136,19 +143,47 @@
         }
     }
 
+    /// Starts and stops this node's part in the leases of pools' engines.
+    async fn reconcile_controllers(self: &Arc<Self>, snapshot: Option<&Snapshot>) {
+        let view = self.context.members.borrow().clone();
+        let local = &self.context.local.id;
+        let mut wanted = configurations(snapshot, |pool| {
+            let ranked = view.ranked(&pool_key(pool), controller::CHALLENGERS);
+            ranked.iter().any(|member| member.id == *local)
+        });
+        let mut kept = Vec::new();
+        {
+            let mut controllers = self.controllers();
+            controllers.retain(|name, handle| match wanted.remove(name) {
+                Some(configuration) => {
+                    kept.push((handle.clone(), configuration));
+                    true
+                }
+                None => {
+                    handle.stop();
+                    false
+                }
+            });
+            for (name, configuration) in wanted {
+                controllers.insert(name, controller::Handle::start(self, configuration));
+            }
+        }
+        for (handle, configuration) in kept {
+            handle.configure(configuration).await;
+        }
+    }
+
     fn owned(&self, snapshot: Option<&Snapshot>) -> BTreeMap<Name, Configuration> {
-        let view = self.context.members.borrow();
-        let Some(snapshot) = snapshot else {
-            return BTreeMap::new();
-        };
-        let names = snapshot.set.pools.keys();
-        names
-            .filter(|name| view.is_owner(&pool_key(name)))
-            .filter_map(|name| {
-                let configuration = Configuration::new(&snapshot.set, snapshot.revision(), name)?;
-                (!configuration.trainers.is_empty()).then(|| (name.clone(), configuration))
-            })
-            .collect()
+        let view = self.context.members.borrow().clone();
+        let mut owned = configurations(snapshot, |pool| view.is_owner(&pool_key(pool)));
+        owned.retain(|_, configuration| !configuration.trainers.is_empty());
+        owned
+    }
+
+    fn controllers(&self) -> MutexGuard<'_, BTreeMap<Name, controller::Handle>> {
+        self.controllers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     fn pool(&self, pool: &str) -> Option<Handle> {
@@ -164,6 +199,23 @@
     }
 }
 
+/// Returns the configurations of the pools of engines for which `wanted` holds.
+fn configurations(
+    snapshot: Option<&Snapshot>,
+    wanted: impl Fn(&str) -> bool,
+) -> BTreeMap<Name, Configuration> {
+    let Some(snapshot) = snapshot else {
+        return BTreeMap::new();
+    };
+    let names = snapshot.set.pools.keys().filter(|name| wanted(name));
+    names
+        .filter_map(|name| {
+            let configuration = Configuration::new(&snapshot.set, snapshot.revision(), name)?;
+            Some((name.clone(), configuration))
+        })
+        .collect()
+}
+
 impl Handler for Sampler {
     fn handle(
         self: Arc<Self>,
--- a/crates/shallotroute_sampling/src/owner.rs
+++ b/crates/shallotroute_sampling/src/owner.rs
@@ -342,4 +342,18 @@
             }
         }
     }
+
+    /// Asks the pool's owner, if it is another node, for a trainer's last announcement.
+    pub(crate) async fn refresh(&self, pool: &Name, trainer: &Name) {
+        let Ok(Some(owner)) = self.remote_owner(pool) else {
+            return;
+        };
+        let call = |client: RolloutsClient, context| {
+            let trainer = trainer.clone();
+            async move { client.announced(context, trainer).await }
+        };
+        if let Ok(Some(announcement)) = self.peers.call(owner.address, COPY_TIMEOUT, call).await {
+            self.copies.announce(announcement);
+        }
+    }
 }
--- a/crates/shallotroute_sampling/tests/support/mod.rs
+++ b/crates/shallotroute_sampling/tests/support/mod.rs
@@ -246,6 +246,14 @@
         self.nodes.iter().position(|node| node.id == owner).unwrap()
     }
 
+    /// Returns the index of the holder of the lease of the pool's engines.
+    pub(crate) fn holder(&self) -> usize {
+        let record = self.platform.values.lock().unwrap()["lease/engines-samplers"].clone();
+        let record: Value = serde_json::from_slice(&record.value).unwrap();
+        let holds = |node: &Node| record["holder"] == *node.id.as_str();
+        self.nodes.iter().position(holds).unwrap()
+    }
+
     /// Stops a node and tells the others that it is dead.
     pub(crate) fn kill(&self, index: usize) {
         self.nodes[index].stop.cancel();
