sampling: ledger of delivered samples

Cause: auditors had no record of a delivered sample once its trainer had it.

Conclusion: delivery does not wait for the store.

--- a/crates/shallotroute_rollout/src/lib.rs
+++ b/crates/shallotroute_rollout/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod counters;
 pub mod delivery;
 pub mod engine;
+pub mod ledger;
 pub mod order;
 pub mod provenance;
 pub mod receipt;
--- a/crates/shallotroute_sampling/src/lib.rs
+++ b/crates/shallotroute_sampling/src/lib.rs
@@ -6,6 +6,7 @@
 mod copies;
 mod endpoint;
 mod failure;
+mod ledger;
 mod owner;
 mod peers;
 mod pool;
@@ -29,7 +30,9 @@
 use shallotroute_rollout::{configuration::Configuration, scheduler::Event};
 use shallotroute_types::name::Name;
 
-use crate::{copies::Copies, owner::pool_key, peers::Peers, pool::Handle, service::Acceptor};
+use crate::{
+    copies::Copies, ledger::Ledger, owner::pool_key, peers::Peers, pool::Handle, service::Acceptor,
+};
 
 /// The outside systems that sampling uses.
 #[derive(Clone)]
@@ -50,6 +53,7 @@
     peers: Peers,
     pools: Mutex<BTreeMap<Name, Handle>>,
     controllers: Mutex<BTreeMap<Name, controller::Handle>>,
+    ledger: Arc<Ledger>,
     turns: [tokio::sync::Mutex<()>; TURNS],
 }
 
@@ -59,9 +63,11 @@
 impl Sampler {
     /// Makes a sampler and registers its metrics.
     pub fn new(context: Context, edges: Edges, _registry: &mut Registry) -> Arc<Self> {
+        let ledger = Ledger::new(context.clone(), Arc::clone(&edges.store));
         Arc::new(Self {
             context,
             edges,
+            ledger: Arc::new(ledger),
             copies: Copies::default(),
             peers: Peers::default(),
             pools: Mutex::default(),
@@ -77,6 +83,8 @@
 
     /// Runs the pools that this node owns until the node stops.
     pub async fn run(self: Arc<Self>) {
+        let ledger = Arc::clone(&self.ledger);
+        let ledger = tokio::spawn(async move { ledger.run().await });
         let mut configuration = self.context.configuration.clone();
         let mut members = self.context.members.clone();
         loop {
@@ -93,6 +101,7 @@
         for (_, handle) in std::mem::take(&mut *self.lock()) {
             handle.stop();
         }
+        let _ = ledger.await;
     }
 
     /// Returns the state for the dump.
@@ -101,7 +110,12 @@
         let controllers = self.controllers();
         let controllers: Vec<serde_json::Value> =
             controllers.values().map(controller::Handle::dump).collect();
-        serde_json::json!({ "pools": pools, "controllers": controllers })
+        let (waiting, dropped) = self.ledger.counts();
+        serde_json::json!({
+            "pools": pools,
+            "controllers": controllers,
+            "ledger": { "waiting_groups": waiting, "dropped_groups": dropped },
+        })
     }
 
     /// Starts the pools that this node has come to own, stops those that it no longer owns, and
@@ -127,7 +141,7 @@
                 spdlog::info!("pool {} is owned by this node", name);
                 let trainers: Vec<Name> = configuration.trainers.keys().cloned().collect();
                 let seed = rand::random();
-                let handle = Handle::start(&self.context, &self.edges, configuration, seed);
+                let handle = Handle::start(&self, configuration, seed);
                 started.push((name.clone(), handle.clone(), trainers));
                 pools.insert(name, handle);
             }
--- a/crates/shallotroute_sampling/src/pool.rs
+++ b/crates/shallotroute_sampling/src/pool.rs
@@ -15,6 +15,7 @@
     scheduler::{Action, Event, Pull, Scheduler},
     step::{Attempt, Key, Specification},
 };
+use shallotroute_types::version::Version;
 use tokio::{
     sync::{mpsc, oneshot, watch},
     task::AbortHandle,
@@ -23,9 +24,10 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    Edges,
+    Edges, Sampler,
     attempt::{self, Outlet},
     failure::{Failure, Result},
+    ledger::Ledger,
     service,
 };
 
@@ -63,12 +65,8 @@
 
 impl Handle {
     /// Starts the task of a pool.
-    pub(crate) fn start(
-        context: &Context,
-        edges: &Edges,
-        configuration: Configuration,
-        seed: u64,
-    ) -> Self {
+    pub(crate) fn start(sampler: &Sampler, configuration: Configuration, seed: u64) -> Self {
+        let context = &sampler.context;
         let (sender, receiver) = mpsc::channel(QUEUE);
         let (state, receiver_of_state) = watch::channel(Value::Null);
         let stop = context.stop.child_token();
@@ -76,7 +74,8 @@
         let configuration = Arc::new(configuration);
         let worker = Worker {
             context: context.clone(),
-            edges: edges.clone(),
+            edges: sampler.edges.clone(),
+            ledger: Arc::clone(&sampler.ledger),
             scheduler: Scheduler::new(
                 now,
                 Arc::clone(&configuration),
@@ -133,13 +132,21 @@
     }
 }
 
+/// A pull that waits for its answer.
+struct Open {
+    key: Key,
+    version: Version,
+    reply: oneshot::Sender<std::result::Result<Answer, Refusal>>,
+}
+
 struct Worker {
     context: Context,
     edges: Edges,
+    ledger: Arc<Ledger>,
     scheduler: Scheduler,
     outlet: Outlet,
     attempts: HashMap<Attempt, AbortHandle>,
-    pulls: HashMap<u64, oneshot::Sender<std::result::Result<Answer, Refusal>>>,
+    pulls: HashMap<u64, Open>,
     next_pull: u64,
     state: watch::Sender<Value>,
     dumped: Option<Instant>,
@@ -162,8 +169,8 @@
         for (_, handle) in self.attempts.drain() {
             handle.abort();
         }
-        for (_, reply) in self.pulls.drain() {
-            let _ = reply.send(Err(Refusal::Moved));
+        for (_, open) in self.pulls.drain() {
+            let _ = open.reply.send(Err(Refusal::Moved));
         }
     }
 
@@ -191,7 +198,12 @@
     ) {
         self.next_pull += 1;
         let now = self.context.clock.now();
-        self.pulls.insert(self.next_pull, reply);
+        let open = Open {
+            key: pull.key.clone(),
+            version: pull.version,
+            reply,
+        };
+        self.pulls.insert(self.next_pull, open);
         self.handle(Event::Pulled(Pull {
             number: self.next_pull,
             key: pull.key,
@@ -207,7 +219,7 @@
         let closed: Vec<u64> = self
             .pulls
             .iter()
-            .filter(|(_, reply)| reply.is_closed())
+            .filter(|(_, open)| open.reply.is_closed())
             .map(|(number, _)| *number)
             .collect();
         for number in closed {
@@ -250,8 +262,11 @@
                 tokio::spawn(attempt::score(scorer, self.outlet.clone(), *score));
             }
             Action::Answer(number, answer) => {
-                if let Some(reply) = self.pulls.remove(&number) {
-                    let _ = reply.send(answer);
+                if let Some(open) = self.pulls.remove(&number) {
+                    if let Ok(answer) = &answer {
+                        self.ledger.record(&open.key, open.version, answer);
+                    }
+                    let _ = open.reply.send(answer);
                 }
             }
             Action::Poll {
