sampling: metrics by trainer, staleness histogram, progress in the dump

Cause: operators saw neither what a trainer waits for nor how stale its samples are.

Change: counts by trainer of attempts started, hedged, cancelled and failed and of samples delivered, doomed and replaced; seconds that pulls waited; a histogram of staleness; groups that wait for the ledger.

--- a/crates/shallotroute_rollout/src/counters.rs
+++ b/crates/shallotroute_rollout/src/counters.rs
@@ -1,10 +1,26 @@
 //! Counts of what a scheduler did, for metrics.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use shallotroute_types::name::Name;
 
-/// Counts since they were last taken.
+/// Counts by trainer.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Table(BTreeMap<Name, Counters>);
+
+impl Table {
+    /// Returns the counts of a trainer.
+    pub fn of(&mut self, trainer: &Name) -> &mut Counters {
+        self.0.entry(trainer.clone()).or_default()
+    }
+
+    /// Returns all counts.
+    pub fn iter(&self) -> impl Iterator<Item = (&Name, &Counters)> {
+        self.0.iter()
+    }
+}
+
+/// Counts for one trainer since they were last taken.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Counters {
     /// Attempts started, second attempts included.
@@ -13,7 +29,7 @@
     pub delivered: u64,
     /// Samples stopped or discarded because of their staleness.
     pub doomed: u64,
-    /// Samples attempted again after they were doomed.
+    /// New attempts at samples that were doomed before.
     pub replaced: u64,
     /// Second attempts.
     pub hedged: u64,
@@ -27,6 +43,6 @@
     pub malformed: u64,
     /// Staleness of delivered samples, in versions.
     pub staleness: Vec<u64>,
-    /// How long answered pulls waited, by trainer.
-    pub waits: Vec<(Name, Duration)>,
+    /// How long answered pulls waited.
+    pub waits: Vec<Duration>,
 }
--- a/crates/shallotroute_rollout/src/scheduler.rs
+++ b/crates/shallotroute_rollout/src/scheduler.rs
@@ -20,7 +20,7 @@
 pub use self::event::{Action, Event, Inadmissible, Pull, Score, Start};
 use crate::{
     configuration::Configuration,
-    counters::Counters,
+    counters::Table,
     delivery::Refusal,
     engine::{Engine, POLL_INTERVAL, Poll, Report},
     provenance::Recorder,
@@ -48,7 +48,7 @@
     steps: BTreeMap<Key, Step>,
     attempts: HashMap<Attempt, Running>,
     pulls: BTreeMap<u64, Pull>,
-    counters: Counters,
+    counters: Table,
     actions: Vec<Action>,
     next: u64,
     cursor: Option<Name>,
@@ -95,7 +95,7 @@
             steps: BTreeMap::new(),
             attempts: HashMap::new(),
             pulls: BTreeMap::new(),
-            counters: Counters::default(),
+            counters: Table::default(),
             actions: Vec::new(),
             next: 0,
             cursor: None,
@@ -186,7 +186,7 @@
     }
 
     /// Returns the counts since the last call.
-    pub fn take_counters(&mut self) -> Counters {
+    pub fn take_counters(&mut self) -> Table {
         mem::take(&mut self.counters)
     }
 
--- a/crates/shallotroute_rollout/src/scheduler/attempts.rs
+++ b/crates/shallotroute_rollout/src/scheduler/attempts.rs
@@ -28,12 +28,11 @@
 impl Scheduler {
     pub(super) fn tokens(&mut self, now: Instant, attempt: Attempt, identity: &str, chunk: &Chunk) {
         let Some(running) = self.attempts.get_mut(&attempt) else {
-            self.counters.foreign += 1;
             return;
         };
         match running.recorder.push(identity, chunk) {
             Ok(true) => running.last = now,
-            Ok(false) => self.counters.foreign += 1,
+            Ok(false) => self.counters.of(&running.key.trainer).foreign += 1,
             Err(_) => return self.malformed(now, attempt),
         }
         if self.is_attempt_doomed(attempt) {
@@ -44,13 +43,12 @@
 
     pub(super) fn ended(&mut self, now: Instant, attempt: Attempt, identity: &str, tokens: u32) {
         let Some(running) = self.attempts.get_mut(&attempt) else {
-            self.counters.foreign += 1;
             return;
         };
         let product = match running.recorder.end(identity, tokens) {
             Ok(Some(product)) => product,
             Ok(None) => {
-                self.counters.foreign += 1;
+                self.counters.of(&running.key.trainer).foreign += 1;
                 return;
             }
             Err(_) => return self.malformed(now, attempt),
@@ -90,7 +88,7 @@
         let Some(running) = self.attempts.get(&attempt) else {
             return;
         };
-        self.counters.failed += 1;
+        self.counters.of(&running.key.trainer).failed += 1;
         if let Some(engine) = self.engines.get_mut(&running.origin.server) {
             engine.failures += 1;
             engine.not_before = Some(now + pause(engine.failures));
@@ -105,7 +103,9 @@
     }
 
     fn malformed(&mut self, now: Instant, attempt: Attempt) {
-        self.counters.malformed += 1;
+        if let Some(running) = self.attempts.get(&attempt) {
+            self.counters.of(&running.key.trainer).malformed += 1;
+        }
         self.cancel_stream(attempt);
         self.failed(now, attempt, Outcome::Unknown);
     }
@@ -186,8 +186,8 @@
     }
 
     fn cancel_stream(&mut self, attempt: Attempt) {
-        if self.attempts.contains_key(&attempt) {
-            self.counters.cancelled += 1;
+        if let Some(running) = self.attempts.get(&attempt) {
+            self.counters.of(&running.key.trainer).cancelled += 1;
             self.actions.push(Action::Cancel(attempt));
         }
     }
@@ -222,21 +222,29 @@
 
     /// Stops a doomed attempt; its sample is attempted again.
     fn stop(&mut self, attempt: Attempt) {
-        self.counters.doomed += 1;
-        self.counters.replaced += 1;
+        if let Some(running) = self.attempts.get(&attempt) {
+            let (key, position) = (running.key.clone(), running.position);
+            self.doom(&key, position);
+        }
         self.cancel_stream(attempt);
         self.requeue(attempt, None);
     }
 
     /// Discards a doomed answer; its sample is attempted again.
     pub(super) fn discard(&mut self, key: &Key, position: u32) {
-        self.counters.doomed += 1;
-        self.counters.replaced += 1;
+        self.doom(key, position);
         if let Some(step) = self.steps.get_mut(key) {
             step.set(position, Progress::Waiting);
         }
     }
 
+    fn doom(&mut self, key: &Key, position: u32) {
+        self.counters.of(&key.trainer).doomed += 1;
+        if let Some(step) = self.steps.get_mut(key) {
+            step.samples[position as usize].doomed = true;
+        }
+    }
+
     /// Stops the trainer's attempts, and discards its answers at the scorer, that would be too
     /// stale for its version.
     pub(super) fn stop_doomed(&mut self, trainer: &Name) {
--- a/crates/shallotroute_rollout/src/scheduler/dump.rs
+++ b/crates/shallotroute_rollout/src/scheduler/dump.rs
@@ -22,6 +22,7 @@
                     "running": step.running.len(),
                     "scoring": step.scoring.len(),
                     "ready_groups": step.ready.len(),
+                    "answered_groups": step.offered.count(),
                     "acknowledged_groups": step.receipt.count(),
                     "age_s": now.saturating_duration_since(step.submitted).as_secs_f64(),
                 })
--- a/crates/shallotroute_rollout/src/scheduler/placement.rs
+++ b/crates/shallotroute_rollout/src/scheduler/placement.rs
@@ -252,6 +252,7 @@
         let max_tokens = step.specification.max_tokens;
         let entry = &mut step.samples[position as usize];
         entry.attempts += 1;
+        let replaced = std::mem::take(&mut entry.doomed);
         match &mut entry.progress {
             Progress::Running(attempts) => attempts.push(attempt),
             _ => drop(step.set(position, Progress::Running(vec![attempt]))),
@@ -285,7 +286,9 @@
                 last: now,
             },
         );
-        self.counters.started += 1;
+        let counters = self.counters.of(&key.trainer);
+        counters.started += 1;
+        counters.replaced += u64::from(replaced);
         self.actions.push(Action::Start(Box::new(start)));
     }
 }
--- a/crates/shallotroute_rollout/src/scheduler/pulls.rs
+++ b/crates/shallotroute_rollout/src/scheduler/pulls.rs
@@ -98,16 +98,17 @@
         let Some(step) = self.steps.get_mut(&pull.key) else {
             return;
         };
+        let counters = self.counters.of(&pull.key.trainer);
         for group in &groups {
             step.offered.insert(group.group);
             for sample in &group.samples {
                 let oldest = sample.oldest().unwrap_or_default();
-                self.counters.staleness.push(age(pull.version, oldest));
-                self.counters.delivered += 1;
+                counters.staleness.push(age(pull.version, oldest));
+                counters.delivered += 1;
             }
         }
         let wait = now.saturating_duration_since(pull.opened);
-        self.counters.waits.push((pull.key.trainer.clone(), wait));
+        counters.waits.push(wait);
         let remaining = step.specification.groups() - step.offered.count();
         let answer = Answer {
             groups,
--- a/crates/shallotroute_rollout/src/scheduler/tail.rs
+++ b/crates/shallotroute_rollout/src/scheduler/tail.rs
@@ -54,7 +54,7 @@
         candidates.sort();
         for (_, key, position, server) in candidates {
             if let Some(other) = self.select(now, &key, 0, position, &[server]) {
-                self.counters.hedged += 1;
+                self.counters.of(&key.trainer).hedged += 1;
                 self.start(now, &key, position, &other, 0);
             }
         }
--- a/crates/shallotroute_rollout/src/step.rs
+++ b/crates/shallotroute_rollout/src/step.rs
@@ -87,6 +87,8 @@
     pub attempts: u32,
     /// No attempt starts before this time; set after failures.
     pub not_before: Option<Instant>,
+    /// Whether it was stopped or discarded because of its staleness and not attempted since.
+    pub doomed: bool,
 }
 
 /// A step in progress.
@@ -122,6 +124,7 @@
             progress: Progress::Waiting,
             attempts: 0,
             not_before: None,
+            doomed: false,
         };
         Self {
             specification,
--- a/crates/shallotroute_rollout/tests/staleness.rs
+++ b/crates/shallotroute_rollout/tests/staleness.rs
@@ -24,7 +24,7 @@
     expect_that!(bench.running.len(), eq(2));
     bench.finish(6);
     expect_that!(bench.groups(pull), some(elements_are![eq(&0)]));
-    let counters = bench.scheduler.take_counters();
+    let counters = bench.counters();
     expect_that!(counters.staleness, eq(&[1, 1]));
     expect_that!(counters.doomed, eq(2));
     expect_that!(counters.replaced, eq(2));
@@ -58,7 +58,7 @@
     expect_that!(bench.cancelled, eq(&attempts[..1]));
     bench.tokens(attempts[1], 0, 1, 4);
     expect_true!(bench.cancelled.contains(&attempts[1]));
-    expect_that!(bench.scheduler.take_counters().doomed, eq(2));
+    expect_that!(bench.counters().doomed, eq(2));
 }
 
 /// Guards against generation so far ahead that its samples are too stale when they are needed.
--- a/crates/shallotroute_rollout/tests/support/mod.rs
+++ b/crates/shallotroute_rollout/tests/support/mod.rs
@@ -15,6 +15,7 @@
 };
 use shallotroute_rollout::{
     configuration::Configuration,
+    counters::Counters,
     delivery::{Answer, Refusal},
     engine::Report,
     provenance::Chunk,
@@ -193,6 +194,11 @@
         self.pulls
     }
 
+    /// Returns the counts of trainer `a`.
+    pub(crate) fn counters(&mut self) -> Counters {
+        self.scheduler.take_counters().of(&"a".into()).clone()
+    }
+
     /// Returns the groups in the answer to a pull.
     pub(crate) fn groups(&self, pull: u64) -> Option<Vec<u32>> {
         let answer = self.answers.get(&pull)?.as_ref().ok()?;
--- a/crates/shallotroute_rollout/tests/tail.rs
+++ b/crates/shallotroute_rollout/tests/tail.rs
@@ -49,7 +49,7 @@
     );
     let pull = bench.pull(&key("a", 0), &[], 5);
     expect_that!(bench.groups(pull).unwrap().len(), eq(5));
-    let counters = bench.scheduler.take_counters();
+    let counters = bench.counters();
     expect_that!((counters.hedged, counters.cancelled), eq((1, 1)));
 }
 
--- a/crates/shallotroute_sampling/src/lib.rs
+++ b/crates/shallotroute_sampling/src/lib.rs
@@ -7,6 +7,7 @@
 mod endpoint;
 mod failure;
 mod ledger;
+mod metric;
 mod owner;
 mod peers;
 mod pool;
@@ -31,7 +32,8 @@
 use shallotroute_types::name::Name;
 
 use crate::{
-    copies::Copies, ledger::Ledger, owner::pool_key, peers::Peers, pool::Handle, service::Acceptor,
+    copies::Copies, ledger::Ledger, metric::Metrics, owner::pool_key, peers::Peers, pool::Handle,
+    service::Acceptor,
 };
 
 /// The outside systems that sampling uses.
@@ -54,6 +56,7 @@
     pools: Mutex<BTreeMap<Name, Handle>>,
     controllers: Mutex<BTreeMap<Name, controller::Handle>>,
     ledger: Arc<Ledger>,
+    metrics: Metrics,
     turns: [tokio::sync::Mutex<()>; TURNS],
 }
 
@@ -62,12 +65,13 @@
 
 impl Sampler {
     /// Makes a sampler and registers its metrics.
-    pub fn new(context: Context, edges: Edges, _registry: &mut Registry) -> Arc<Self> {
+    pub fn new(context: Context, edges: Edges, registry: &mut Registry) -> Arc<Self> {
         let ledger = Ledger::new(context.clone(), Arc::clone(&edges.store));
         Arc::new(Self {
             context,
             edges,
             ledger: Arc::new(ledger),
+            metrics: Metrics::new(registry),
             copies: Copies::default(),
             peers: Peers::default(),
             pools: Mutex::default(),
--- a/crates/shallotroute_sampling/src/pool.rs
+++ b/crates/shallotroute_sampling/src/pool.rs
@@ -28,6 +28,7 @@
     attempt::{self, Outlet},
     failure::{Failure, Result},
     ledger::Ledger,
+    metric::Metrics,
     service,
 };
 
@@ -76,6 +77,7 @@
             context: context.clone(),
             edges: sampler.edges.clone(),
             ledger: Arc::clone(&sampler.ledger),
+            metrics: sampler.metrics.clone(),
             scheduler: Scheduler::new(
                 now,
                 Arc::clone(&configuration),
@@ -143,6 +145,7 @@
     context: Context,
     edges: Edges,
     ledger: Arc<Ledger>,
+    metrics: Metrics,
     scheduler: Scheduler,
     outlet: Outlet,
     attempts: HashMap<Attempt, AbortHandle>,
@@ -231,6 +234,8 @@
         let now = self.context.clock.now();
         if self.dumped.is_none_or(|at| now >= at + DUMP_INTERVAL) {
             self.dumped = Some(now);
+            self.metrics.add(&self.scheduler.take_counters());
+            self.metrics.ledger(self.ledger.counts());
             self.state.send_replace(self.scheduler.dump(now));
         }
     }
--- a/crates/shallotroute_sampling/tests/support/mod.rs
+++ b/crates/shallotroute_sampling/tests/support/mod.rs
@@ -204,6 +204,7 @@
     pub(crate) members: watch::Sender<Arc<View>>,
     pub(crate) stop: CancellationToken,
     pub(crate) sampler: Arc<Sampler>,
+    pub(crate) registry: Registry,
     _configuration: watch::Sender<Option<Arc<Snapshot>>>,
 }
 
@@ -412,7 +413,8 @@
         scorer: Arc::clone(platform) as _,
         store: Arc::clone(platform) as _,
     };
-    let sampler = Sampler::new(context, edges, &mut Registry::default());
+    let mut registry = Registry::default();
+    let sampler = Sampler::new(context, edges, &mut registry);
     tokio::spawn(Arc::clone(&sampler).run());
     let service = sampler.service().unwrap();
     let services = Arc::new(Services::from([(ServiceKind::Rollouts, service)]));
@@ -426,6 +428,7 @@
         members,
         stop,
         sampler,
+        registry,
         _configuration: configuration,
     }
 }
