--- a/crates/shallotroute_gateway/src/entry.rs
+++ b/crates/shallotroute_gateway/src/entry.rs
@@ -19,8 +19,9 @@
 };
 
 use crate::{
-    Gateway, dispatch,
+    Gateway, admission, dispatch,
     failure::{Failure, Result, Step},
+    replay,
     runtime::{Cell, Runtime},
 };
 
@@ -102,7 +103,12 @@
         return Ok(response);
     }
     let call = read(runtime, request, id, client, received).await?;
-    dispatch::run(gateway, &call).await
+    let permit = admission::enter(gateway, &call).await?;
+    let permit = Arc::new(permit);
+    match replay::key(&call) {
+        Some(key) => replay::run(gateway, &call, key, permit).await,
+        None => dispatch::run(gateway, &call, permit).await,
+    }
 }
 
 fn not_ready() -> Box<Failure> {
--- a/crates/shallotroute_rollout/src/scheduler/pulls.rs
+++ b/crates/shallotroute_rollout/src/scheduler/pulls.rs
@@ -33,10 +33,9 @@
         for attempt in stopped {
             self.cancel(attempt);
         }
-        self.trainers
-            .entry(key.trainer.clone())
-            .or_default()
-            .version = Some(pull.version);
+        let trainer = self.trainers.entry(key.trainer.clone()).or_default();
+        trainer.version = Some(pull.version);
+        trainer.current = key.step;
         self.pulls.insert(number, pull);
         self.stop_doomed(&key.trainer);
         self.discard_doomed(&key);
@@ -99,16 +98,17 @@
         let Some(step) = self.steps.get_mut(&pull.key) else {
             return;
         };
+        let counters = self.counters.of(&pull.key.trainer);
         for group in &groups {
             step.offered.insert(group.group);
             for sample in &group.samples {
                 let oldest = sample.oldest().unwrap_or_default();
-                self.counters.staleness.push(age(pull.version, oldest));
-                self.counters.delivered += 1;
+                counters.staleness.push(age(pull.version, oldest));
+                counters.delivered += 1;
             }
         }
         let wait = now.saturating_duration_since(pull.opened);
-        self.counters.waits.push((pull.key.trainer.clone(), wait));
+        counters.waits.push(wait);
         let remaining = step.specification.groups() - step.offered.count();
         let answer = Answer {
             groups,
@@ -138,6 +138,14 @@
         }
     }
 
+    /// Discards finished samples of the steps with open pulls that have become too stale.
+    pub(super) fn discard_for_pulls(&mut self) {
+        let keys: Vec<Key> = self.pulls.values().map(|pull| pull.key.clone()).collect();
+        for key in keys {
+            self.discard_doomed(&key);
+        }
+    }
+
     /// Discards finished samples that are too stale for the trainer's version, so that they are
     /// generated again. Only a pull does this: its receipt tells which answers have arrived.
     fn discard_doomed(&mut self, key: &Key) {
--- a/crates/shallotroute_sampling/tests/trainers.rs
+++ b/crates/shallotroute_sampling/tests/trainers.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::sync::Arc;
+
 use googletest::prelude::*;
 use http::{Method, StatusCode};
 use serde_json::{Value, json};
@@ -91,3 +93,44 @@
         .await;
     expect_that!(status, eq(StatusCode::FORBIDDEN));
 }
+
+/// Guards against a deleted step that a copy brings back with its old body.
+#[gtest]
+#[tokio::test]
+async fn a_deleted_step_can_be_submitted_with_another_body() {
+    let fleet = Fleet::start(3, ONE_TRAINER).await;
+    let node = fleet.owner();
+    fleet.call(node, Method::PUT, "/steps/4", &step()).await;
+    let (status, _) = fleet
+        .call(node, Method::DELETE, "/steps/4", &json!({}))
+        .await;
+    expect_that!(status, eq(StatusCode::OK));
+    let pull = json!({"receipt": "", "version": 1});
+    let (status, _) = fleet.call(node, Method::POST, "/steps/4/pull", &pull).await;
+    expect_that!(status, eq(StatusCode::NOT_FOUND));
+    let body = json!({"prompts": ["p"], "group_size": 1, "max_tokens": 5});
+    let (status, _) = fleet.call(node, Method::PUT, "/steps/4", &body).await;
+    expect_that!(status, eq(StatusCode::OK));
+    expect_that!(fleet.pull_all(node, 4, 1).await.len(), eq(1));
+}
+
+/// Guards against cancelled attempts whose streams stay open and keep their engines busy.
+#[gtest]
+#[tokio::test]
+async fn a_cancelled_attempt_frees_its_engine() {
+    let fleet = Fleet::start(1, ONE_TRAINER).await;
+    let body = json!({"prompts": ["endless"], "group_size": 4, "max_tokens": 5});
+    let (status, _) = fleet.call(0, Method::PUT, "/steps/4", &body).await;
+    expect_that!(status, eq(StatusCode::OK));
+    fleet
+        .wait("the streams open", || {
+            Arc::strong_count(&fleet.platform.open) == 5
+        })
+        .await;
+    fleet.call(0, Method::DELETE, "/steps/4", &json!({})).await;
+    fleet
+        .wait("the streams close", || {
+            Arc::strong_count(&fleet.platform.open) == 1
+        })
+        .await;
+}
