config, ctl: count listed hosts that were never heard from; tests of the commands

Cause: a node that restarted in an outage among nodes without the newest revision counted only the members that it had heard from and returned to the revision before. Change: live hosts of the host list that are no backend servers of the newest revision count as peers at a start; a node with fewer than two peers waits for them. shallotctl no longer takes a refusal for an answer of audit or dump. Conclusion: no revert in the model, also for restarts in an outage.

--- a/crates/shallotroute_config/src/adoption.rs
+++ b/crates/shallotroute_config/src/adoption.rs
@@ -51,6 +51,14 @@
 /// before its restart.
 const SETTLE: Duration = Duration::from_secs(4);
 
+/// How long a starting node waits for heartbeats, five of them, before it takes the members that it
+/// knows for all there are.
+const FIRST_HEARTBEATS: Duration = Duration::from_secs(1);
+
+/// How long a starting node waits for listed hosts that it does not hear. The host list lags by up to
+/// 30 s, so such a host may be gone, or a backend server that no revision has yet.
+const UNHEARD_LIMIT: Duration = Duration::from_secs(30);
+
 /// The pause after a failed watch or load.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -243,6 +251,7 @@
         self.load_failed = false;
         match bundle.map(|bundle| (bundle.open(), bundle)) {
             Some((Ok(snapshot), bundle)) if self.is_acceptable(&snapshot) => {
+                self.roster.set_servers(&snapshot.set);
                 self.pending.push_back(Held {
                     snapshot: Arc::new(snapshot),
                     bundle: Arc::new(bundle),
@@ -276,7 +285,7 @@
     }
 
     fn establish(&mut self, now: Instant) {
-        if self.established || now < self.started + SETTLE || !self.roster.majority() {
+        if self.established || now < self.started + SETTLE {
             return;
         }
         if let Some(newest) = self.roster.quorum() {
@@ -356,9 +365,18 @@
         actions.extend(self.roster.sample(count, rng).into_iter().map(compare));
     }
 
+    /// Tells whether the members that the node knows are enough to count holders among. A node that
+    /// has just started or is cut off may know none of the others and must not count to 0.
+    fn knows_peers(&self, now: Instant) -> bool {
+        let age = now.saturating_duration_since(self.started);
+        self.roster.has_enough_peers()
+            || age >= FIRST_HEARTBEATS && self.roster.unheard() == 0
+            || age >= UNHEARD_LIMIT
+    }
+
     /// Puts the newest pending revision in force that enough other nodes hold.
     fn apply(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if !self.established {
+        if !self.established || !self.knows_peers(now) {
             return;
         }
         let ready = self.pending.iter().rposition(|held| {
--- a/crates/shallotroute_config/src/adoption/roster.rs
+++ b/crates/shallotroute_config/src/adoption/roster.rs
@@ -16,6 +16,7 @@
 };
 
 use super::message::{Local, Report};
+use crate::set::Set;
 
 /// How many nodes of each availability zone watch the head.
 const WATCHERS_PER_ZONE: usize = 2;
@@ -31,7 +32,10 @@
 pub(super) struct Roster {
     local: Local,
     view: Arc<View>,
+    /// The live hosts in the host list: nodes and backend servers.
     listed: BTreeSet<Name>,
+    /// The backend servers in the newest revision that the node holds.
+    servers: BTreeSet<Name>,
     reports: HashMap<Id, Report>,
     failures: HashMap<Id, Instant>,
 }
@@ -42,16 +46,24 @@
             local,
             view: Arc::default(),
             listed: BTreeSet::new(),
+            servers: BTreeSet::new(),
             reports: HashMap::new(),
             failures: HashMap::new(),
         }
     }
 
     pub(super) fn set_view(&mut self, view: Arc<View>) {
-        self.reports.retain(|id, _| view.get(id.as_str()).is_some());
+        // The view's members are sorted by name.
+        let known = |id: &Id| view.members.binary_search_by(|member| member.id.cmp(id));
+        self.reports.retain(|id, _| known(id).is_ok());
         self.view = view;
     }
 
+    pub(super) fn set_servers(&mut self, set: &Set) {
+        let servers = set.pools.values().flat_map(|pool| &pool.servers);
+        self.servers = servers.map(|server| server.name.clone()).collect();
+    }
+
     pub(super) fn set_listed(&mut self, names: Vec<Name>) {
         self.listed = names.into_iter().collect();
     }
@@ -127,6 +139,22 @@
         }
     }
 
+    /// Tells whether there are as many peers as a revision needs holders in the largest fleet.
+    pub(super) fn has_enough_peers(&self) -> bool {
+        self.peers().take(HOLDERS).count() == HOLDERS
+    }
+
+    /// Returns the number of live hosts that seem to be nodes and that the node never heard from.
+    pub(super) fn unheard(&self) -> usize {
+        let heard: BTreeSet<&Id> = self.view.members.iter().map(|member| &member.id).collect();
+        let unheard = |name: &&Name| !heard.contains(*name) && !self.servers.contains(*name);
+        self.listed
+            .iter()
+            .filter(|name| **name != self.local.id)
+            .filter(unheard)
+            .count()
+    }
+
     /// Tells whether enough other nodes hold `revision` or a later one.
     pub(super) fn is_replicated(&self, revision: Revision) -> bool {
         let needed = self.peers().count().min(HOLDERS);
@@ -136,15 +164,17 @@
 
     /// Returns the newest revision among the established peers' reports when enough of them have
     /// reported that at least one holder of any revision in force earlier is among them.
+    ///
+    /// Without a host list the node can't tell how many peers there are, and there is no such answer.
     pub(super) fn quorum(&self) -> Option<Revision> {
-        let peers: Vec<&Member> = self.peers().collect();
-        if peers.is_empty() {
+        let count = self.peers().count() + self.unheard();
+        if count == 0 || self.listed.is_empty() {
             return None;
         }
-        // A revision in force has min(2, peers) holders, so peers - holders + 1 answers have one.
-        let needed = peers.len() - peers.len().min(HOLDERS) + 1;
-        let answers: Vec<Revision> = peers
-            .iter()
+        // A revision in force has min(2, count) holders, so count - holders + 1 answers have one.
+        let needed = count - count.min(HOLDERS) + 1;
+        let answers: Vec<Revision> = self
+            .peers()
             .filter_map(|member| self.reports.get(&member.id))
             .filter(|report| report.established)
             .map(|report| report.known)
--- a/crates/shallotroute_config/tests/world/fault.rs
+++ b/crates/shallotroute_config/tests/world/fault.rs
@@ -35,7 +35,7 @@
     Outage,
     Slow,
     Lossy,
-    Cut,
+    Cut(u64),
 }
 
 /// Nodes cut off from each other.
@@ -93,6 +93,7 @@
     prop_oneof![
         vec(scene, 1..5).prop_map(|scenes| scenes.concat()),
         overtaking(),
+        left_behind(),
     ]
 }
 
@@ -133,6 +134,36 @@
         })
 }
 
+/// Makes a node restart in an outage among nodes that did not get the newest revision: some nodes are
+/// cut off while it is published, and then the restarting node is cut off with them.
+fn left_behind() -> impl Strategy<Value = Vec<Fault>> {
+    let behind = any::<u8>();
+    let stop = 3_000..3_500_u64;
+    let (length, gap) = (100..1_500_u64, 0..400_u64);
+    (behind, 0..8_usize, 0..8_usize, stop, length, gap).prop_map(
+        |(behind, publisher, node, at, length, gap)| {
+            let publish = |at, node| Fault::Publish { at, node, delay: 0 };
+            let cut = |at, length, small| Fault::Cut {
+                at,
+                length,
+                cut: Partition { small, store: 1 },
+            };
+            let together = behind | 1 << node;
+            vec![
+                publish(500, publisher),
+                cut(1_500, at + gap - 1_500, behind),
+                publish(1_900, publisher),
+                Fault::Outage {
+                    at: 2_800,
+                    length: FAULTS_END - 2_800,
+                },
+                Fault::Restart { at, length, node },
+                cut(at + gap, FAULTS_END - at - gap, together),
+            ]
+        },
+    )
+}
+
 fn any_cut() -> impl Strategy<Value = Partition> {
     (any::<u8>(), 0..3_u8).prop_map(|(small, store)| Partition { small, store })
 }
@@ -170,8 +201,9 @@
                 self.after(length, heal(Healed::Lossy));
             }
             Fault::Cut { length, cut, .. } => {
+                self.cuts += 1;
                 self.partition = Some(cut);
-                self.after(length, heal(Healed::Cut));
+                self.after(length, heal(Healed::Cut(self.cuts)));
             }
             Fault::Restart { length, node, .. } => {
                 let node = node % self.nodes.len();
@@ -188,7 +220,9 @@
             Fault::Heal(Healed::Outage) => self.store.up = true,
             Fault::Heal(Healed::Slow) => self.store.delay = 0,
             Fault::Heal(Healed::Lossy) => self.store.lossy = false,
-            Fault::Heal(Healed::Cut) => self.partition = None,
+            // A later partition has taken the place of an earlier one.
+            Fault::Heal(Healed::Cut(cut)) if cut < self.cuts => {}
+            Fault::Heal(Healed::Cut(_)) => self.partition = None,
         }
     }
 }
--- a/crates/shallotroute_config/tests/world/mod.rs
+++ b/crates/shallotroute_config/tests/world/mod.rs
@@ -85,6 +85,7 @@
     nodes: Vec<Node>,
     watches: Vec<Watch>,
     partition: Option<fault::Partition>,
+    cuts: u64,
     operations: Vec<Operation>,
     /// The highest revision that each node ever had in force.
     highest: Vec<Revision>,
@@ -111,6 +112,7 @@
             nodes: (0..count).map(node).collect(),
             watches: Vec::new(),
             partition: None,
+            cuts: 0,
             operations: Vec::new(),
             highest: vec![Revision(0); count],
             broken: Vec::new(),
--- a/crates/shallotroute_control/tests/support/mod.rs
+++ b/crates/shallotroute_control/tests/support/mod.rs
@@ -224,6 +224,8 @@
         let started = Instant::now();
         while started.elapsed() < limit {
             if done(self) {
+                // The others learn of it, too.
+                self.heartbeat();
                 return Some(started.elapsed());
             }
             self.heartbeat();
--- a/crates/shallotroute_ctl/src/client.rs
+++ b/crates/shallotroute_ctl/src/client.rs
@@ -100,16 +100,16 @@
             Ok(answer) => answer?,
             Err(_) => return Err(Report::new(Error::Lost(self.address))),
         };
-        if let Ok(value) = serde_json::from_slice::<T>(&bytes) {
-            return Ok(value);
+        let refusal = serde_json::from_slice::<Refusal>(&bytes);
+        if let Ok(refusal) = refusal.as_ref()
+            && !status.is_success()
+        {
+            return Err(Report::new(Error::Refused(refusal.error.message.clone())));
         }
-        Err(Report::new(
-            match serde_json::from_slice::<Refusal>(&bytes) {
-                Ok(refusal) => Error::Refused(refusal.error.message),
-                Err(_) if status.is_success() => Error::Answer(self.address),
-                Err(_) => Error::Refused(format!("{} answered with {status}", self.address)),
-            },
-        ))
+        serde_json::from_slice(&bytes).change_context_lazy(|| match status.is_success() {
+            true => Error::Answer(self.address),
+            false => Error::Refused(format!("{} answered with {status}", self.address)),
+        })
     }
 
     async fn exchange(
--- a/crates/shallotroute_ctl/tests/command.rs
+++ b/crates/shallotroute_ctl/tests/command.rs
@@ -1,6 +1,6 @@
 //! The commands against nodes on loopback.
 
-use std::{fs, path::Path, time::Duration};
+use std::{fs, path::Path, sync::atomic::Ordering, time::Duration};
 
 use googletest::prelude::*;
 use serde_json::Value;
@@ -79,3 +79,235 @@
     let dump = ctl(&fleet, &["dump", "--json"]).await.json();
     verify_that!(dump["whole"].as_str(), some(eq("node")))
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn publish_wait_keeps_accepted_and_in_force_apart() -> Result<()> {
+    // Guards against "done" for a revision that is accepted and not in force.
+    let fleet = Fleet::start(3).await;
+    let folder = tempfile::tempdir()?;
+    let file = write(folder.path(), "set.yaml", &set(5));
+    let publish = [
+        "publish",
+        &file,
+        "--reason",
+        "first",
+        "--wait",
+        "--wait-seconds",
+        "1",
+    ];
+    // Without further heartbeats the node does not learn what the others have in force.
+    fleet.heartbeat();
+    let ended = ctl(&fleet, &publish).await;
+    verify_that!(ended.exit, eq(Exit::Refused))?;
+    verify_that!(ended.out, contains_substring("accepted as revision 1"))?;
+    verify_that!(ended.err, contains_substring("accepted, but not in force"))?;
+
+    let file = write(folder.path(), "set.yaml", &set(6));
+    let publish = ["publish", &file, "--reason", "second", "--wait"];
+    let (ended, _) = tokio::join!(
+        ctl(&fleet, &publish),
+        fleet.until(IN_FORCE * 2, |fleet| fleet.all_in_force(2))
+    );
+    verify_that!(ended.err, eq(""))?;
+    verify_that!(ended.out, contains_substring("accepted as revision 2"))?;
+    verify_that!(ended.out, contains_substring("in force on 3 of 3 nodes"))
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_lost_answer_ends_as_published() -> Result<()> {
+    // Guards against "conflict" or "not published" for the publisher's own write.
+    let fleet = Fleet::start(3).await;
+    let folder = tempfile::tempdir()?;
+    fleet.store.lost_answers.store(1, Ordering::Relaxed);
+    let published = publish(&fleet, folder.path(), 5).await;
+    verify_that!(published.exit, eq(Exit::Done))?;
+    // The write itself is lost; after the barrier write it is sent again.
+    fleet.store.lost_writes.store(1, Ordering::Relaxed);
+    let published = publish(&fleet, folder.path(), 6).await;
+    verify_that!(published.exit, eq(Exit::Done))?;
+    verify_that!(published.json()["result"]["revision"].as_u64(), some(eq(2)))?;
+
+    let identity = published.json()["publication"].clone();
+    let identity = identity.as_str().unwrap_or_default().to_owned();
+    for node in &fleet.nodes {
+        let address = node.admin.to_string();
+        let arguments = [
+            "status",
+            "--publication",
+            &identity,
+            "--json",
+            "--node",
+            &address,
+        ];
+        let status = plain(&[&arguments[..], &["--key", KEY]].concat())
+            .await
+            .json();
+        verify_that!(status["result"]["revision"].as_u64(), some(eq(2)))?;
+    }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn of_two_operators_one_is_told_of_the_other() -> Result<()> {
+    // Guards against a change that silently undoes another operator's.
+    let fleet = Fleet::start(3).await;
+    let folder = tempfile::tempdir()?;
+    publish(&fleet, folder.path(), 5).await;
+    publish(&fleet, folder.path(), 6).await;
+    let file = write(folder.path(), "mine.yaml", &set(7));
+    let arguments = ["publish", &file, "--reason", "mine", "--parent", "1"];
+    let ended = ctl(&fleet, &arguments).await;
+    verify_that!(ended.exit, eq(Exit::Refused))?;
+    verify_that!(
+        ended.err,
+        contains_substring("conflict with revision 2 by ona")
+    )?;
+    verify_that!(ended.out, contains_substring("changed limit/members"))
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_roll_back_is_a_new_revision_and_history_shows_all() -> Result<()> {
+    // Guards against a roll-back that rewrites history, and against lost history.
+    let fleet = Fleet::start(3).await;
+    let folder = tempfile::tempdir()?;
+    publish(&fleet, folder.path(), 5).await;
+    publish(&fleet, folder.path(), 6).await;
+    let back = ["publish", "--rollback", "1", "--reason", "back", "--json"];
+    let ended = ctl(&fleet, &back).await;
+    verify_that!(ended.err, eq(""))?;
+    verify_that!(ended.json()["result"]["revision"].as_u64(), some(eq(3)))?;
+
+    let shown = |out: Value| out["objects"].clone();
+    let first = shown(ctl(&fleet, &["show", "1", "--json"]).await.json());
+    let third = shown(ctl(&fleet, &["show", "3", "--json"]).await.json());
+    let newest = shown(ctl(&fleet, &["show", "--json"]).await.json());
+    verify_that!(third, eq(&first))?;
+    verify_that!(newest, eq(&first))?;
+
+    let history = ctl(&fleet, &["history", "--json"]).await.json();
+    let entries = history["entries"].as_array().cloned().unwrap_or_default();
+    let revisions = entries
+        .iter()
+        .map(|entry| entry["record"]["revision"].as_u64());
+    verify_that!(
+        revisions.collect::<Vec<_>>(),
+        eq(&vec![Some(3), Some(2), Some(1)])
+    )?;
+    let time = entries[1]["time"].as_str().unwrap_or_default().to_owned();
+    let at = ctl(&fleet, &["show", "--at", &time, "--json"]).await.json();
+    verify_that!(at["entry"]["record"]["revision"].as_u64(), some(eq(1)))?;
+
+    let audit = ctl(&fleet, &["audit", "caller/desk"]).await;
+    verify_that!(audit.out, contains_substring("revision 1 at"))?;
+    verify_that!(audit.out, not(contains_substring("revision 2 at")))
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_sample_is_found_in_the_ledger() -> Result<()> {
+    // Guards against an audit that misses a sample or mixes it up with another group's.
+    let fleet = Fleet::start(1).await;
+    let folder = tempfile::tempdir()?;
+    publish(&fleet, folder.path(), 5).await;
+    let ledger = r#"{"batches": [{"node": "n7", "revision": 1, "groups": [
+        {"group": 0, "samples": [{"index": 1, "score": 0.5}]},
+        {"group": 3, "samples": [{"index": 0}, {"index": 1, "score": 0.75}]}]}]}"#;
+    fleet.store.put("ledger/spring/12", ledger);
+    let audit = ctl(&fleet, &["audit", "spring/12/3/1", "--json"])
+        .await
+        .json();
+    verify_that!(audit["sample"]["score"].as_f64(), some(eq(0.75)))?;
+    verify_that!(audit["sample"]["node"].as_str(), some(eq("n7")))?;
+    verify_that!(
+        audit["configuration"]["record"]["author"].as_str(),
+        some(eq("ona"))
+    )?;
+    let missing = ctl(&fleet, &["audit", "spring/12/9/1"]).await;
+    verify_that!(missing.exit, eq(Exit::Refused))
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn no_call_is_served_without_an_operators_key() -> Result<()> {
+    // Guards against an administration call that anybody may make.
+    let fleet = Fleet::start(1).await;
+    let node = fleet.nodes[0].admin.to_string();
+    for command in [
+        &["status"][..],
+        &["dump"],
+        &["history"],
+        &["show", "1"],
+        &["audit", "a/b"],
+    ] {
+        for key in ["spring-onions", "", "0"] {
+            let arguments = [command, &["--node", &node, "--key", key]].concat();
+            let ended = plain(&arguments).await;
+            verify_that!(ended.exit, eq(Exit::Refused))?;
+            verify_that!(ended.err, contains_substring("operator's key"))?;
+        }
+    }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_outage_refuses_publications_and_keeps_the_configuration() -> Result<()> {
+    // Guards against a node that gives up its configuration, or starts on an older one, while the
+    // key-value service is down.
+    let mut fleet = Fleet::start(3).await;
+    let folder = tempfile::tempdir()?;
+    publish(&fleet, folder.path(), 5).await;
+    let took = fleet.until(IN_FORCE, |fleet| fleet.all_in_force(1)).await;
+    verify_that!(took, some(anything()))?;
+    fleet.store.down.store(true, Ordering::Relaxed);
+    let refused = publish(&fleet, folder.path(), 6).await;
+    verify_that!(refused.exit, eq(Exit::Refused))?;
+    verify_that!(refused.err, contains_substring("not published"))?;
+    fleet.restart(2).await;
+    verify_that!(*fleet.nodes[2].inputs.confirmed.borrow(), eq(false))?;
+    let limit = Duration::from_secs(8);
+    let took = fleet.until(limit, |fleet| fleet.all_in_force(1)).await;
+    verify_that!(took, some(anything()))?;
+    verify_that!(*fleet.nodes[2].inputs.confirmed.borrow(), eq(true))
+}
+
+#[tokio::test]
+async fn errors_of_usage_end_with_2_and_help_with_0() -> Result<()> {
+    // Guards against scripts that can't tell a wrong command line from a refusal.
+    for wrong in [
+        &["status"][..],
+        &["publish", "x"],
+        &["shw"],
+        &[],
+        &["status", "--node", "x"],
+    ] {
+        verify_that!(plain(wrong).await.exit, eq(Exit::Usage))?;
+    }
+    let commands = [
+        "check", "publish", "status", "history", "show", "audit", "dump",
+    ];
+    for command in commands {
+        let help = plain(&[command, "--help"]).await;
+        verify_that!(help.exit, eq(Exit::Done))?;
+        verify_that!(
+            help.out,
+            contains_substring(format!("shallotctl {command}"))
+        )?;
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_set_with_errors_is_refused_with_all_findings() -> Result<()> {
+    // Guards against a check without a node that accepts what the node refuses.
+    let folder = tempfile::tempdir()?;
+    let text = "kind: limit\nname: members\nrequests_per_second: 0\nburst: 0\n";
+    let file = write(folder.path(), "bad.yaml", text);
+    let ended = plain(&["check", &file]).await;
+    verify_that!(ended.exit, eq(Exit::Refused))?;
+    verify_that!(
+        ended.out,
+        contains_substring(format!("{file}:3: error: limit/members"))
+    )?;
+    verify_that!(
+        ended.out,
+        contains_substring(format!("{file}:4: error: limit/members"))
+    )
+}
