config, control, ctl: short functions, slower reads of a start in an outage

Change: functions split; the interval of a starting node's reads doubles up to 4 s; metrics are registered under config, since the node adds its own prefix.

--- a/crates/shallotroute_config/src/adoption.rs
+++ b/crates/shallotroute_config/src/adoption.rs
@@ -34,9 +34,13 @@
 /// The time between a watcher's reads of the head, which find what a lost watch missed.
 const READ_INTERVAL: Duration = Duration::from_secs(2);
 
-/// The time between reads of the head by a node that is not established.
+/// The time between reads of the head by a node that is not established; doubled after each failure,
+/// so that a fleet that restarts in an outage does not hold the key-value service down.
 const START_READ_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The most doublings of [`START_READ_INTERVAL`].
+const MAX_DOUBLINGS: u32 = 3;
+
 /// The time between comparisons with a random member.
 const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -82,6 +86,7 @@
     floor: Revision,
     started: Instant,
     read_at: Option<Instant>,
+    read_failures: u32,
     watching: bool,
     reading: bool,
     fetching: bool,
@@ -108,6 +113,7 @@
             floor: Revision::default(),
             started: now,
             read_at: None,
+            read_failures: 0,
             watching: false,
             reading: false,
             fetching: false,
@@ -223,6 +229,7 @@
     fn on_head(&mut self, call: Call, version: u64, head: Head, asked: Instant) {
         self.ended(call);
         self.read_at = self.read_at.max(Some(asked));
+        self.read_failures = 0;
         self.established = true;
         self.floor = self.floor.max(head.revision);
         // Two reads may end in the other order.
@@ -234,8 +241,9 @@
 
     fn on_head_failed(&mut self, call: Call, now: Instant, rng: &mut ChaCha8Rng) {
         self.ended(call);
-        if call == Call::Watch {
-            self.next_watch = now + jitter(RETRY_PAUSE, rng);
+        match call {
+            Call::Watch => self.next_watch = now + jitter(RETRY_PAUSE, rng),
+            Call::Read => self.read_failures += 1,
         }
     }
 
@@ -312,7 +320,7 @@
         }
         let interval = match self.established {
             true => READ_INTERVAL,
-            false => START_READ_INTERVAL,
+            false => START_READ_INTERVAL * (1 << self.read_failures.min(MAX_DOUBLINGS)),
         };
         if read_due {
             self.next_read = now + jitter(interval, rng);
--- a/crates/shallotroute_config/src/check.rs
+++ b/crates/shallotroute_config/src/check.rs
@@ -119,59 +119,18 @@
     fn across(&self, findings: &mut Vec<Finding>) {
         let mut seen = Seen::new(findings);
         for document in self.documents {
+            let identity = document.identity();
             seen.note(
                 "name",
                 document,
-                document.identity(),
+                identity,
                 "an object of the same kind and name",
             );
-            match &document.object {
-                Object::Model(_) | Object::Adapter(_) => {
-                    let name = document.object.name();
-                    seen.note(
-                        "name",
-                        document,
-                        format!("model {name}"),
-                        "a model or adapter of the same name, so a request's model is ambiguous",
-                    );
-                }
-                Object::Pool(pool) => seen.servers(document, pool),
-                Object::Route(route) => {
-                    if let Some(model) = &route.model {
-                        seen.note(
-                            "model",
-                            document,
-                            format!("route {model}"),
-                            "a route for the same model, so the route is ambiguous",
-                        );
-                    }
-                    if let Some(prefix) = &route.path_prefix {
-                        seen.note(
-                            "path_prefix",
-                            document,
-                            format!("path {prefix}"),
-                            "a route for the same path, so the route is ambiguous",
-                        );
-                    }
-                }
-                Object::Caller(caller) => {
-                    seen.note(
-                        "key_hash",
-                        document,
-                        format!("key {}", caller.key_hash),
-                        "a caller with the same key, so the caller is ambiguous",
-                    );
-                }
-                Object::ModelVersion(version) => {
-                    let identity = format!("version {} {}", version.model, version.version);
-                    seen.note(
-                        "version",
-                        document,
-                        identity,
-                        "a statement on the same version",
-                    );
-                }
-                Object::Limit(_) | Object::Scorer(_) | Object::Trainer(_) => {}
+            if let Object::Pool(pool) = &document.object {
+                seen.servers(document, pool);
+            }
+            for (field, identity, what) in unique(&document.object) {
+                seen.note(field, document, identity, what);
             }
         }
     }
@@ -272,6 +231,40 @@
     }
 }
 
+/// Returns the fields that no two objects may share, each with a text that has to be unique and what
+/// an earlier object with the same text is.
+fn unique(object: &Object) -> Vec<(&'static str, String, &'static str)> {
+    match object {
+        Object::Model(_) | Object::Adapter(_) => vec![(
+            "name",
+            format!("model {}", object.name()),
+            "a model or adapter of the same name, so a request's model is ambiguous",
+        )],
+        Object::Route(route) => {
+            let model = route.model.as_ref().map(|model| {
+                let what = "a route for the same model, so the route is ambiguous";
+                ("model", format!("route {model}"), what)
+            });
+            let path = route.path_prefix.as_ref().map(|prefix| {
+                let what = "a route for the same path, so the route is ambiguous";
+                ("path_prefix", format!("path {prefix}"), what)
+            });
+            model.into_iter().chain(path).collect()
+        }
+        Object::Caller(caller) => vec![(
+            "key_hash",
+            format!("key {}", caller.key_hash),
+            "a caller with the same key, so the caller is ambiguous",
+        )],
+        Object::ModelVersion(version) => vec![(
+            "version",
+            format!("version {} {}", version.model, version.version),
+            "a statement on the same version",
+        )],
+        Object::Pool(_) | Object::Limit(_) | Object::Scorer(_) | Object::Trainer(_) => Vec::new(),
+    }
+}
+
 /// What was seen first, by a text that has to be unique.
 struct Seen<'a, 'b> {
     places: HashMap<String, &'a Document>,
--- a/crates/shallotroute_control/src/metric.rs
+++ b/crates/shallotroute_control/src/metric.rs
@@ -32,48 +32,57 @@
     /// Makes the metrics and registers them.
     pub(crate) fn new(registry: &mut Registry) -> Self {
         let metrics = Self::default();
-        let registry = registry.sub_registry_with_prefix("shallotroute_config");
-        registry.register(
-            "known_revision",
-            "Newest revision that the node holds",
-            metrics.known.clone(),
-        );
-        registry.register(
-            "in_force_revision",
-            "Revision that the node applies",
-            metrics.in_force.clone(),
-        );
-        registry.register(
-            "confirmed",
-            "1 while the node has confirmed its configuration lately",
-            metrics.confirmed.clone(),
-        );
+        let registry = registry.sub_registry_with_prefix("config");
+        let gauges = [
+            (
+                "known_revision",
+                "Newest revision that the node holds",
+                &metrics.known,
+            ),
+            (
+                "in_force_revision",
+                "Revision that the node applies",
+                &metrics.in_force,
+            ),
+            (
+                "confirmed",
+                "1 while the node has confirmed its configuration lately",
+                &metrics.confirmed,
+            ),
+            (
+                "rejected_revisions",
+                "Revisions refused for a wrong hash or unreadable content since the start",
+                &metrics.rejected,
+            ),
+        ];
+        for (name, help, gauge) in gauges {
+            registry.register(name, help, gauge.clone());
+        }
+        metrics.register(registry);
+        metrics
+    }
+
+    fn register(&self, registry: &mut Registry) {
         registry.register(
             "confirmation_age_seconds",
             "Seconds since the configuration was last confirmed, -1 if never",
-            metrics.confirmation_age.clone(),
+            self.confirmation_age.clone(),
         );
         registry.register(
             "applied",
             "Revisions put in force since the start",
-            metrics.applied.clone(),
-        );
-        registry.register(
-            "rejected_revisions",
-            "Revisions refused for a wrong hash or unreadable content since the start",
-            metrics.rejected.clone(),
+            self.applied.clone(),
         );
         registry.register(
             "publications",
             "Publications by result",
-            metrics.publications.clone(),
+            self.publications.clone(),
         );
         registry.register(
             "denied_calls",
             "Administration calls without a valid key",
-            metrics.denied.clone(),
+            self.denied.clone(),
         );
-        metrics
     }
 
     /// Counts a revision put in force.
--- a/crates/shallotroute_control/src/publisher/driver.rs
+++ b/crates/shallotroute_control/src/publisher/driver.rs
@@ -35,24 +35,24 @@
             );
             return;
         };
-        let mut outcome = self.drive(&mut machine, first, deadline).await;
-        loop {
-            let unknown = outcome == publication::Outcome::Unknown;
-            let result = self.result(identity, &machine, outcome, &base).await;
+        let outcome = self.drive(&mut machine, first, deadline).await;
+        let unknown = outcome == publication::Outcome::Unknown;
+        let finish = async |outcome, machine: &Publication| {
+            let result = self.result(identity, machine, outcome, &base).await;
             let publication = api::Publication {
                 findings: findings.clone(),
                 changes: changes.clone(),
                 ..result
             };
             self.end(sender, publication);
-            if !unknown {
-                return;
-            }
+        };
+        finish(outcome, &machine).await;
+        if unknown {
             let deadline = self.clock.now() + RESOLVE_LIMIT;
             let action = machine.resolve(deadline);
-            outcome = self.drive(&mut machine, action, deadline).await;
-            if outcome == publication::Outcome::Unknown {
-                return;
+            let outcome = self.drive(&mut machine, action, deadline).await;
+            if outcome != publication::Outcome::Unknown {
+                finish(outcome, &machine).await;
             }
         }
     }
--- a/crates/shallotroute_control/src/publisher/preparation.rs
+++ b/crates/shallotroute_control/src/publisher/preparation.rs
@@ -22,7 +22,7 @@
 /// How long reading the difference to the winner of a race may take.
 const DIFFERENCE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The first try to read the head and what it names; the next one comes after it failed.
+/// How often the head and what it names are read before a publication is given up.
 const READ_ATTEMPTS: u32 = 3;
 
 /// What a submission leads to before anything is written.
@@ -59,41 +59,25 @@
             None => check::files(&submission.files),
             Some(_) => Checked::default(),
         };
-        let stop = |publication: api::Publication, findings: Vec<Finding>| {
-            let publication = api::Publication {
-                findings,
-                ..publication
-            };
-            Ok(Preparation::Ended(Box::new(publication)))
-        };
         let identity = submission.publication.clone();
         if has_errors(&checked.findings) {
-            return stop(ended(&identity, Outcome::Rejected), checked.findings);
+            let rejected = ended(&identity, Outcome::Rejected);
+            return Ok(stop(rejected, checked.findings));
         }
         let newest = self.newest().await?;
-        if let Some(revision) = self.find(&newest.head, &identity).await? {
-            return stop(
-                ended(&identity, Outcome::Published { revision }),
-                checked.findings,
-            );
-        }
-        if let Some(parent) = submission.parent
-            && parent != newest.head.revision
-        {
-            let base = self.repository.at(&newest.head, parent).await?;
-            let base = base.map(|snapshot| snapshot.set).unwrap_or_default();
-            let conflict = self.conflict(&newest.head, &base).await;
-            return stop(ended(&identity, conflict), checked.findings);
+        if let Some(result) = self.decided(&submission, &newest.head).await? {
+            return Ok(stop(ended(&identity, result), checked.findings));
         }
         let set = match submission.rollback {
-            None => checked.set,
-            Some(target) => match self.repository.at(&newest.head, target).await? {
-                Some(snapshot) => snapshot.set,
-                None => {
-                    let reason = format!("there is no revision {target}");
-                    return stop(not_published(&identity, &reason), checked.findings);
-                }
-            },
+            None => Some(checked.set),
+            Some(target) => {
+                let snapshot = self.repository.at(&newest.head, target).await?;
+                snapshot.map(|snapshot| snapshot.set)
+            }
+        };
+        let Some(set) = set else {
+            let missing = not_published(&identity, "there is no such revision to return to");
+            return Ok(stop(missing, checked.findings));
         };
         let header = Header {
             publication: identity,
@@ -105,6 +89,22 @@
         plan(newest, &set, header, checked.findings)
     }
 
+    /// Returns the result that the chain alone decides: the publication is in it already, or the
+    /// operator's change is based on an older revision.
+    async fn decided(&self, submission: &Submission, head: &Head) -> Result<Option<Outcome>> {
+        if let Some(revision) = self.find(head, &submission.publication).await? {
+            return Ok(Some(Outcome::Published { revision }));
+        }
+        match submission.parent {
+            Some(parent) if parent != head.revision => {
+                let base = self.repository.at(head, parent).await?;
+                let base = base.map(|snapshot| snapshot.set).unwrap_or_default();
+                Ok(Some(self.conflict(head, &base).await))
+            }
+            Some(_) | None => Ok(None),
+        }
+    }
+
     /// Returns what won over a publication that is based on `base`.
     pub(super) async fn conflict(&self, winner: &Head, base: &Set) -> Outcome {
         let read = timeout(DIFFERENCE_TIMEOUT, self.repository.snapshot(winner)).await;
@@ -142,6 +142,13 @@
     }
 }
 
+fn stop(publication: api::Publication, findings: Vec<Finding>) -> Preparation {
+    Preparation::Ended(Box::new(api::Publication {
+        findings,
+        ..publication
+    }))
+}
+
 fn plan(newest: Newest, set: &Set, header: Header, findings: Vec<Finding>) -> Result<Preparation> {
     let identity = header.publication.clone();
     let malformed = || Error::Malformed("the set".into());
@@ -151,11 +158,7 @@
     if changes == Changes::default() {
         let revision = newest.head.revision;
         let reason = format!("revision {revision} has the same objects");
-        let publication = api::Publication {
-            findings,
-            ..not_published(&identity, &reason)
-        };
-        return Ok(Preparation::Ended(Box::new(publication)));
+        return Ok(stop(not_published(&identity, &reason), findings));
     }
     Ok(Preparation::Ready(Box::new(Prepared {
         plan: Plan {
--- a/crates/shallotroute_ctl/src/command.rs
+++ b/crates/shallotroute_ctl/src/command.rs
@@ -150,39 +150,40 @@
     accepted: Report,
 ) -> Result<Report> {
     let started = Instant::now();
-    let mut text = accepted.text;
     loop {
-        // The publication is done, so a status that can't be read only ends the waiting later.
+        // The publication is done, so a status that can't be read does not end the waiting.
         let status: Option<api::Status> = node.get("/admin/v1/status").await.ok();
-        let (missing, total) = status.as_ref().map_or((None, 0), |status| {
-            let (missing, total) = missing(status, revision);
-            (Some(missing), total)
-        });
-        let seconds = started.elapsed().as_secs_f64();
-        let done = missing.as_ref().is_some_and(Vec::is_empty);
-        if !done && started.elapsed() < limit {
-            tokio::time::sleep(WAIT_INTERVAL).await;
-            continue;
+        let missing = status.map(|status| missing(&status, revision));
+        let done = missing.as_ref().is_some_and(|(names, _)| names.is_empty());
+        if done || started.elapsed() >= limit {
+            return Ok(waited(accepted, missing, started.elapsed()));
         }
-        let value = json!({
-            "publication": accepted.value,
-            "in_force": done,
-            "waited_s": seconds,
-            "missing": missing,
-        });
-        if done {
+        tokio::time::sleep(WAIT_INTERVAL).await;
+    }
+}
+
+/// Tells on how many nodes an accepted revision is in force.
+fn waited(accepted: Report, missing: Option<(Vec<String>, usize)>, time: Duration) -> Report {
+    let seconds = time.as_secs_f64();
+    let mut text = accepted.text;
+    let refusal = match &missing {
+        Some((names, total)) if names.is_empty() => {
             text.push_str(&format!(
                 "in force on {total} of {total} nodes after {seconds:.1} s\n"
             ));
-            return Ok(Report::new(text, &value));
+            None
         }
-        let names = match &missing {
-            Some(names) => names.join(", "),
-            None => "unknown nodes, since the status can't be read".into(),
-        };
-        let reason = format!("accepted, but not in force after {seconds:.1} s on {names}");
-        return Ok(Report::new(text, &value).with_refusal(Some(reason)));
-    }
+        Some((names, _)) => Some(names.join(", ")),
+        None => Some("unknown nodes, since the status can't be read".into()),
+    };
+    let value = json!({
+        "publication": accepted.value,
+        "in_force": refusal.is_none(),
+        "waited_s": seconds,
+        "missing": missing.map(|(names, _)| names),
+    });
+    let reason = |names| format!("accepted, but not in force after {seconds:.1} s on {names}");
+    Report::new(text, &value).with_refusal(refusal.map(reason))
 }
 
 /// Returns the live nodes without the revision in force, and the number of live nodes.
