config, control: small parts, of which nodes and the store get only new ones

The host list, read every 5 s, would have taken more than that, too. Change: objects go into parts of about 16 KB by the hash of kind and name; nodes exchange the record and then only missing parts; a publication writes only new parts; the host list is read more rarely the longer it is. Conclusion: the bytes of a change depend on the change, not on the set. They are calculated, not measured at full size.

--- a/crates/shallotroute_config/src/adoption.rs
+++ b/crates/shallotroute_config/src/adoption.rs
@@ -15,7 +15,7 @@
 use shallotroute_types::{member::Member, revision::Revision};
 
 use crate::{
-    bundle::{Bundle, Head},
+    bundle::{Bundle, Head, Part},
     snapshot::Snapshot,
 };
 
@@ -178,6 +178,12 @@
         self.pending.back().or(self.in_force.as_ref())
     }
 
+    /// Returns a part of any revision that the node holds.
+    pub fn part(&self, hash: &str) -> Option<Part> {
+        let held = self.pending.iter().rev().chain(&self.in_force);
+        held.into_iter().find_map(|held| held.part(hash))
+    }
+
     /// Returns the revision in force.
     pub fn in_force(&self) -> Option<&Held> {
         self.in_force.as_ref()
--- a/crates/shallotroute_config/src/adoption/message.rs
+++ b/crates/shallotroute_config/src/adoption/message.rs
@@ -13,7 +13,7 @@
 };
 
 use crate::{
-    bundle::{Bundle, Head},
+    bundle::{Bundle, Head, Part},
     snapshot::Snapshot,
 };
 
@@ -70,6 +70,15 @@
     pub since: Instant,
 }
 
+impl Held {
+    /// Returns the part with that hash.
+    pub fn part(&self, hash: &str) -> Option<Part> {
+        let names = &self.snapshot.record.parts;
+        let index = names.iter().position(|name| name == hash)?;
+        self.bundle.parts.get(index).cloned()
+    }
+}
+
 /// What happened.
 #[derive(Clone, Debug)]
 pub enum Event {
--- a/crates/shallotroute_config/src/bundle.rs
+++ b/crates/shallotroute_config/src/bundle.rs
@@ -1,6 +1,6 @@
 //! The stored form of a revision: record and parts as JSON bytes, named by their hashes.
 
-use std::time::SystemTime;
+use std::{collections::BTreeMap, sync::Arc, time::SystemTime};
 
 use derive_more::Display;
 use error_stack::{Report, ResultExt};
@@ -23,6 +23,10 @@
 /// The largest part in bytes; the key-value service holds values up to 1 MB.
 pub const MAX_PART_BYTES: usize = 900_000;
 
+/// The size that a part should have on average, in bytes. A change rewrites the parts of the objects
+/// that it touches; small parts keep what each node gets for it small.
+const PART_BYTES: usize = 16 << 10;
+
 /// Returns the key of a record.
 pub fn record_key(hash: &str) -> String {
     format!("config/record/{hash}")
@@ -91,13 +95,16 @@
     }
 }
 
+/// Some of the objects as a JSON list.
+pub type Part = Arc<[u8]>;
+
 /// The bytes of a revision, as stored and as nodes exchange them.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Bundle {
     /// The record.
     pub record: Vec<u8>,
     /// The parts in the record's order.
-    pub parts: Vec<Vec<u8>>,
+    pub parts: Vec<Part>,
 }
 
 /// What an operator publishes, apart from the objects.
@@ -190,27 +197,50 @@
 }
 
 /// Writes objects into parts of at most [`MAX_PART_BYTES`].
-fn split(objects: &[Object]) -> Result<Vec<Vec<u8>>> {
-    let mut parts = Vec::new();
-    let mut part: Vec<u8> = Vec::new();
+///
+/// An object's part depends on the hash of its kind and name, so a change of one object leaves the
+/// other parts as they are, until the number of parts changes.
+fn split(objects: &[Object]) -> Result<Vec<Part>> {
+    let mut encoded = Vec::new();
     for object in objects {
+        let identity = format!("{}/{}", object.kind(), object.name());
         let bytes = json(object);
         if bytes.len() + 2 > MAX_PART_BYTES {
-            let identity = format!("{}/{}", object.kind(), object.name());
             return Err(Report::new(Error::TooLarge(identity)));
         }
-        if part.len() + bytes.len() + 2 > MAX_PART_BYTES {
+        encoded.push((place(&identity), bytes));
+    }
+    let total: usize = encoded.iter().map(|(_, bytes)| bytes.len()).sum();
+    let count = (total / PART_BYTES).next_power_of_two() as u64;
+    let mut buckets: BTreeMap<u64, Vec<Vec<u8>>> = BTreeMap::new();
+    for (place, bytes) in encoded {
+        buckets.entry(place % count).or_default().push(bytes);
+    }
+    Ok(buckets.into_values().flat_map(join).collect())
+}
+
+/// Returns the first 64 bits of the hash of an object's kind and name.
+fn place(identity: &str) -> u64 {
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&blake3::hash(identity.as_bytes()).as_bytes()[..8]);
+    u64::from_le_bytes(bytes)
+}
+
+/// Joins objects into as few parts as hold them.
+fn join(objects: Vec<Vec<u8>>) -> Vec<Part> {
+    let mut parts = Vec::new();
+    let mut part: Vec<u8> = Vec::new();
+    for bytes in objects {
+        if !part.is_empty() && part.len() + bytes.len() + 2 > MAX_PART_BYTES {
             part.push(b']');
-            parts.push(std::mem::take(&mut part));
+            parts.push(std::mem::take(&mut part).into());
         }
         part.push(if part.is_empty() { b'[' } else { b',' });
         part.extend_from_slice(&bytes);
     }
-    if !part.is_empty() {
-        part.push(b']');
-        parts.push(part);
-    }
-    Ok(parts)
+    part.push(b']');
+    parts.push(part.into());
+    parts
 }
 
 fn json<T: Serialize>(value: &T) -> Vec<u8> {
--- a/crates/shallotroute_config/src/publication.rs
+++ b/crates/shallotroute_config/src/publication.rs
@@ -12,7 +12,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    bundle::{Bundle, HEAD_KEY, Head, part_key, record_key},
+    bundle::{Bundle, HEAD_KEY, Head, Part, part_key, record_key},
     snapshot::Record,
 };
 
@@ -40,6 +40,8 @@
     pub version: u64,
     /// The record and its parts.
     pub bundle: Bundle,
+    /// The hashes of the parent's parts, which are stored already.
+    pub stored: Vec<String>,
 }
 
 /// The answer to a write.
@@ -122,6 +124,8 @@
 #[derive(Clone, Debug)]
 pub struct Publication {
     plan: Plan,
+    /// The parts to write.
+    parts: Vec<Part>,
     head: Head,
     step: Step,
     /// Whether a write of the new head may have taken effect or may still.
@@ -144,8 +148,11 @@
             record: Some(plan.bundle.hash()),
             publication: plan.publication.clone(),
         };
+        let stored = |part: &&Part| !plan.stored.contains(&crate::bundle::hash(part));
+        let parts = plan.bundle.parts.iter().filter(stored).cloned().collect();
         let publication = Self {
             plan,
+            parts,
             head,
             step: Step::Store(0),
             uncertain: false,
@@ -216,8 +223,8 @@
         };
         let bundle = &self.plan.bundle;
         match &self.step {
-            Step::Store(index) => match bundle.parts.get(*index) {
-                Some(part) => write(part_key(&crate::bundle::hash(part)), 0, part.clone()),
+            Step::Store(index) => match self.parts.get(*index) {
+                Some(part) => write(part_key(&crate::bundle::hash(part)), 0, part.to_vec()),
                 None => write(record_key(&bundle.hash()), 0, bundle.record.clone()),
             },
             Step::Swap => write(HEAD_KEY.into(), self.plan.version, self.head.to_bytes()),
@@ -241,7 +248,7 @@
             // Records and parts are named by their hashes, so an existing one is the same one.
             (Step::Store(index), Answer::Done | Answer::Conflict) => {
                 self.failures = 0;
-                self.step = match *index < self.plan.bundle.parts.len() {
+                self.step = match *index < self.parts.len() {
                     true => Step::Store(index + 1),
                     false => Step::Swap,
                 };
--- /dev/null
+++ b/crates/shallotroute_config/tests/bundle.rs
@@ -0,0 +1,100 @@
+//! The stored form of a revision.
+
+use std::time::{Duration, UNIX_EPOCH};
+
+use googletest::prelude::*;
+use shallotroute_config::{
+    bundle::{Bundle, Header, MAX_PART_BYTES},
+    object::{Limit, Object},
+    set::Set,
+    time,
+};
+
+fn header() -> Header {
+    Header {
+        publication: "p".into(),
+        author: "ona".into(),
+        at: UNIX_EPOCH,
+        reason: "test".into(),
+        warnings: Vec::new(),
+    }
+}
+
+fn set(count: usize) -> Set {
+    Set::new((0..count).map(|index| {
+        Object::Limit(Limit {
+            name: format!("limit-{index}").into(),
+            requests_per_second: 1.0,
+            burst: 1,
+            concurrency: None,
+        })
+    }))
+}
+
+/// Guards against a small change that makes every node get every part again.
+#[gtest]
+fn a_change_of_one_object_changes_one_part() -> Result<()> {
+    let mut set = set(5_000);
+    let first = Bundle::new(None, &set, header()).or_fail()?;
+    let first = first.open().or_fail()?;
+    verify_that!(first.set, eq(&set))?;
+    let limit = set.limits.get_mut("limit-7").or_fail()?;
+    limit.burst = 2;
+    let second = Bundle::new(Some(&first), &set, header()).or_fail()?;
+    let record = second.record().or_fail()?;
+    verify_that!(
+        record.changes.changed,
+        eq(&vec!["limit/limit-7".to_owned()])
+    )?;
+    let new = record
+        .parts
+        .iter()
+        .filter(|part| !first.record.parts.contains(part));
+    verify_that!(new.count(), eq(1))?;
+    verify_that!(record.parts.len(), ge(16))?;
+    verify_that!(
+        second.parts,
+        each(predicate(
+            |part: &std::sync::Arc<[u8]>| part.len() <= MAX_PART_BYTES
+        ))
+    )
+}
+
+/// Guards against a part or a record that was altered on its way.
+#[gtest]
+fn altered_bytes_are_refused() -> Result<()> {
+    let bundle = Bundle::new(None, &set(3), header()).or_fail()?;
+    let mut altered = bundle.clone();
+    altered.parts[0] = altered.parts[0].iter().map(|byte| byte ^ 1).collect();
+    verify_that!(altered.open().is_err(), eq(true))?;
+    let mut short = bundle.clone();
+    short.parts.pop();
+    verify_that!(short.open().is_err(), eq(true))?;
+    verify_that!(bundle.open().is_ok(), eq(true))
+}
+
+/// Guards against times in the history that are off by a day, a month or a leap day.
+#[gtest]
+fn times_are_written_and_read() {
+    let cases = [
+        (0, "1970-01-01T00:00:00.000Z"),
+        (951_782_400, "2000-02-29T00:00:00.000Z"),
+        (1_709_251_199, "2024-02-29T23:59:59.000Z"),
+        (1_796_329_800, "2026-12-03T20:30:00.000Z"),
+    ];
+    for (seconds, text) in cases {
+        let instant = UNIX_EPOCH + Duration::from_secs(seconds);
+        expect_that!(time::format(instant), eq(text));
+        expect_that!(time::parse(text), some(eq(instant)));
+        expect_that!(time::parse(&seconds.to_string()), some(eq(instant)));
+    }
+    for wrong in [
+        "",
+        "2026-12-03",
+        "2026-13-03T20:30:00Z",
+        "2026-12-03T24:00:00Z",
+        "-1",
+    ] {
+        expect_that!(time::parse(wrong), none(), "{wrong}");
+    }
+}
--- a/crates/shallotroute_config/tests/world/operator.rs
+++ b/crates/shallotroute_config/tests/world/operator.rs
@@ -134,7 +134,9 @@
         let snapshot = self.store.newest();
         let set = Set::new([Object::Limit(limit)]);
         let bundle = Bundle::new(snapshot.as_ref(), &set, header).expect("the set is small");
+        let stored = snapshot.map(|snapshot| snapshot.record.parts);
         let plan = Plan {
+            stored: stored.unwrap_or_default(),
             publication: format!("p{}", self.operations.len()),
             parent,
             version,
--- a/crates/shallotroute_config/tests/world/store.rs
+++ b/crates/shallotroute_config/tests/world/store.rs
@@ -66,7 +66,7 @@
         let part = |name: &String| {
             self.values
                 .get(&part_key(name))
-                .map(|(_, part)| part.clone())
+                .map(|(_, part)| part.as_slice().into())
         };
         let parts = names.iter().map(part).collect::<Option<_>>()?;
         Some(Bundle {
--- a/crates/shallotroute_control/src/adopter.rs
+++ b/crates/shallotroute_control/src/adopter.rs
@@ -8,7 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use shallotroute_config::{
     adoption::{Action, Adoption, Call, Event, Local, Origin, Report},
-    bundle::Bundle,
+    bundle::Part,
 };
 use shallotroute_context::Context;
 use shallotroute_types::revision::Revision;
@@ -75,11 +75,16 @@
         self.lock().adoption.report()
     }
 
-    /// Returns the bytes of the newest revision if it is at least `revision`.
-    pub(crate) fn bundle(&self, revision: Revision) -> Option<Arc<Bundle>> {
+    /// Returns the record of the newest revision if it is at least `revision`.
+    pub(crate) fn record(&self, revision: Revision) -> Option<Vec<u8>> {
         let state = self.lock();
         let held = state.adoption.newest()?;
-        (held.snapshot.revision() >= revision).then(|| Arc::clone(&held.bundle))
+        (held.snapshot.revision() >= revision).then(|| held.bundle.record.clone())
+    }
+
+    /// Returns a part of any revision that the node holds.
+    pub(crate) fn part(&self, hash: &str) -> Option<Part> {
+        self.lock().adoption.part(hash)
     }
 
     /// Returns a value computed from the adoption's state and the current time.
@@ -131,7 +136,7 @@
             Action::Watch { .. } | Action::Read => Some(self.ask_head(action).await),
             Action::Load(hash) => Some(Event::Arrived {
                 origin: Origin::Store,
-                bundle: logged(self.repository.bundle(&hash).await),
+                bundle: logged(self.repository.bundle(&hash, |part| self.part(part)).await),
             }),
             Action::Fetch {
                 peer,
@@ -139,7 +144,8 @@
                 revision,
             } => Some(Event::Arrived {
                 origin: Origin::Peer(peer),
-                bundle: logged(peer::fetch(address, revision).await).flatten(),
+                bundle: logged(peer::fetch(address, revision, |part| self.part(part)).await)
+                    .flatten(),
             }),
             Action::Compare { address, .. } => {
                 logged(peer::compare(address, self.report()).await).map(Event::Reported)
--- a/crates/shallotroute_control/src/lib.rs
+++ b/crates/shallotroute_control/src/lib.rs
@@ -17,7 +17,7 @@
 use shallotroute_types::revision::Revision;
 use tokio::{
     sync::watch,
-    time::{MissedTickBehavior, interval, timeout},
+    time::{MissedTickBehavior, interval, sleep, timeout},
 };
 
 mod adopter;
@@ -39,9 +39,13 @@
 /// How often time-dependent decisions are looked at.
 const TICK: Duration = Duration::from_millis(100);
 
-/// How often the host list is read; it lags by up to 30 s itself.
+/// How often a short host list is read; it lags by up to 30 s itself.
 const HOSTS_INTERVAL: Duration = Duration::from_secs(5);
 
+/// How much longer that is for each host in the list. An entry has about 40 bytes, so the list takes
+/// at most 4 KB/s of the 10 KB/s that a node may use.
+const INTERVAL_PER_HOST: Duration = Duration::from_millis(10);
+
 /// How long a read of the host list may take.
 const HOSTS_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -162,12 +166,11 @@
     }
 
     async fn follow_hosts(&self) {
-        let mut interval = interval(HOSTS_INTERVAL);
-        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            interval.tick().await;
+            let mut pause = HOSTS_INTERVAL;
             match timeout(HOSTS_TIMEOUT, self.hosts.hosts()).await {
                 Ok(Ok(hosts)) => {
+                    pause += INTERVAL_PER_HOST * u32::try_from(hosts.len()).unwrap_or(u32::MAX);
                     let live = hosts
                         .iter()
                         .filter(|host| host.state == host::State::Live)
@@ -178,6 +181,7 @@
                 Ok(Err(report)) => spdlog::debug!("reading the host list failed: {:?}", report),
                 Err(_) => spdlog::debug!("the host list was not read in time"),
             }
+            sleep(pause).await;
         }
     }
 
--- a/crates/shallotroute_control/src/peer.rs
+++ b/crates/shallotroute_control/src/peer.rs
@@ -1,10 +1,13 @@
 //! The `Configuration` service between nodes.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use error_stack::{Report as Trace, ResultExt};
 use futures::StreamExt;
-use shallotroute_config::{adoption::Report, bundle::Bundle};
+use shallotroute_config::{
+    adoption::Report,
+    bundle::{self, Bundle, Part},
+};
 use shallotroute_peer::{
     service::Kind,
     stream::{self, Framed, Service},
@@ -34,8 +37,11 @@
     /// Exchanges reports.
     async fn head(report: Report) -> Report;
 
-    /// Returns the newest revision if it is at least `revision`.
-    async fn snapshot(revision: Revision) -> Option<Bundle>;
+    /// Returns the record of the newest revision if it is at least `revision`.
+    async fn record(revision: Revision) -> Option<Vec<u8>>;
+
+    /// Returns the parts with these hashes; fewer if the node does not hold all of them.
+    async fn parts(hashes: Vec<String>) -> Vec<Part>;
 }
 
 /// Answers other nodes.
@@ -47,8 +53,12 @@
         self.0.reported(report)
     }
 
-    async fn snapshot(self, _: Context, revision: Revision) -> Option<Bundle> {
-        self.0.bundle(revision).map(Arc::unwrap_or_clone)
+    async fn record(self, _: Context, revision: Revision) -> Option<Vec<u8>> {
+        self.0.record(revision)
+    }
+
+    async fn parts(self, _: Context, hashes: Vec<String>) -> Vec<Part> {
+        hashes.iter().filter_map(|hash| self.0.part(hash)).collect()
     }
 }
 
@@ -79,14 +89,35 @@
     .await
 }
 
-/// Gets `revision` or a later one from the node at `address`; none if it has neither.
+/// Gets `revision` or a later one from the node at `address`, without the parts that `held` has;
+/// none if the node does not have it.
 ///
 /// # Errors
 ///
 /// The node did not answer.
-pub(crate) async fn fetch(address: SocketAddr, revision: Revision) -> Result<Option<Bundle>> {
+pub(crate) async fn fetch(
+    address: SocketAddr,
+    revision: Revision,
+    held: impl Fn(&str) -> Option<Part>,
+) -> Result<Option<Bundle>> {
     call(address, "fetching a revision", async move |client| {
-        client.snapshot(tarpc::context::current(), revision).await
+        let context = tarpc::context::current;
+        let Some(record) = client.record(context(), revision).await? else {
+            return Ok(None);
+        };
+        let Ok(names) = bundle::record(&record).map(|record| record.parts) else {
+            return Ok(None);
+        };
+        let missing = names.iter().filter(|name| held(name).is_none());
+        let missing: Vec<String> = missing.cloned().collect();
+        let fetched = match missing.is_empty() {
+            true => Vec::new(),
+            false => client.parts(context(), missing.clone()).await?,
+        };
+        let fetched: HashMap<&String, Part> = missing.iter().zip(fetched).collect();
+        let part = |name: &String| held(name).or_else(|| fetched.get(name).cloned());
+        let parts: Option<Vec<Part>> = names.iter().map(part).collect();
+        Ok(parts.map(|parts| Bundle { record, parts }))
     })
     .await
 }
--- a/crates/shallotroute_control/src/publisher/preparation.rs
+++ b/crates/shallotroute_control/src/publisher/preparation.rs
@@ -162,8 +162,10 @@
         let reason = format!("revision {revision} has the same objects");
         return Ok(stop(not_published(&identity, &reason), findings));
     }
+    let parts = newest.snapshot.as_ref().map(|parent| &parent.record.parts);
     Ok(Preparation::Ready(Box::new(Prepared {
         plan: Plan {
+            stored: parts.cloned().unwrap_or_default(),
             publication: identity,
             parent: newest.head,
             version: newest.version,
--- a/crates/shallotroute_control/src/repository.rs
+++ b/crates/shallotroute_control/src/repository.rs
@@ -8,8 +8,9 @@
 
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
+use futures::{StreamExt, TryStreamExt, stream};
 use shallotroute_config::{
-    bundle::{self, Bundle, HEAD_KEY, Head, part_key, record_key},
+    bundle::{self, Bundle, HEAD_KEY, Head, Part, part_key, record_key},
     publication::Answer,
     snapshot::{Record, Snapshot},
 };
@@ -24,6 +25,9 @@
 /// How many records are kept; records are immutable, so a kept one is always right.
 const MAX_RECORDS: usize = 4096;
 
+/// How many parts are read at once.
+const PARALLEL_READS: usize = 8;
+
 /// Reads and writes revisions.
 pub(crate) struct Repository {
     store: Arc<dyn Store>,
@@ -69,18 +73,23 @@
         Ok(record)
     }
 
-    /// Reads a revision's record and parts and verifies the record's hash.
-    pub(crate) async fn bundle(&self, hash: &str) -> Result<Bundle> {
+    /// Reads a revision's record, and the parts that `held` does not have, and verifies the record's
+    /// hash.
+    pub(crate) async fn bundle(
+        &self,
+        hash: &str,
+        held: impl Fn(&str) -> Option<Part>,
+    ) -> Result<Bundle> {
         let record = self.record_bytes(hash).await?;
         let names = bundle::record(&record).change_context(Error::Malformed(record_key(hash)))?;
-        let mut bundle = Bundle {
-            record,
-            parts: Vec::new(),
-        };
-        for part in &names.parts {
-            bundle.parts.push(self.value(&part_key(part)).await?);
+        let mut reads = Vec::new();
+        for name in names.parts {
+            let part = held(&name);
+            reads.push(self.part(name, part));
         }
-        Ok(bundle)
+        let parts = stream::iter(reads).buffered(PARALLEL_READS).try_collect();
+        let parts = parts.await?;
+        Ok(Bundle { record, parts })
     }
 
     /// Writes a key if it has version `expected`.
@@ -147,11 +156,18 @@
         if let Some(newest) = newest.filter(|newest| newest.hash == hash) {
             return Ok(newest);
         }
-        let bundle = self.bundle(hash).await?;
+        let bundle = self.bundle(hash, |_| None).await?;
         let malformed = || Error::Malformed(record_key(hash));
         bundle.open().map(Arc::new).change_context_lazy(malformed)
     }
 
+    async fn part(&self, name: String, held: Option<Part>) -> Result<Part> {
+        match held {
+            Some(part) => Ok(part),
+            None => self.value(&part_key(&name)).await.map(Part::from),
+        }
+    }
+
     async fn record_bytes(&self, hash: &str) -> Result<Vec<u8>> {
         let key = record_key(hash);
         let bytes = self.value(&key).await?;
--- a/crates/shallotroute_ctl/tests/command.rs
+++ b/crates/shallotroute_ctl/tests/command.rs
@@ -183,7 +183,18 @@
             .json();
         verify_that!(status["result"]["revision"].as_u64(), some(eq(2)))?;
     }
-    Ok(())
+    // A recent one that is not in the chain may be under way; an old one can't be.
+    let recent = uuid::Uuid::now_v7().to_string();
+    let status = ctl(&fleet, &["status", "--publication", &recent]).await;
+    verify_that!(
+        status.err,
+        contains_substring(format!("--publication {recent}"))
+    )?;
+    let old = "01890a5d-ac96-774b-bcce-b302099a8057";
+    let status = ctl(&fleet, &["status", "--publication", old]).await;
+    verify_that!(status.err, contains_substring("not published"))?;
+    let again = publish(&fleet, folder.path(), 7).await;
+    verify_that!(again.exit, eq(Exit::Done))
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
