control: no deadlock in the tests' key-value service

Cause: a trial with 200 changes hung: a write held the values and waited for the channel, a watch held the channel and waited for the values. Two writes of one key could also both pass their comparison. Change: the comparison and the write happen under one lock, which is released before the watches are woken. Conclusion: a fault of the support only; the crates have no such pair of locks.

--- a/crates/shallotroute_control/tests/support/memory.rs
+++ b/crates/shallotroute_control/tests/support/memory.rs
@@ -41,11 +41,34 @@
     }
 
     pub fn put(&self, key: &str, value: impl Into<Bytes>) {
+        let found = self.version(key);
+        self.compare_and_swap(key, found, value.into())
+            .expect("tests should not write a key at the same time");
+    }
+
+    fn version(&self, key: &str) -> u64 {
+        self.values().get(key).map_or(0, |entry| entry.version)
+    }
+
+    /// Writes a value; returns the version found if it is another one.
+    fn compare_and_swap(
+        &self,
+        key: &str,
+        expected: u64,
+        value: Bytes,
+    ) -> std::result::Result<u64, u64> {
         let mut values = self.values();
-        let version = values.get(key).map_or(0, |entry| entry.version) + 1;
-        let value = value.into();
+        let found = values.get(key).map_or(0, |entry| entry.version);
+        if found != expected {
+            return Err(found);
+        }
+        let version = found + 1;
         values.insert(key.to_owned(), Entry { value, version });
+        // Watches look at the values while they hold the channel, so the order of the two locks
+        // would differ if the values were still held here.
+        drop(values);
         self.changes.send_modify(|count| *count += 1);
+        Ok(version)
     }
 
     /// Waits for the service's delay and tells whether the answer arrives.
@@ -85,14 +108,10 @@
         if key == "config/head" && take(&self.lost_writes) {
             return failed(Kind::Lost);
         }
-        let found = self.values().get(key).map_or(0, |entry| entry.version);
-        if found != expected {
-            return failed(Kind::Conflict { found });
-        }
-        self.put(key, value);
-        match key == "config/head" && take(&self.lost_answers) {
-            true => failed(Kind::Lost),
-            false => Ok(found + 1),
+        match self.compare_and_swap(key, expected, value) {
+            Err(found) => failed(Kind::Conflict { found }),
+            Ok(_) if key == "config/head" && take(&self.lost_answers) => failed(Kind::Lost),
+            Ok(version) => Ok(version),
         }
     }
 }
