shallotroute_membership: ages by salted keys, so that a fleet of any size agrees

Cause: the first form grouped ages into buckets that both sides had to agree on. Change: an age carries a 16-bit key of the member under the datagram's own salt; ambiguous keys are ignored; a hash of the live set shows a difference, which is answered with the missing states. Suspicion is no longer gossiped but told to the suspect, which refutes directly, because gossiped suspicions crowded out the ages. The interval grows to keep a node under 8 KB/s plus answers.

--- a/crates/shallotroute_membership/src/datagram.rs
+++ b/crates/shallotroute_membership/src/datagram.rs
@@ -27,10 +27,12 @@
     pub load: u32,
     /// States of other members, at most [`MAX_NEWS`].
     pub news: Vec<News>,
-    /// The number of buckets of `ages` as a power of two.
-    pub bits: u8,
-    /// How long ago the sender had news of the members of some buckets.
-    pub ages: Vec<Bucket>,
+    /// A hash of the set of members that the sender takes for alive; 0 without `ages`.
+    pub members: u32,
+    /// The salt of the keys in `ages`.
+    pub salt: u16,
+    /// How long ago the sender had news of members, the most recent ones if not all fit.
+    pub ages: Vec<Seen>,
 }
 
 /// What the sender knows of another member.
@@ -42,15 +44,13 @@
     pub age: Age,
 }
 
-/// The ages of news of all members whose hashed names share their leading bits.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Bucket {
-    /// The leading bits.
-    pub index: u8,
-    /// A hash of the bucket's members and their incarnations; ages apply only where it agrees.
-    pub check: [u8; 4],
-    /// The ages, in the order of the members' names.
-    pub ages: Vec<Age>,
+/// How long ago there was news of one member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seen {
+    /// The key of the member's name.
+    pub key: [u8; 2],
+    /// The age of the news.
+    pub age: Age,
 }
 
 /// A duration in units of 50 ms, rounded up; 255 is anything longer.
--- a/crates/shallotroute_membership/src/member.rs
+++ b/crates/shallotroute_membership/src/member.rs
@@ -25,8 +25,11 @@
 /// What a report changed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Change {
-    /// The state, the incarnation or the address changed; other members are told.
+    /// The state, the incarnation or the address changed.
     pub(crate) state: bool,
+    /// Others have to be told. Suspicion and its end are not passed on: they would crowd out the
+    /// ages that end most suspicions.
+    pub(crate) spread: bool,
     /// The known revision or the revision in force changed.
     pub(crate) revision: bool,
 }
@@ -119,6 +122,7 @@
         self.member.state = state;
         Change {
             state: changed,
+            spread: changed && state == State::Dead,
             revision: false,
         }
     }
@@ -126,9 +130,12 @@
     fn replace(&mut self, member: &Member) -> Change {
         // A restarted process may hold less than the one before, so that nothing is carried over.
         let revision = (member.known, member.in_force) != (self.member.known, self.member.in_force);
-        self.member = member.clone();
+        let before = std::mem::replace(&mut self.member, member.clone());
+        let died = (before.state == State::Dead) != (member.state == State::Dead);
+        let left = (before.state == State::Leaving) != (member.state == State::Leaving);
         Change {
             state: true,
+            spread: died || left || before.address != member.address,
             revision,
         }
     }
@@ -143,6 +150,7 @@
         let in_force = self.member.in_force.max(member.in_force);
         let change = Change {
             state: state != self.member.state,
+            spread: state != self.member.state,
             revision: (known, in_force) != (self.member.known, self.member.in_force),
         };
         self.member.state = state;
--- a/crates/shallotroute_membership/src/pace.rs
+++ b/crates/shallotroute_membership/src/pace.rs
@@ -22,7 +22,7 @@
 
 /// Bytes of heartbeats that a node may send per second, IP and UDP headers included. The budget is
 /// 10 KB/s; the rest is for answers to new members and for heartbeats that do not wait.
-const BYTES_PER_SECOND: u64 = 8_500;
+const BYTES_PER_SECOND: u64 = 8_000;
 
 /// Bytes of the IPv4 and UDP headers.
 const HEADER_BYTES: u64 = 28;
--- a/crates/shallotroute_membership/src/table.rs
+++ b/crates/shallotroute_membership/src/table.rs
@@ -16,7 +16,6 @@
 
 use crate::{
     datagram::Frame,
-    digest::Groups,
     member::{Change, Entry},
     pace::{self, Pace},
 };
@@ -95,21 +94,19 @@
     listed: BTreeMap<Id, bool>,
     random: ChaCha8Rng,
     pace: Pace,
-    groups: Groups,
-    regroup: bool,
     sequence: u64,
     load: u32,
     /// Targets that remain in the current pass over all members.
     targets: Vec<Id>,
-    /// The next bucket, and the next member whose state is sent.
-    bucket: usize,
+    /// The last member whose state was sent though it had not changed.
     cursor: Option<Id>,
     next_round: Instant,
     next_probe: Instant,
     last_round: Instant,
+    next_answer: Instant,
     ticked: Instant,
     resumed: Instant,
-    /// How many more datagrams carry the local node's raised incarnation at once.
+    /// Whether the next round does not wait for its interval.
     urgent: bool,
     majority: bool,
     confirmed: Option<Instant>,
@@ -125,16 +122,14 @@
             listed: BTreeMap::new(),
             random: ChaCha8Rng::seed_from_u64(config.seed),
             pace: Pace::new(1, 0),
-            groups: Groups::default(),
-            regroup: true,
             sequence: 0,
             load: 0,
             targets: Vec::new(),
-            bucket: 0,
             cursor: None,
             next_round: now,
             next_probe: now,
             last_round: now,
+            next_answer: now,
             ticked: now,
             resumed: now,
             urgent: false,
@@ -220,14 +215,21 @@
         self.ticked = now;
         let (resumed, pace, spread) = (self.resumed, self.pace, self.spread());
         let mut changed = false;
+        let mut suspects = Vec::new();
         for entry in self.entries.values_mut() {
-            if entry.tick(now, resumed, &pace).state {
+            let change = entry.tick(now, resumed, &pace);
+            changed |= change.state;
+            if change.spread {
                 entry.spread = spread;
-                changed = true;
             }
+            if change.state && entry.member.state == State::Suspect {
+                suspects.push(entry.member.clone());
+            }
+        }
+        for member in suspects {
+            self.tell(member, now, actions);
         }
         changed |= self.forget(now);
-        self.regroup |= changed;
         changed |= self.update_majority(now);
         if changed {
             actions.push(Action::Changed);
@@ -294,19 +296,17 @@
         if self.local.state != state {
             self.local.state = state;
             self.urgent = true;
-            self.regroup = true;
             actions.push(Action::Changed);
         }
     }
 
     /// Notes what a report changed.
     fn note(&mut self, id: &Id, change: Change, actions: &mut Vec<Action>) {
-        if change.state {
+        if change.spread {
             let spread = self.spread();
             if let Some(entry) = self.entries.get_mut(id) {
                 entry.spread = spread;
             }
-            self.regroup = true;
         }
         if change.state || change.revision {
             actions.push(Action::Changed);
@@ -322,3 +322,8 @@
 
 /// Rounds of gossip per doubling of the fleet for which a changed state is repeated.
 const FANOUT_ROUNDS: u32 = 3;
+
+/// Tells whether a member takes part in gossip; a leaving one does.
+fn is_live(member: &Member) -> bool {
+    member.state != State::Dead
+}
--- a/crates/shallotroute_membership/src/table/receive.rs
+++ b/crates/shallotroute_membership/src/table/receive.rs
@@ -1,16 +1,19 @@
 //! Datagrams of other nodes.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
 
 use shallotroute_types::{
     member::{Member, State},
     node::Incarnation,
 };
 
-use super::{Action, Table};
+use super::{Action, Table, is_live};
 use crate::{
-    datagram::{Age, Frame, News},
-    digest::{Groups, MAX_BITS},
+    datagram::{Frame, News},
+    digest::{hash, key},
     member::Entry,
 };
 
@@ -28,10 +31,14 @@
         if !self.report(frame, now, actions) {
             return;
         }
+        let incarnation = self.local.incarnation;
         for news in &frame.news {
             self.news(news, now, actions);
         }
-        self.apply_ages(frame, now);
+        if self.local.incarnation != incarnation {
+            self.refute(sender.address, now, actions);
+        }
+        self.apply_ages(frame, now, actions);
     }
 
     /// Takes the sender's report of itself; tells whether the rest of the frame may be used.
@@ -53,11 +60,11 @@
         // has to learn of it to raise its incarnation.
         if (behind || dead && change.is_some()) && due {
             entry.told = Some(now);
-            let news = News {
-                member: entry.member.clone(),
-                age: Age::UNKNOWN,
+            let seen = Member {
+                address: sender.address,
+                ..entry.member.clone()
             };
-            self.tell(sender.address, news, now, actions);
+            self.tell(seen, now, actions);
         }
         let Some(change) = change else {
             actions.push(Action::Replayed);
@@ -89,7 +96,6 @@
     fn insert(&mut self, mut entry: Entry, actions: &mut Vec<Action>) {
         entry.spread = self.spread();
         self.entries.insert(entry.member.id.clone(), entry);
-        self.regroup = true;
         actions.push(Action::Changed);
     }
 
@@ -101,39 +107,49 @@
         if self.local.state != State::Dead && (doubted || seen.incarnation > self.local.incarnation)
         {
             self.local.incarnation = Incarnation(seen.incarnation.0.saturating_add(1));
-            self.regroup = true;
             self.urgent = true;
         }
     }
 
-    fn apply_ages(&mut self, frame: &Frame, now: Instant) {
-        if frame.ages.is_empty() || frame.bits > MAX_BITS {
+    fn apply_ages(&mut self, frame: &Frame, now: Instant, actions: &mut Vec<Action>) {
+        if frame.members == 0 {
             return;
         }
-        self.regroup_if_needed();
-        let other = (frame.bits != self.groups.bits).then(|| self.group(frame.bits));
-        let mut mismatched = Vec::new();
-        for bucket in &frame.ages {
-            let groups: &Groups = other.as_ref().unwrap_or(&self.groups);
-            let Some(group) = groups.buckets.get(usize::from(bucket.index)) else {
-                continue;
-            };
-            if group.check() != bucket.check || group.ids.len() != bucket.ages.len() {
-                mismatched.extend(group.ids.iter().cloned());
-                continue;
-            }
-            for (id, age) in group.ids.iter().zip(&bucket.ages) {
-                if let Some(entry) = self.entries.get_mut(id)
-                    && let Some(heard) = age.duration().and_then(|age| now.checked_sub(age))
-                {
-                    entry.heard = entry.heard.max(heard);
-                }
+        let mut found: HashMap<[u8; 2], Match> = HashMap::with_capacity(frame.ages.len());
+        for seen in &frame.ages {
+            let heard = seen.age.duration().and_then(|age| now.checked_sub(age));
+            let matched = found.entry(seen.key).or_insert(Match { heard, count: 0 });
+            matched.heard = matched.heard.min(heard);
+        }
+        if let Some(matched) = found.get_mut(&key(hash(&self.local.id), frame.salt)) {
+            matched.count += 1;
+        }
+        let mut missing = Vec::new();
+        for entry in self.entries.values().filter(|entry| is_live(&entry.member)) {
+            match found.get_mut(&key(entry.hash, frame.salt)) {
+                Some(matched) => matched.count += 1,
+                None if entry.member.id != frame.sender.id => missing.push(entry.member.id.clone()),
+                None => {}
             }
         }
-        for id in mismatched {
-            if let Some(entry) = self.entries.get_mut(&id) {
-                entry.spread = entry.spread.max(1);
+        for entry in self.entries.values_mut() {
+            if let Some(Match {
+                heard: Some(heard),
+                count: 1,
+            }) = found.get(&key(entry.hash, frame.salt))
+                && is_live(&entry.member)
+            {
+                entry.heard = entry.heard.max(*heard);
             }
         }
+        if frame.members != self.live_set() {
+            self.complete(frame.sender.address, missing, now, actions);
+        }
     }
 }
+
+/// How a key of a datagram fits the members of the table.
+struct Match {
+    heard: Option<Instant>,
+    count: usize,
+}
--- a/crates/shallotroute_membership/src/table/send.rs
+++ b/crates/shallotroute_membership/src/table/send.rs
@@ -7,15 +7,12 @@
 };
 
 use rand::{RngExt, seq::SliceRandom};
-use shallotroute_types::{
-    member::{Member, State},
-    node::Id,
-};
+use shallotroute_types::{member::Member, node::Id};
 
-use super::{Action, Table};
+use super::{Action, Table, is_live};
 use crate::{
-    datagram::{Age, Bucket, Frame, MAX_BYTES, MAX_NEWS, News},
-    digest::{Groups, hash},
+    datagram::{Age, Frame, MAX_BYTES, MAX_NEWS, News, Seen},
+    digest::{self, hash, key},
     pace::{FANOUT, Pace},
 };
 
@@ -28,14 +25,11 @@
 /// States per datagram that are repeated though they did not change.
 const REPEATED_NEWS: usize = 2;
 
-/// An upper bound of a datagram's bytes without names, states and ages.
-const FIXED_BYTES: usize = 64;
-
-/// An upper bound of a member's bytes without its names: address, incarnation, state, revisions.
-const MEMBER_BYTES: usize = 60;
+/// An upper bound of a datagram's bytes without members and ages.
+const FIXED_BYTES: usize = 52;
 
-/// An upper bound of a bucket's bytes without its ages.
-const BUCKET_BYTES: usize = 8;
+/// The bytes of a key and an age.
+const SEEN_BYTES: usize = 3;
 
 impl Table {
     pub(super) fn send_due(&mut self, now: Instant, actions: &mut Vec<Action>) {
@@ -133,16 +127,54 @@
         });
     }
 
-    /// Tells a member what is known of it.
-    pub(super) fn tell(
+    /// Answers a member with states of members that it does not seem to know.
+    pub(super) fn complete(
         &mut self,
         to: SocketAddr,
-        news: News,
+        mut missing: Vec<Id>,
         now: Instant,
         actions: &mut Vec<Action>,
     ) {
+        if missing.is_empty() || now < self.next_answer {
+            return;
+        }
+        self.next_answer = now + self.pace.interval / FANOUT as u32;
+        missing.shuffle(&mut self.random);
+        missing.truncate(MAX_NEWS);
+        let (mut frame, bytes) = self.frame(false, now);
+        let mut room = MAX_BYTES - bytes;
+        frame.news.clear();
+        for entry in missing.iter().filter_map(|id| self.entries.get(id)) {
+            let bytes = member_bytes(&entry.member) + 1;
+            if bytes <= room {
+                room -= bytes;
+                frame.news.push(News {
+                    member: entry.member.clone(),
+                    age: Age::new(entry.silence(now)),
+                });
+            }
+        }
+        actions.push(Action::Send {
+            to: vec![to],
+            frame,
+        });
+    }
+
+    /// Tells a member how it is seen, so that it can refute.
+    pub(super) fn tell(&mut self, member: Member, now: Instant, actions: &mut Vec<Action>) {
+        let (mut frame, _) = self.frame(false, now);
+        let to = vec![member.address];
+        frame.news = vec![News {
+            member,
+            age: Age::UNKNOWN,
+        }];
+        actions.push(Action::Send { to, frame });
+    }
+
+    /// Refutes a suspicion towards the node that reported it.
+    pub(super) fn refute(&mut self, to: SocketAddr, now: Instant, actions: &mut Vec<Action>) {
         let (mut frame, _) = self.frame(false, now);
-        frame.news = vec![news];
+        frame.news.clear();
         actions.push(Action::Send {
             to: vec![to],
             frame,
@@ -165,11 +197,12 @@
         self.sequence += 1;
         let mut room = MAX_BYTES - FIXED_BYTES - member_bytes(&self.local);
         let news = self.choose_news(&mut room, now);
-        let ages = if with_ages {
-            self.choose_ages(&mut room, now)
-        } else {
-            Vec::new()
+        let salt = self.random.random();
+        let ages = match with_ages {
+            true => self.choose_ages(salt, &mut room, now),
+            false => Vec::new(),
         };
+        let members = if with_ages { self.live_set() } else { 0 };
         let confirmed = self
             .confirmed
             .map(|at| now.saturating_duration_since(at).as_millis());
@@ -181,7 +214,8 @@
                 .unwrap_or(u32::MAX),
             load: self.load,
             news,
-            bits: self.groups.bits,
+            members,
+            salt,
             ages,
         };
         (Box::new(frame), MAX_BYTES - room)
@@ -240,75 +274,61 @@
         next
     }
 
-    /// Takes as many buckets as there is room for, in turn.
-    fn choose_ages(&mut self, room: &mut usize, now: Instant) -> Vec<Bucket> {
-        self.regroup_if_needed();
-        let count = self.groups.buckets.len();
-        let mut ages = Vec::new();
-        for _ in 0..count {
-            self.bucket = (self.bucket + 1) % count;
-            let group = &self.groups.buckets[self.bucket];
-            let bytes = BUCKET_BYTES + group.ids.len();
-            if bytes > *room {
-                self.bucket = (self.bucket + count - 1) % count;
-                break;
-            }
-            if group.ids.is_empty() {
-                continue;
-            }
-            *room -= bytes;
-            let age = |id: &Id| match self.entries.get(id) {
-                Some(entry) => Age::new(entry.silence(now)),
-                None => Age(0),
-            };
-            ages.push(Bucket {
-                index: self.bucket as u8,
-                check: group.check(),
-                ages: group.ids.iter().map(age).collect(),
-            });
-        }
-        ages
-    }
-
-    pub(super) fn regroup_if_needed(&mut self) {
-        if self.regroup {
-            self.regroup = false;
-            self.groups = self.group(Groups::bits_for(self.live_count() + 1));
-        }
-    }
-
-    /// Groups the live members and the local node by the leading bits of their hashes.
-    pub(super) fn group(&self, bits: u8) -> Groups {
-        let local = &self.local;
-        let mut members: Vec<_> = self
+    /// Takes the most recent news if not all fit: older news is more likely known already, and news
+    /// that led to a suspicion here is of no use to others.
+    fn choose_ages(&mut self, salt: u16, room: &mut usize, now: Instant) -> Vec<Seen> {
+        let limit = self.pace.suspect_after;
+        let mut recent: Vec<(Duration, u64)> = self
             .entries
             .values()
             .filter(|entry| is_live(&entry.member))
-            .map(|entry| (&entry.member, entry.hash))
+            .map(|entry| (entry.silence(now), entry.hash))
+            .filter(|(silence, _)| *silence < limit)
             .collect();
-        let position = members.partition_point(|(member, _)| member.id < local.id);
-        members.insert(position, (local, hash(&local.id)));
-        let members = members
-            .into_iter()
-            .map(|(member, hash)| (&member.id, hash, member.incarnation, member.state));
-        Groups::new(bits, members)
+        let count = recent.len().min(*room / SEEN_BYTES);
+        if count < recent.len() {
+            recent.select_nth_unstable(count);
+            recent.truncate(count);
+        }
+        *room -= count * SEEN_BYTES;
+        let seen = |(silence, hash)| Seen {
+            key: key(hash, salt),
+            age: Age::new(silence),
+        };
+        recent.into_iter().map(seen).collect()
     }
 
-    fn live(&self) -> impl Iterator<Item = &Member> {
+    /// Returns a hash of the live members and the local node.
+    pub(super) fn live_set(&self) -> u32 {
+        let entries = self.entries.values().filter(|entry| is_live(&entry.member));
+        let local = std::iter::once(hash(&self.local.id));
+        digest::set(entries.map(|entry| entry.hash).chain(local))
+    }
+
+    pub(super) fn live(&self) -> impl Iterator<Item = &Member> {
         let members = self.entries.values().map(|entry| &entry.member);
         members.filter(|member| is_live(member))
     }
 
-    fn live_count(&self) -> usize {
+    pub(super) fn live_count(&self) -> usize {
         self.live().count()
     }
 }
 
-/// Tells whether a member takes part in gossip; a leaving one does.
-fn is_live(member: &Member) -> bool {
-    member.state != State::Dead
+/// Returns the bytes of a member in a datagram.
+fn member_bytes(member: &Member) -> usize {
+    let names = [&member.id, &member.region, &member.zone];
+    let names: usize = names.into_iter().map(|name| name.len() + 2).sum();
+    let numbers = [member.incarnation.0, member.known.0, member.in_force.0];
+    let numbers: usize = numbers.into_iter().map(varint_bytes).sum();
+    let ip = if member.address.is_ipv4() { 4 } else { 16 };
+    let port = 3;
+    let tags = 2;
+    names + numbers + ip + port + tags
 }
 
-fn member_bytes(member: &Member) -> usize {
-    MEMBER_BYTES + member.id.len() + member.region.len() + member.zone.len()
+/// Returns the bytes of a number in the variable-length encoding of `postcard`.
+fn varint_bytes(number: u64) -> usize {
+    let bits = u64::BITS - number.leading_zeros();
+    bits.div_ceil(7).max(1) as usize
 }
--- a/crates/shallotroute_membership/tests/codec.rs
+++ b/crates/shallotroute_membership/tests/codec.rs
@@ -13,7 +13,7 @@
 };
 use shallotroute_membership::{
     codec::{Codec, Rejection, VERSION},
-    datagram::{Age, Bucket, Frame, MAX_BYTES, MAX_NEWS, News},
+    datagram::{Age, Frame, MAX_BYTES, MAX_NEWS, News, Seen},
     table::{Action, Config, Event, Table},
 };
 use shallotroute_types::{
@@ -68,18 +68,24 @@
         member,
         age: Age(age),
     });
-    let ages = vec(any::<u8>().prop_map(Age), 0..20);
-    let bucket = (any::<u8>(), any::<[u8; 4]>(), ages);
-    let bucket = bucket.prop_map(|(index, check, ages)| Bucket { index, check, ages });
-    let numbers = (any::<u64>(), any::<u32>(), any::<u32>(), any::<u8>());
-    (member(), numbers, vec(news, 0..4), vec(bucket, 0..8)).prop_map(
-        |(sender, (sequence, confirmation_age_ms, load, bits), news, ages)| Frame {
+    let seen = (any::<[u8; 2]>(), any::<u8>());
+    let seen = seen.prop_map(|(key, age)| Seen { key, age: Age(age) });
+    let numbers = (
+        any::<u64>(),
+        any::<u32>(),
+        any::<u32>(),
+        any::<u32>(),
+        any::<u16>(),
+    );
+    (member(), numbers, vec(news, 0..4), vec(seen, 0..99)).prop_map(
+        |(sender, (sequence, confirmation_age_ms, load, members, salt), news, ages)| Frame {
             sender,
             sequence,
             confirmation_age_ms,
             load,
             news,
-            bits,
+            members,
+            salt,
             ages,
         },
     )
@@ -157,7 +163,8 @@
         confirmation_age_ms: 0,
         load: 0,
         news: vec![news; count],
-        bits: 0,
+        members: 0,
+        salt: 0,
         ages: Vec::new(),
     }
 }
--- a/crates/shallotroute_membership/tests/table.rs
+++ b/crates/shallotroute_membership/tests/table.rs
@@ -46,7 +46,8 @@
         confirmation_age_ms: 0,
         load: 0,
         news,
-        bits: 0,
+        members: 0,
+        salt: 0,
         ages: Vec::new(),
     }))
 }
