shallotroute_lease, shallotroute_membership: charts of lease and member as YAML

Cause: auditors read the states of a lease and of a member in one place each. Change: lease.yaml and member.yaml are embedded, checked when loaded, and decide every change of state; the code only says which event happened.

--- a/crates/shallotroute_lease/src/lease.rs
+++ b/crates/shallotroute_lease/src/lease.rs
@@ -5,14 +5,19 @@
 //! [`Event::Tick`] at least every 100 ms. A value that is not a [`Record`] is answered as
 //! [`Failure::Unreachable`].
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
+use shallotroute_chart::machine::Machine;
 use shallotroute_types::{
     fence::Fence,
     name::Name,
     node::{Id, Incarnation},
 };
 
+use crate::phase::{CHART, Phase, Trigger};
 pub use crate::record::Record;
 
 /// The settings of a lease; all nodes must use the same duration and margin.
@@ -86,7 +91,7 @@
 #[derive(Debug)]
 pub struct Lease {
     config: Config,
-    phase: Phase,
+    machine: Machine<Phase, Trigger>,
     observed: Option<Observed>,
     /// Whether the record may have changed since it was observed, by a write of this node.
     stale: bool,
@@ -99,15 +104,6 @@
     nonce: u64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Phase {
-    Idle,
-    Observing,
-    Acquiring,
-    Held,
-    Releasing,
-}
-
 #[derive(Debug)]
 struct Observed {
     record: Option<Record>,
@@ -136,7 +132,7 @@
         let nonce = config.incarnation.0;
         Self {
             config,
-            phase: Phase::Idle,
+            machine: Machine::new(Arc::clone(&CHART)),
             observed: None,
             stale: true,
             highest: Fence(0),
@@ -166,46 +162,52 @@
 
     /// Returns the fencing number if the local node holds the lease at `now`.
     pub fn held(&self, now: Instant) -> Option<Fence> {
-        let valid = self.phase == Phase::Held && self.deadline.is_some_and(|end| now < end);
+        let valid = self.phase() == Phase::Held && self.deadline.is_some_and(|end| now < end);
         valid.then_some(self.highest)
     }
 
     /// Returns the instant at which the lease expires unless it is renewed.
     pub fn deadline(&self) -> Option<Instant> {
-        self.deadline.filter(|_| self.phase == Phase::Held)
+        self.deadline.filter(|_| self.phase() == Phase::Held)
+    }
+
+    /// Returns the phase.
+    pub fn phase(&self) -> Phase {
+        self.machine.state()
     }
 
     fn want(&mut self, now: Instant) {
-        if matches!(self.phase, Phase::Idle | Phase::Releasing) {
-            self.phase = Phase::Observing;
+        if self.machine.fire(Trigger::Wanted).is_some() {
             self.due = now;
         }
     }
 
     fn unwant(&mut self, actions: &mut Vec<Action>) {
-        if self.phase == Phase::Held {
+        let held = self.phase() == Phase::Held;
+        if self.machine.fire(Trigger::Unwanted).is_none() {
+            return;
+        }
+        if held {
             actions.push(Action::Released);
         }
-        if self.phase != Phase::Idle {
-            self.phase = Phase::Releasing;
-            self.deadline = None;
-            // Confirmations that arrive later must not revive a lease that was given up.
-            for pending in &mut self.pending {
-                pending.revoked = true;
-            }
+        self.deadline = None;
+        // Confirmations that arrive later must not revive a lease that was given up.
+        for pending in &mut self.pending {
+            pending.revoked = true;
         }
     }
 
     fn expire(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if self.phase == Phase::Held && self.deadline.is_none_or(|end| now >= end) {
-            self.lose(actions);
+        if self.phase() == Phase::Held && self.deadline.is_none_or(|end| now >= end) {
+            self.lose(Trigger::Expired, actions);
         }
     }
 
-    fn lose(&mut self, actions: &mut Vec<Action>) {
-        self.phase = Phase::Observing;
-        self.deadline = None;
-        actions.push(Action::Released);
+    fn lose(&mut self, trigger: Trigger, actions: &mut Vec<Action>) {
+        if self.machine.fire(trigger).is_some() {
+            self.deadline = None;
+            actions.push(Action::Released);
+        }
     }
 
     fn read(
@@ -219,9 +221,7 @@
         }
         let Ok(found) = result else {
             self.retry = now + self.config.renew_every / 2;
-            if self.phase == Phase::Releasing {
-                self.phase = Phase::Idle;
-            }
+            self.machine.fire(Trigger::Vacated);
             return;
         };
         let (record, version) = match found {
@@ -233,8 +233,8 @@
         self.observe(record, version, now);
         if let Some(sent) = confirmed {
             self.confirm(sent, now, actions);
-        } else if !own && self.phase == Phase::Held {
-            self.lose(actions);
+        } else if !own {
+            self.lose(Trigger::Taken, actions);
         }
     }
 
@@ -248,9 +248,6 @@
         if self.request == Some(Request::Swap(nonce)) {
             self.request = None;
         }
-        if self.phase == Phase::Acquiring {
-            self.phase = Phase::Observing;
-        }
         let position = self
             .pending
             .iter()
@@ -266,6 +263,7 @@
                 }
             }
             Err(failure) => {
+                self.machine.fire(Trigger::Refused);
                 if failure != Failure::Lost
                     && let Some(position) = position
                 {
@@ -302,17 +300,15 @@
     fn confirm(&mut self, sent: Instant, now: Instant, actions: &mut Vec<Action>) {
         self.due = sent + self.config.renew_every;
         let end = sent + self.config.duration;
-        if now >= end
-            || !matches!(
-                self.phase,
-                Phase::Observing | Phase::Acquiring | Phase::Held
-            )
-        {
+        if now >= end {
+            self.machine.fire(Trigger::Refused);
             return;
         }
-        self.deadline = self.deadline.max(Some(end));
-        if self.phase != Phase::Held {
-            self.phase = Phase::Held;
+        let gained = self.machine.fire(Trigger::Confirmed).is_some();
+        if self.phase() == Phase::Held {
+            self.deadline = self.deadline.max(Some(end));
+        }
+        if gained {
             actions.push(Action::Acquired(self.highest));
         }
     }
@@ -321,10 +317,10 @@
         if self.request.is_some() || now < self.retry {
             return;
         }
-        match self.phase {
+        match self.phase() {
             Phase::Idle | Phase::Acquiring => {}
             Phase::Observing if self.may_claim(now) => {
-                self.phase = Phase::Acquiring;
+                self.machine.fire(Trigger::Claimed);
                 self.swap(now, actions);
             }
             Phase::Held if !self.stale && now >= self.due => self.swap(now, actions),
@@ -385,10 +381,10 @@
                 nonce: self.next_nonce(),
             };
             self.write(record, actions);
-            self.phase = Phase::Idle;
+            self.machine.fire(Trigger::Vacated);
             self.stale = true;
         } else {
-            self.phase = Phase::Idle;
+            self.machine.fire(Trigger::Vacated);
         }
     }
 
--- a/crates/shallotroute_lease/src/lib.rs
+++ b/crates/shallotroute_lease/src/lib.rs
@@ -2,4 +2,5 @@
 //! Start with [`lease::Lease`].
 
 pub mod lease;
+pub mod phase;
 pub mod record;
--- a/crates/shallotroute_membership/src/lib.rs
+++ b/crates/shallotroute_membership/src/lib.rs
@@ -5,4 +5,5 @@
 mod digest;
 pub mod member;
 pub mod pace;
+pub mod phase;
 pub mod table;
--- a/crates/shallotroute_membership/src/member.rs
+++ b/crates/shallotroute_membership/src/member.rs
@@ -4,7 +4,11 @@
 
 use shallotroute_types::member::{Member, State};
 
-use crate::{digest, pace::Pace};
+use crate::{
+    digest,
+    pace::Pace,
+    phase::{self, Trigger},
+};
 
 /// What a node knows of another member.
 #[derive(Clone, Debug)]
@@ -111,13 +115,12 @@
     /// resumed after a pause in which it could hear nothing.
     pub(crate) fn tick(&mut self, now: Instant, resumed: Instant, pace: &Pace) -> Change {
         let silence = now.saturating_duration_since(self.heard.max(resumed));
-        let state = match self.member.state {
-            State::Dead => State::Dead,
-            _ if silence >= pace.dead_after => State::Dead,
-            State::Alive if silence >= pace.suspect_after => State::Suspect,
-            State::Suspect if silence < pace.suspect_after => State::Alive,
-            other => other,
+        let trigger = match silence {
+            silence if silence >= pace.dead_after => Trigger::Expired,
+            silence if silence >= pace.suspect_after => Trigger::Silent,
+            _ => Trigger::Fresh,
         };
+        let state = phase::next(self.member.state, trigger);
         let changed = state != self.member.state;
         self.member.state = state;
         Change {
@@ -130,7 +133,10 @@
     fn replace(&mut self, member: &Member) -> Change {
         // A restarted process may hold less than the one before, so that nothing is carried over.
         let revision = (member.known, member.in_force) != (self.member.known, self.member.in_force);
+        let state = phase::next(self.member.state, Trigger::Renewed);
         let before = std::mem::replace(&mut self.member, member.clone());
+        self.member.state = reported(state, member.state);
+        let member = &self.member;
         let died = (before.state == State::Dead) != (member.state == State::Dead);
         let left = (before.state == State::Leaving) != (member.state == State::Leaving);
         Change {
@@ -141,11 +147,7 @@
     }
 
     fn merge(&mut self, member: &Member) -> Change {
-        let state = match (self.member.state, member.state) {
-            (_, State::Dead) => State::Dead,
-            (State::Alive | State::Suspect, State::Leaving) => State::Leaving,
-            (current, _) => current,
-        };
+        let state = reported(self.member.state, member.state);
         let known = self.member.known.max(member.known);
         let in_force = self.member.in_force.max(member.in_force);
         let change = Change {
@@ -159,3 +161,13 @@
         change
     }
 }
+
+/// Returns the state after a report of a state under the same incarnation.
+fn reported(state: State, report: State) -> State {
+    match report {
+        // Suspicion follows from the age of the news alone.
+        State::Alive | State::Suspect => state,
+        State::Leaving => phase::next(state, Trigger::Left),
+        State::Dead => phase::next(state, Trigger::Departed),
+    }
+}
