--- /dev/null
+++ b/crates/shallotroute_gateway/src/dispatch.rs
@@ -0,0 +1,73 @@
+//! Attempts at a request until one gives a response.
+
+use std::sync::Arc;
+
+use http::{Response, StatusCode};
+use shallotroute_http::body::Body;
+use shallotroute_routing::{
+    outcome,
+    pool::Query,
+    retry::{self, Attempt},
+};
+use shallotroute_types::outcome::Outcome;
+
+use crate::{
+    Gateway,
+    admission::Permit,
+    attempt::{self, Sent},
+    entry::Call,
+    failure::{Failure, Result, Step},
+};
+
+/// Sends a request, if need be several times, and returns a response.
+pub(crate) async fn run(
+    gateway: &Gateway,
+    call: &Call,
+    permit: Arc<Permit>,
+) -> Result<Response<Body>> {
+    call.pool.state().pool.budget().deposit();
+    let clock = &*gateway.context.clock;
+    let mut tried = Vec::new();
+    let mut outcome = Outcome::NotRun;
+    let mut last = None;
+    loop {
+        let query = Query {
+            zone: &gateway.context.local.zone,
+            prefix: call.head.as_ref().and_then(|head| head.prefix),
+            tried: &tried,
+        };
+        let hosts = &gateway.context.hosts;
+        let Some(choice) = call.pool.choose(&query, hosts, clock.now()) else {
+            let failure = last.unwrap_or_else(|| no_server(call));
+            return Err(failure.with_outcome(outcome));
+        };
+        tried.push(choice.name.clone());
+        let sent = Sent::new(&call.pool, choice, clock.now(), Arc::clone(&permit));
+        let result = attempt::run(&gateway.client, clock, call, tried.len(), sent).await?;
+        let broken = match result {
+            Ok(response) => return Ok(response),
+            Err(broken) => broken,
+        };
+        outcome = outcome::combine(outcome, broken.evidence.outcome());
+        let attempt = Attempt {
+            evidence: broken.evidence,
+            idempotent: call.idempotent,
+            answered: false,
+            left: call.deadline.saturating_duration_since(clock.now()),
+        };
+        if !retry::allow(&attempt, call.pool.state().pool.budget()) {
+            return Err(broken.failure.with_outcome(outcome));
+        }
+        last = Some(broken.failure);
+    }
+}
+
+fn no_server(call: &Call) -> Box<Failure> {
+    let message = format!(
+        "no backend server of the pool `{}` takes work",
+        call.route.pool
+    );
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    Failure::not_run(status, "no_server", Step::Selection, message)
+        .with_retry_after(std::time::Duration::from_secs(1))
+}
