--- a/crates/shallotroute_lease/tests/chart.rs
+++ b/crates/shallotroute_lease/tests/chart.rs
@@ -1,9 +1,10 @@
-//! The embedded chart.
+//! The embedded charts.
 
 use googletest::prelude::*;
 
-/// Guards against a chart that does not fit the code, which would stop the node at its first use.
+/// Guards against charts that do not fit the code, which would stop the node at its first use.
 #[gtest]
-fn embedded_chart_is_valid() {
+fn embedded_charts_are_valid() {
     expect_that!(shallotroute_lease::phase::load(), ok(anything()));
+    expect_that!(shallotroute_lease::engine::load(), ok(anything()));
 }
