--- a/crates/shallotroute_platform/src/lib.rs
+++ b/crates/shallotroute_platform/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod http;
 pub mod scorer;
 pub mod store;
+pub mod throttle;
