--- a/crates/shallotroute_membership/src/table.rs
+++ b/crates/shallotroute_membership/src/table.rs
@@ -240,9 +240,12 @@
     /// Forgets members that are dead and no longer listed, or silent for long.
     fn forget(&mut self, now: Instant) -> bool {
         let before = self.entries.len();
-        let listed = &self.listed;
+        let (listed, majority) = (&self.listed, self.majority);
         self.entries.retain(|id, entry| {
-            let silent = entry.silence(now) >= pace::FORGET_AFTER;
+            // Without a list, a node that is cut off must not forget the others and then count as a
+            // majority alone.
+            let may_forget = majority || !listed.is_empty();
+            let silent = may_forget && entry.silence(now) >= pace::FORGET_AFTER;
             let unlisted = !listed.is_empty() && !listed.contains_key(id);
             // A death spreads for a while before the member is forgotten, or news would revive it.
             let spreading = entry.spread > 0 || entry.silence(now) < pace::MAJORITY_WITHIN;
--- a/crates/shallotroute_membership/tests/fleet/mod.rs
+++ b/crates/shallotroute_membership/tests/fleet/mod.rs
@@ -12,7 +12,7 @@
 use shallotroute_membership::{
     codec::Codec,
     datagram::Frame,
-    table::{Action, Config, Event, Table},
+    table::{Action, Config, Event, Listed, Table},
 };
 use shallotroute_types::{
     member::{Member, State, View},
@@ -174,6 +174,16 @@
         self.seen[index].fill(None);
     }
 
+    /// Gives a node a host list with all nodes.
+    pub(crate) fn list(&mut self, index: usize) {
+        let listed = |other| Listed {
+            id: name(other),
+            leaving: false,
+        };
+        let listed = (0..self.nodes.len()).map(listed).collect();
+        self.event(index, Event::Listed(listed));
+    }
+
     pub(crate) fn views(&self) -> impl Iterator<Item = View> {
         let running = self.nodes.iter().filter(|node| node.running);
         running.map(|node| node.table.view())
--- a/crates/shallotroute_membership/tests/table.rs
+++ b/crates/shallotroute_membership/tests/table.rs
@@ -207,3 +207,15 @@
     run(&mut table, at, Duration::from_secs(31));
     expect_that!(state(&table, "n2"), none());
 }
+
+/// Guards against an isolated node without a host list that forgets the others and then takes itself
+/// for the majority.
+#[gtest]
+fn isolated_node_does_not_become_a_majority_by_forgetting() {
+    let start = Instant::now();
+    let mut table = table(start);
+    table.handle(frame(member(2, 1), 1, Vec::new()), start);
+    table.handle(frame(member(3, 1), 1, Vec::new()), start);
+    run(&mut table, start, Duration::from_secs(120));
+    expect_false!(table.view().majority);
+}
