shallotroute_membership: the majority lasts 6 s after the last news

Cause: a member that was declared dead after 3 s no longer counted as heard, so that a node lost its majority after 3 s instead of 6 s. Change: what counts is the age of the news alone; a test for the lower and the upper bound.

--- a/crates/shallotroute_membership/src/table.rs
+++ b/crates/shallotroute_membership/src/table.rs
@@ -279,11 +279,10 @@
         heard * 2 > staying.len()
     }
 
+    /// A member that was declared dead after 3 s was still heard within 6 s.
     fn hears(&self, id: &Id, now: Instant) -> bool {
-        *id == self.local.id
-            || self.entries.get(id).is_some_and(|entry| {
-                entry.member.state != State::Dead && entry.silence(now) <= pace::MAJORITY_WITHIN
-            })
+        let heard = |entry: &Entry| entry.silence(now) <= pace::MAJORITY_WITHIN;
+        *id == self.local.id || self.entries.get(id).is_some_and(heard)
     }
 
     fn list(&mut self, listed: Vec<Listed>, now: Instant, actions: &mut Vec<Action>) {
--- a/crates/shallotroute_membership/tests/table.rs
+++ b/crates/shallotroute_membership/tests/table.rs
@@ -188,6 +188,20 @@
     expect_that!(state(&table, "n2"), some(eq(State::Alive)));
 }
 
+/// Guards against a majority that ends when its members are declared dead instead of after 6 s.
+#[gtest]
+fn majority_lasts_six_seconds_after_the_last_news() {
+    let start = Instant::now();
+    let mut table = table(start);
+    table.handle(frame(member(2, 1), 1, Vec::new()), start);
+    table.handle(frame(member(3, 1), 1, Vec::new()), start);
+    let at = run(&mut table, start, Duration::from_secs(6));
+    expect_that!(state(&table, "n2"), some(eq(State::Dead)));
+    expect_true!(table.view().majority);
+    run(&mut table, at, Duration::from_millis(50));
+    expect_false!(table.view().majority);
+}
+
 /// Guards against a dead node that stays in the view for ever, and against one that is forgotten
 /// while it is still listed.
 #[gtest]
