--- a/crates/shallotroute_peer/tests/heartbeat.rs
+++ b/crates/shallotroute_peer/tests/heartbeat.rs
@@ -1,79 +1,23 @@
 //! Heartbeats between nodes over loopback sockets.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use googletest::prelude::*;
-use prometheus_client::registry::Registry;
-use shallotroute_context::Local;
-use shallotroute_peer::heartbeat::{Heartbeat, Options};
 use shallotroute_platform::host::{self, Host};
 use shallotroute_types::{
-    clock::System,
     member::{State, View},
     name::Name,
-    node::Incarnation,
     revision::Revision,
 };
-use tokio::{net::UdpSocket, sync::watch, time::timeout};
-use tokio_util::sync::CancellationToken;
+use tokio::{net::UdpSocket, time::timeout};
 
-const KEY: [u8; 32] = [7; 32];
+mod support;
+
+use support::{KEY, Node, start};
 
 /// Far above the expected time of a second, so that a busy machine gives no false failure.
 const LIMIT: Duration = Duration::from_secs(20);
 
-#[expect(clippy::rc_buffer, reason = "the type that Options takes")]
-struct Node {
-    address: SocketAddr,
-    heartbeat: Arc<Heartbeat>,
-    known: watch::Sender<Revision>,
-    hosts: watch::Sender<Arc<Vec<Host>>>,
-    members: watch::Receiver<Arc<View>>,
-    drain: CancellationToken,
-    stop: CancellationToken,
-}
-
-async fn start(index: u64, seeds: Vec<SocketAddr>, key: [u8; 32]) -> Node {
-    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
-    let address = socket.local_addr().unwrap();
-    let (known, known_receiver) = watch::channel(Revision(0));
-    let (_, configuration) = watch::channel(None);
-    let (hosts, hosts_receiver) = watch::channel(Arc::new(Vec::new()));
-    let (members_sender, members) = watch::channel(Arc::new(View::default()));
-    let (drain, stop) = (CancellationToken::new(), CancellationToken::new());
-    let options = Options {
-        local: Local {
-            id: Name::new(format!("n{index}")),
-            region: Name::new("r"),
-            zone: Name::new("z"),
-            address,
-            incarnation: Incarnation(1),
-        },
-        seeds,
-        key,
-        socket,
-        clock: Arc::new(System),
-        known: known_receiver,
-        configuration,
-        hosts: hosts_receiver,
-        members: members_sender,
-        drain: drain.clone(),
-        stop: stop.clone(),
-        seed: index,
-    };
-    let heartbeat = Heartbeat::new(options, &mut Registry::default());
-    tokio::spawn(Arc::clone(&heartbeat).run());
-    Node {
-        address,
-        heartbeat,
-        known,
-        hosts,
-        members,
-        drain,
-        stop,
-    }
-}
-
 /// Starts three nodes of which the later two know the first one's address only.
 async fn three() -> [Node; 3] {
     let first = start(1, Vec::new(), KEY).await;
@@ -164,3 +108,31 @@
     expect_that!(first.members.borrow().members.len(), eq(1));
     foreign.stop.cancel();
 }
+
+/// Guards against metrics that are missing or not updated.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_show_traffic_and_members() {
+    let nodes = three().await;
+    let mut text = String::new();
+    prometheus_client::encoding::text::encode(&mut text, &nodes[0].registry).unwrap();
+    for line in [
+        "shallotroute_heartbeat_members{state=\"alive\"} 3",
+        "shallotroute_heartbeat_majority 1",
+        "shallotroute_heartbeat_dropped_datagrams_total{reason=\"replayed\"} 0",
+    ] {
+        expect_that!(text, contains_substring(line));
+    }
+    for name in [
+        "received_datagrams",
+        "sent_datagrams",
+        "received_bytes",
+        "sent_bytes",
+    ] {
+        expect_that!(
+            text,
+            contains_substring(format!("shallotroute_heartbeat_{name}_total "))
+        );
+        expect_that!(text, not(contains_substring(format!("_{name}_total 0\n"))));
+    }
+}
