shallotroute_membership: ages by ranges of keys, time limits by coverage

Cause: in a trial with 1,700 nodes the most recent news crowded out some members for 5 s, and 289,844 suspicions at once sent 32 KB/s of messages to suspects. A node that had heard nothing for a while also shortened its time limits, because its datagrams were short, and declared all others dead. Change: ages cover a random range of salted keys at 2 bytes each; at most two suspects are told per tick; the limits follow from the length of a complete datagram and from the share of members that one covers; a newly learned member is passed on twice only, since differences are answered. Long names leave half of a datagram to the ages.

--- a/crates/shallotroute_membership/src/datagram.rs
+++ b/crates/shallotroute_membership/src/datagram.rs
@@ -31,7 +31,12 @@
     pub members: u32,
     /// The salt of the keys in `ages`.
     pub salt: u16,
-    /// How long ago the sender had news of members, the most recent ones if not all fit.
+    /// The first key of the range that `ages` covers.
+    pub start: u16,
+    /// Whether `ages` covers all keys, not only those up to its last one.
+    pub whole: bool,
+    /// How long ago the sender had news of the members whose keys lie in a range; keys wrap around.
+    /// Members that the sender suspects or does not know are left out.
     pub ages: Vec<Seen>,
 }
 
@@ -47,8 +52,8 @@
 /// How long ago there was news of one member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Seen {
-    /// The key of the member's name.
-    pub key: [u8; 2],
+    /// The key of the member's name, counted from the key before or from the start of the range.
+    pub gap: u16,
     /// The age of the news.
     pub age: Age,
 }
--- a/crates/shallotroute_membership/src/digest.rs
+++ b/crates/shallotroute_membership/src/digest.rs
@@ -14,9 +14,8 @@
 }
 
 /// Returns the key of a hashed name under a salt.
-pub(crate) fn key(hash: u64, salt: u16) -> [u8; 2] {
-    let [.., first, second] = mix(hash ^ u64::from(salt)).to_le_bytes();
-    [first, second]
+pub(crate) fn key(hash: u64, salt: u16) -> u16 {
+    (mix(hash ^ u64::from(salt)) >> 48) as u16
 }
 
 /// Hashes a set of hashed names, in any order.
--- a/crates/shallotroute_membership/src/pace.rs
+++ b/crates/shallotroute_membership/src/pace.rs
@@ -27,6 +27,9 @@
 /// Bytes of the IPv4 and UDP headers.
 const HEADER_BYTES: u64 = 28;
 
+/// The least coverage that is calculated with, so that the limits stay finite.
+const MIN_COVERAGE: f64 = 0.05;
+
 /// Rounds that news may take beyond the logarithm of the fleet's size before a member is suspected.
 const SPARE_ROUNDS: f64 = 2.0;
 
@@ -42,15 +45,18 @@
 }
 
 impl Pace {
-    /// Calculates the limits for `members` nodes that send datagrams of `bytes`.
+    /// Calculates the limits for `members` nodes that send datagrams of `bytes`, each with news of a
+    /// share `coverage` of the members.
     ///
-    /// News reaches all of n members in about log(n) / log(fanout + 1) rounds of push gossip:
-    /// A. Demers et al., "Epidemic algorithms for replicated database maintenance", PODC 1987.
-    pub fn new(members: usize, bytes: usize) -> Self {
+    /// News reaches all of n members in about log(n) / log(1 + fanout) rounds of push gossip:
+    /// A. Demers et al., "Epidemic algorithms for replicated database maintenance", PODC 1987. With
+    /// partial coverage each node passes the news on to `fanout * coverage` others in a round.
+    pub fn new(members: usize, bytes: usize, coverage: f64) -> Self {
         let targets = members.saturating_sub(1).clamp(1, FANOUT) as u64;
         let sent = targets * (bytes as u64 + HEADER_BYTES);
         let interval = MIN_INTERVAL.max(Duration::from_millis(sent * 1_000 / BYTES_PER_SECOND));
-        let rounds = SPARE_ROUNDS + (members.max(1) as f64).ln() / (FANOUT as f64 + 1.0).ln();
+        let growth = FANOUT as f64 * coverage.max(MIN_COVERAGE);
+        let rounds = SPARE_ROUNDS + (members.max(1) as f64).ln() / growth.ln_1p();
         let suspect_after = SUSPECT_AFTER.max(interval.mul_f64(rounds));
         Self {
             interval,
--- a/crates/shallotroute_membership/src/table.rs
+++ b/crates/shallotroute_membership/src/table.rs
@@ -23,6 +23,9 @@
 mod receive;
 mod send;
 
+/// Suspects that are told in one tick; when many are silent, the fault is likely on this side.
+const MAX_TOLD: usize = 2;
+
 /// A gap between two ticks after which the node counts as having been paused.
 pub const PAUSE: Duration = Duration::from_millis(500);
 
@@ -121,7 +124,7 @@
             entries: BTreeMap::new(),
             listed: BTreeMap::new(),
             random: ChaCha8Rng::seed_from_u64(config.seed),
-            pace: Pace::new(1, 0),
+            pace: Pace::new(1, 0, 1.0),
             sequence: 0,
             load: 0,
             targets: Vec::new(),
@@ -226,6 +229,7 @@
                 suspects.push(entry.member.clone());
             }
         }
+        suspects.truncate(MAX_TOLD);
         for member in suspects {
             self.tell(member, now, actions);
         }
--- a/crates/shallotroute_membership/src/table/receive.rs
+++ b/crates/shallotroute_membership/src/table/receive.rs
@@ -20,6 +20,11 @@
 /// The shortest time between two answers that tell a member about its own state.
 const TELL_EVERY: Duration = Duration::from_millis(500);
 
+/// How many datagrams carry the state of a newly learned member. Few, because a difference between two
+/// live sets is answered with what is missing, and because a fleet that starts at once would otherwise
+/// leave no room for ages for many minutes.
+const NEWCOMER_SPREAD: u32 = 2;
+
 impl Table {
     pub(super) fn receive(&mut self, frame: &Frame, now: Instant, actions: &mut Vec<Action>) {
         let sender = &frame.sender;
@@ -94,7 +99,7 @@
     }
 
     fn insert(&mut self, mut entry: Entry, actions: &mut Vec<Action>) {
-        entry.spread = self.spread();
+        entry.spread = NEWCOMER_SPREAD;
         self.entries.insert(entry.member.id.clone(), entry);
         actions.push(Action::Changed);
     }
@@ -115,20 +120,26 @@
         if frame.members == 0 {
             return;
         }
-        let mut found: HashMap<[u8; 2], Match> = HashMap::with_capacity(frame.ages.len());
+        let mut found: HashMap<u16, Match> = HashMap::with_capacity(frame.ages.len());
+        let mut end: u16 = 0;
         for seen in &frame.ages {
+            end = end.saturating_add(seen.gap);
             let heard = seen.age.duration().and_then(|age| now.checked_sub(age));
-            let matched = found.entry(seen.key).or_insert(Match { heard, count: 0 });
+            let matched = found.entry(end).or_insert(Match { heard, count: 0 });
             matched.heard = matched.heard.min(heard);
         }
-        if let Some(matched) = found.get_mut(&key(hash(&self.local.id), frame.salt)) {
+        let offset = |hash: u64| key(hash, frame.salt).wrapping_sub(frame.start);
+        if let Some(matched) = found.get_mut(&offset(hash(&self.local.id))) {
             matched.count += 1;
         }
         let mut missing = Vec::new();
         for entry in self.entries.values().filter(|entry| is_live(&entry.member)) {
-            match found.get_mut(&key(entry.hash, frame.salt)) {
+            let offset = offset(entry.hash);
+            match found.get_mut(&offset) {
                 Some(matched) => matched.count += 1,
-                None if entry.member.id != frame.sender.id => missing.push(entry.member.id.clone()),
+                None if frame.whole || offset <= end => {
+                    missing.push(entry.member.id.clone());
+                }
                 None => {}
             }
         }
@@ -136,12 +147,13 @@
             if let Some(Match {
                 heard: Some(heard),
                 count: 1,
-            }) = found.get(&key(entry.hash, frame.salt))
+            }) = found.get(&offset(entry.hash))
                 && is_live(&entry.member)
             {
                 entry.heard = entry.heard.max(*heard);
             }
         }
+        missing.retain(|id| *id != frame.sender.id);
         if frame.members != self.live_set() {
             self.complete(frame.sender.address, missing, now, actions);
         }
--- a/crates/shallotroute_membership/src/table/send.rs
+++ b/crates/shallotroute_membership/src/table/send.rs
@@ -26,10 +26,15 @@
 const REPEATED_NEWS: usize = 2;
 
 /// An upper bound of a datagram's bytes without members and ages.
-const FIXED_BYTES: usize = 52;
+const FIXED_BYTES: usize = 56;
 
-/// The bytes of a key and an age.
-const SEEN_BYTES: usize = 3;
+/// The ages of the members in a range of keys.
+#[derive(Default)]
+struct Range {
+    start: u16,
+    whole: bool,
+    ages: Vec<Seen>,
+}
 
 impl Table {
     pub(super) fn send_due(&mut self, now: Instant, actions: &mut Vec<Action>) {
@@ -45,7 +50,7 @@
     fn round(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let to = self.choose_targets();
         let (frame, bytes) = self.frame(true, now);
-        self.pace = Pace::new(self.live_count() + 1, bytes);
+        self.pace = self.choose_pace(bytes);
         // The jitter keeps nodes that started together from sending together.
         let jitter = self.random.random_range(0.9..1.1);
         self.next_round = now + self.pace.interval.mul_f64(jitter);
@@ -56,6 +61,21 @@
         }
     }
 
+    /// Calculates the time limits from the length that a datagram with news of all members would have.
+    /// The actual length does not suffice: a node that heard nothing for a while sends short datagrams,
+    /// and would conclude that news travels fast.
+    fn choose_pace(&self, bytes: usize) -> Pace {
+        let members = self.live_count() + 1;
+        let local = member_bytes(&self.local) + 1;
+        let room = MAX_BYTES - FIXED_BYTES - local;
+        let room = room - (local * REPEATED_NEWS).min(room / 2);
+        let base = MAX_BYTES - room;
+        let gap = u64::from(u16::MAX) / members as u64;
+        let all = (members - 1) * (varint_bytes(gap) + 1);
+        let coverage = room as f64 / all.max(room) as f64;
+        Pace::new(members, bytes.max(base + all.min(room)), coverage)
+    }
+
     /// Returns the next targets of a pass over all live members in random order.
     fn choose_targets(&mut self) -> Vec<SocketAddr> {
         let wanted = FANOUT.min(self.live_count());
@@ -196,11 +216,15 @@
     fn frame(&mut self, with_ages: bool, now: Instant) -> (Box<Frame>, usize) {
         self.sequence += 1;
         let mut room = MAX_BYTES - FIXED_BYTES - member_bytes(&self.local);
-        let news = self.choose_news(&mut room, now);
+        // Half of the room is for ages, which long names would otherwise leave no room for.
+        let mut half = room / 2;
+        room -= half;
+        let news = self.choose_news(&mut half, now);
+        room += half;
         let salt = self.random.random();
-        let ages = match with_ages {
+        let range = match with_ages {
             true => self.choose_ages(salt, &mut room, now),
-            false => Vec::new(),
+            false => Range::default(),
         };
         let members = if with_ages { self.live_set() } else { 0 };
         let confirmed = self
@@ -216,7 +240,9 @@
             news,
             members,
             salt,
-            ages,
+            start: range.start,
+            whole: range.whole,
+            ages: range.ages,
         };
         (Box::new(frame), MAX_BYTES - room)
     }
@@ -274,28 +300,42 @@
         next
     }
 
-    /// Takes the most recent news if not all fit: older news is more likely known already, and news
-    /// that led to a suspicion here is of no use to others.
-    fn choose_ages(&mut self, salt: u16, room: &mut usize, now: Instant) -> Vec<Seen> {
+    /// Takes the members in a range of keys that starts at random and is as long as there is room for.
+    /// The salt makes each range a random choice of members, and a range needs one byte for most keys.
+    fn choose_ages(&mut self, salt: u16, room: &mut usize, now: Instant) -> Range {
+        let start: u16 = self.random.random();
         let limit = self.pace.suspect_after;
-        let mut recent: Vec<(Duration, u64)> = self
+        let mut recent: Vec<(u16, Duration)> = self
             .entries
             .values()
             .filter(|entry| is_live(&entry.member))
-            .map(|entry| (entry.silence(now), entry.hash))
-            .filter(|(silence, _)| *silence < limit)
+            .map(|entry| {
+                (
+                    key(entry.hash, salt).wrapping_sub(start),
+                    entry.silence(now),
+                )
+            })
+            .filter(|(_, silence)| *silence < limit)
             .collect();
-        let count = recent.len().min(*room / SEEN_BYTES);
-        if count < recent.len() {
-            recent.select_nth_unstable(count);
-            recent.truncate(count);
+        recent.sort_unstable_by_key(|(offset, _)| *offset);
+        let mut ages = Vec::new();
+        let mut last = 0;
+        let mut whole = true;
+        for (offset, silence) in recent {
+            let gap = offset - last;
+            let bytes = varint_bytes(gap.into()) + 1;
+            if bytes > *room {
+                whole = false;
+                break;
+            }
+            *room -= bytes;
+            last = offset;
+            ages.push(Seen {
+                gap,
+                age: Age::new(silence),
+            });
         }
-        *room -= count * SEEN_BYTES;
-        let seen = |(silence, hash)| Seen {
-            key: key(hash, salt),
-            age: Age::new(silence),
-        };
-        recent.into_iter().map(seen).collect()
+        Range { start, whole, ages }
     }
 
     /// Returns a hash of the live members and the local node.
--- a/crates/shallotroute_membership/tests/codec.rs
+++ b/crates/shallotroute_membership/tests/codec.rs
@@ -68,8 +68,8 @@
         member,
         age: Age(age),
     });
-    let seen = (any::<[u8; 2]>(), any::<u8>());
-    let seen = seen.prop_map(|(key, age)| Seen { key, age: Age(age) });
+    let seen = (any::<u16>(), any::<u8>());
+    let seen = seen.prop_map(|(gap, age)| Seen { gap, age: Age(age) });
     let numbers = (
         any::<u64>(),
         any::<u32>(),
@@ -86,6 +86,8 @@
             news,
             members,
             salt,
+            start: 7,
+            whole: false,
             ages,
         },
     )
@@ -165,6 +167,8 @@
         news: vec![news; count],
         members: 0,
         salt: 0,
+        start: 0,
+        whole: false,
         ages: Vec::new(),
     }
 }
--- a/crates/shallotroute_membership/tests/fleet/mod.rs
+++ b/crates/shallotroute_membership/tests/fleet/mod.rs
@@ -11,7 +11,7 @@
 use rand_chacha::ChaCha8Rng;
 use shallotroute_membership::{
     codec::Codec,
-    datagram::Frame,
+    datagram::{Age, Frame, News},
     table::{Action, Config, Event, Listed, Table},
 };
 use shallotroute_types::{
@@ -141,21 +141,29 @@
 
     /// Lets all nodes know each other, which spares a large fleet the time of forming.
     pub(crate) fn acquaint(&mut self) {
-        for sender in 0..self.nodes.len() {
+        let members = (0..self.nodes.len()).map(|index| member(index, 1_000));
+        let news = members.map(|member| News {
+            member,
+            age: Age(0),
+        });
+        let news: Vec<News> = news.collect();
+        for (index, node) in self.nodes.iter_mut().enumerate() {
+            let mut news = news.clone();
+            news.remove(index);
             let frame = Frame {
-                sender: member(sender, 1_000),
+                sender: news[0].member.clone(),
                 sequence: 0,
                 confirmation_age_ms: 0,
                 load: 0,
-                news: Vec::new(),
+                news,
                 members: 0,
                 salt: 0,
+                start: 0,
+                whole: false,
                 ages: Vec::new(),
             };
-            for node in &mut self.nodes {
-                let event = Event::Received(Box::new(frame.clone()));
-                drop(node.table.handle(event, self.now));
-            }
+            let event = Event::Received(Box::new(frame));
+            drop(node.table.handle(event, self.now));
         }
     }
 
--- a/crates/shallotroute_membership/tests/table.rs
+++ b/crates/shallotroute_membership/tests/table.rs
@@ -48,6 +48,8 @@
         news,
         members: 0,
         salt: 0,
+        start: 0,
+        whole: false,
         ages: Vec::new(),
     }))
 }
