gateway: metrics, dump and an estimate of cached prefixes

Cause: nobody could see why a request went where it went, and prompts followed rendezvous hashing only. Change: counters by class and outcome, retries, refusals by code, a latency histogram and requests in progress; the dump lists the last 256 requests with the reason of each attempt, the servers' states and the queues. Each response corrects the estimate of which server has a prefix cached; it ages out after 120 s. The example throughput measures one gateway over loopback.

--- /dev/null
+++ b/crates/shallotroute_gateway/examples/throughput.rs
@@ -0,0 +1,130 @@
+//! Measures one gateway over loopback: requests a second, and the latency that it adds at half of
+//! the target rate. Prints one JSON object and ends by itself.
+#![allow(clippy::print_stdout, missing_docs)]
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use http::{Method, Request, StatusCode, header};
+use shallotroute_config::set::Set;
+use shallotroute_http::{
+    body::{self, Body},
+    client::Client,
+};
+use support::{Backend, KEY, MODEL, Node};
+
+const SECONDS: u64 = 4;
+const CONNECTIONS: usize = 128;
+
+/// The target of the design page, in requests a second.
+const TARGET: f64 = 20_000.0;
+
+fn request(address: SocketAddr, stream: bool) -> Request<Body> {
+    let text = format!(r#"{{"model":"{MODEL}","prompt":"leek price?","stream":{stream}}}"#);
+    Request::builder()
+        .method(Method::POST)
+        .uri(format!("http://{address}/v1/completions"))
+        .header(header::AUTHORIZATION, format!("Bearer {KEY}"))
+        .header("x-request-id", "direct.1")
+        .body(body::full(text))
+        .unwrap()
+}
+
+async fn exchange(client: &Client, address: SocketAddr, stream: bool) -> Duration {
+    let started = Instant::now();
+    let response = client.send(request(address, stream)).await.unwrap();
+    assert_eq!(response.status(), StatusCode::OK);
+    body::read(response.into_body(), 1 << 20).await.unwrap();
+    started.elapsed()
+}
+
+/// Sends as fast as the responses come and returns the requests a second.
+async fn rate(address: SocketAddr, stream: bool) -> f64 {
+    let started = Instant::now();
+    let end = started + Duration::from_secs(SECONDS);
+    let tasks = (0..CONNECTIONS).map(|_| {
+        tokio::spawn(async move {
+            let client = Client::new(Duration::from_secs(1));
+            let mut count = 0_u32;
+            while Instant::now() < end {
+                exchange(&client, address, stream).await;
+                count += 1;
+            }
+            count
+        })
+    });
+    let mut total = 0.0;
+    for count in futures::future::join_all(tasks).await {
+        total += f64::from(count.unwrap());
+    }
+    total / started.elapsed().as_secs_f64()
+}
+
+/// Sends at `rate` requests a second, whatever the responses take, and returns p50 and p99 in
+/// microseconds.
+async fn latency(address: SocketAddr, rate: f64) -> (u128, u128) {
+    let started = Instant::now();
+    let clients: Arc<Vec<Client>> = Arc::new(
+        (0..CONNECTIONS)
+            .map(|_| Client::new(Duration::from_secs(1)))
+            .collect(),
+    );
+    let interval = Duration::from_secs_f64(CONNECTIONS as f64 / rate);
+    let tasks = (0..CONNECTIONS).map(|index| {
+        let clients = Arc::clone(&clients);
+        tokio::spawn(async move {
+            let offset = interval.mul_f64(index as f64 / CONNECTIONS as f64);
+            let mut ticks = tokio::time::interval_at((started + offset).into(), interval);
+            let mut samples = Vec::new();
+            while started.elapsed() < Duration::from_secs(SECONDS) {
+                ticks.tick().await;
+                samples.push(exchange(&clients[index], address, false).await.as_micros());
+            }
+            samples
+        })
+    });
+    let samples = futures::future::join_all(tasks).await;
+    let mut samples: Vec<u128> = samples.into_iter().flat_map(Result::unwrap).collect();
+    samples.sort_unstable();
+    (
+        samples[samples.len() / 2],
+        samples[samples.len() * 99 / 100],
+    )
+}
+
+#[tokio::main]
+async fn main() {
+    let backend =
+        Backend::quiet(|request| async move { support::engine_answer(&request, 4) }).await;
+    let mut servers = Vec::new();
+    for index in 0..8 {
+        let mut server = support::server(&format!("engine-{index}"), backend.address);
+        server.slots = 1_000;
+        servers.push(server);
+    }
+    let mut objects = support::objects(servers, Vec::new());
+    for object in &mut objects {
+        if let shallotroute_config::object::Object::Pool(pool) = object {
+            pool.selection = shallotroute_config::object::Selection::Adaptive;
+        }
+    }
+    let node = Node::start(Set::new(objects)).await;
+    let whole = rate(node.address, false).await;
+    let streamed = rate(node.address, true).await;
+    let direct = latency(backend.address, TARGET / 2.0).await;
+    let through = latency(node.address, TARGET / 2.0).await;
+    let result = serde_json::json!({
+        "connections": CONNECTIONS,
+        "whole_per_s": whole.round(),
+        "streams_per_s": streamed.round(),
+        "direct_p50_us": direct.0, "direct_p99_us": direct.1,
+        "through_p50_us": through.0, "through_p99_us": through.1,
+    });
+    println!("{result}");
+}
--- a/crates/shallotroute_gateway/src/admission.rs
+++ b/crates/shallotroute_gateway/src/admission.rs
@@ -1,10 +1,7 @@
 //! Admission of requests: callers' limits and the queues of the pools.
 
 use std::{
-    sync::{
-        Arc, PoisonError,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, PoisonError},
     time::{Duration, Instant},
 };
 
@@ -20,6 +17,7 @@
     Gateway,
     entry::Call,
     failure::{Failure, Result, Step},
+    journal::Progress,
     runtime::{Cell, State},
 };
 
@@ -30,19 +28,7 @@
 pub(crate) struct Permit {
     _slot: Slot,
     _metered: Option<Metered>,
-    broken: AtomicBool,
-}
-
-impl Permit {
-    /// Takes note that the response broke off after a part of it went to the caller.
-    pub(crate) fn mark_broken(&self) {
-        self.broken.store(true, Ordering::Relaxed);
-    }
-
-    /// Tells whether the response broke off.
-    pub(crate) fn is_broken(&self) -> bool {
-        self.broken.load(Ordering::Relaxed)
-    }
+    pub(crate) progress: Arc<Progress>,
 }
 
 /// A place among a pool's running requests.
@@ -125,7 +111,7 @@
     Ok(Permit {
         _slot: slot,
         _metered: metered,
-        broken: AtomicBool::new(false),
+        progress: Arc::clone(&call.progress),
     })
 }
 
--- a/crates/shallotroute_gateway/src/attempt.rs
+++ b/crates/shallotroute_gateway/src/attempt.rs
@@ -11,7 +11,7 @@
     client::{self, Client},
 };
 use shallotroute_routing::{
-    answer::{self, Fault},
+    answer::{self, Fault, Usage},
     outcome::{Evidence, Refusal},
     pool::Choice,
 };
@@ -67,6 +67,17 @@
     }
 }
 
+impl Sent {
+    /// Corrects the estimate of the server's prefix cache by a whole response.
+    pub(crate) fn learn(&self, prefix: Option<u64>, usage: Option<&Usage>) {
+        if let Some(prefix) = prefix {
+            let cached = usage.and_then(Usage::cached);
+            let name = &self.choice.name;
+            self.pool.state().pool.learn(prefix, name, cached, self.at);
+        }
+    }
+}
+
 impl Drop for Sent {
     fn drop(&mut self) {
         self.pool.state().pool.finish(&self.choice.name);
@@ -171,10 +182,11 @@
             let stream = Checked::new(incoming, sent, identity, call);
             head(&parts, stream.prime().await?.into_body())
         }
-        Some(_) => {
+        Some(it) => {
             let bytes = body::read(incoming, MAX_ANSWER_BYTES).await;
             let bytes = bytes.map_err(|_| Evidence::Cut)?;
-            check_whole(identity, &bytes)?;
+            let usage = check_whole(identity, &bytes)?;
+            sent.learn(it.prefix, usage.as_ref());
             whole(&parts, bytes)
         }
         None if is_short(&incoming) => {
@@ -198,9 +210,9 @@
 }
 
 /// Checks a non-streaming response of an engine.
-fn check_whole(identity: &str, bytes: &Bytes) -> std::result::Result<(), Evidence> {
+fn check_whole(identity: &str, bytes: &Bytes) -> std::result::Result<Option<Usage>, Evidence> {
     match answer::whole(identity, bytes) {
-        Ok(_usage) => Ok(()),
+        Ok(usage) => Ok(usage),
         Err(Fault::Foreign) => Err(Evidence::Foreign),
         Err(_) => Err(Evidence::Cut),
     }
--- a/crates/shallotroute_gateway/src/dispatch.rs
+++ b/crates/shallotroute_gateway/src/dispatch.rs
@@ -42,12 +42,17 @@
             return Err(failure.with_outcome(outcome));
         };
         tried.push(choice.name.clone());
+        permit.progress.attempt(&choice);
+        if tried.len() > 1 {
+            gateway.journal.metrics.retries.inc();
+        }
         let sent = Sent::new(&call.pool, choice, clock.now(), Arc::clone(&permit));
         let result = attempt::run(&gateway.client, clock, call, tried.len(), sent).await?;
         let broken = match result {
             Ok(response) => return Ok(response),
             Err(broken) => broken,
         };
+        permit.progress.fail(broken.evidence);
         outcome = outcome::combine(outcome, broken.evidence.outcome());
         let attempt = Attempt {
             evidence: broken.evidence,
--- /dev/null
+++ b/crates/shallotroute_gateway/src/dump.rs
@@ -0,0 +1,75 @@
+//! The state of a gateway, for people.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+use shallotroute_routing::server::Summary;
+use shallotroute_types::{class::Class, name::Name, revision::Revision};
+
+use crate::{Gateway, journal::Line, runtime::Cell};
+
+#[derive(Serialize)]
+struct Dump {
+    revision: Option<Revision>,
+    pools: BTreeMap<Name, Pool>,
+    records: Records,
+    recent: Vec<Line>,
+}
+
+#[derive(Serialize)]
+struct Pool {
+    capacity: u32,
+    running: u32,
+    waiting: BTreeMap<Class, usize>,
+    servers: Vec<Summary>,
+}
+
+#[derive(Serialize)]
+struct Records {
+    count: usize,
+    vouch_from: String,
+}
+
+/// Returns the state as JSON.
+pub(crate) fn dump(gateway: &Gateway) -> serde_json::Value {
+    let runtime = gateway.runtime();
+    let pools = runtime.iter().flat_map(|runtime| &runtime.pools);
+    let (count, vouch_from) = gateway
+        .records
+        .local
+        .with(|store| (store.len(), store.vouch_from()));
+    let dump = Dump {
+        revision: runtime.as_ref().map(|runtime| runtime.revision()),
+        pools: pools
+            .map(|(name, cell)| (name.clone(), pool(gateway, cell)))
+            .collect(),
+        records: Records {
+            count,
+            vouch_from: format!("{:?} ago", elapsed(gateway, vouch_from)),
+        },
+        recent: gateway.journal.lines(),
+    };
+    serde_json::to_value(dump).unwrap_or_default()
+}
+
+fn elapsed(gateway: &Gateway, since: std::time::SystemTime) -> std::time::Duration {
+    let now = gateway.context.clock.wall();
+    now.duration_since(since).unwrap_or_default()
+}
+
+fn pool(gateway: &Gateway, cell: &Cell) -> Pool {
+    let now = gateway.context.clock.now();
+    let state = cell.state();
+    let lengths = state.queue.lengths();
+    Pool {
+        capacity: state.pool.last_capacity(),
+        running: state.queue.running(),
+        waiting: Class::ALL.into_iter().zip(lengths).collect(),
+        servers: state
+            .pool
+            .servers()
+            .iter()
+            .map(|it| it.summary(now))
+            .collect(),
+    }
+}
--- a/crates/shallotroute_gateway/src/entry.rs
+++ b/crates/shallotroute_gateway/src/entry.rs
@@ -17,10 +17,12 @@
     inference::Head,
     table::{self, Client},
 };
+use shallotroute_types::outcome::Outcome;
 
 use crate::{
     Gateway, admission, dispatch,
     failure::{Failure, Result, Step},
+    journal::Progress,
     replay,
     runtime::{Cell, Runtime},
 };
@@ -52,6 +54,7 @@
     /// Whether it may run twice.
     pub(crate) idempotent: bool,
     pub(crate) deadline: Instant,
+    pub(crate) progress: Arc<Progress>,
 }
 
 #[derive(Serialize)]
@@ -76,7 +79,10 @@
         Some(runtime) => answer(&gateway, runtime, request, Arc::clone(&id)).await,
         None => Err(not_ready()),
     };
-    let mut response = result.unwrap_or_else(|failure| failure.response(&id));
+    let mut response = result.unwrap_or_else(|failure| {
+        gateway.journal.metrics.refuse(failure.code);
+        failure.response(&id)
+    });
     let headers = response.headers_mut();
     if let Ok(value) = HeaderValue::from_str(&id) {
         headers.insert(X_REQUEST_ID, value);
@@ -102,9 +108,30 @@
     if let Some(response) = models(runtime, &request) {
         return Ok(response);
     }
-    let call = read(runtime, request, id, client, received).await?;
-    let permit = admission::enter(gateway, &call).await?;
-    let permit = Arc::new(permit);
+    let class = client.caller.class;
+    let journal = &gateway.journal;
+    let progress = journal.start(&id, &client.caller.name, class, received);
+    let result = send(gateway, runtime, request, id, client, &progress, received).await;
+    match &result {
+        Ok(_) if progress.is_broken() => {}
+        Ok(_) => progress.end(Outcome::Ran, None),
+        Err(failure) => progress.end(failure.outcome, Some(failure.code)),
+    }
+    result
+}
+
+async fn send(
+    gateway: &Arc<Gateway>,
+    runtime: &Runtime,
+    request: Request<Incoming>,
+    id: Arc<str>,
+    client: Arc<Client>,
+    progress: &Arc<Progress>,
+    received: Instant,
+) -> Result<Response<Body>> {
+    let call = read(runtime, request, id, client, progress, received).await?;
+    progress.route(&call.route.name);
+    let permit = Arc::new(admission::enter(gateway, &call).await?);
     match replay::key(&call) {
         Some(key) => replay::run(gateway, &call, key, permit).await,
         None => dispatch::run(gateway, &call, permit).await,
@@ -173,6 +200,7 @@
     request: Request<Incoming>,
     id: Arc<str>,
     client: Arc<Client>,
+    progress: &Arc<Progress>,
     received: Instant,
 ) -> Result<Call> {
     let (parts, incoming) = request.into_parts();
@@ -211,6 +239,7 @@
         pool,
         head,
         deadline: received + timeout,
+        progress: Arc::clone(progress),
     })
 }
 
--- a/crates/shallotroute_gateway/src/lib.rs
+++ b/crates/shallotroute_gateway/src/lib.rs
@@ -3,9 +3,12 @@
 mod admission;
 mod attempt;
 mod dispatch;
+mod dump;
 mod entry;
 mod failure;
 mod forward;
+mod journal;
+mod metrics;
 mod peer;
 mod poll;
 mod records;
@@ -47,6 +50,7 @@
     runtime: runtime::Holder,
     meters: Mutex<HashMap<Name, Meter>>,
     records: Arc<records::Records>,
+    journal: Arc<journal::Journal>,
     node_header: HeaderValue,
 }
 
@@ -63,7 +67,7 @@
     pub fn with_random(
         context: Context,
         engine: Arc<dyn Engine>,
-        _registry: &mut Registry,
+        registry: &mut Registry,
         random: ChaCha8Rng,
     ) -> Arc<Self> {
         let random = distinct(random, &context.local);
@@ -76,6 +80,10 @@
             runtime: runtime::Holder::default(),
             meters: Mutex::default(),
             records: records::Records::new(context.clone()),
+            journal: journal::Journal::new(
+                metrics::Metrics::new(registry),
+                Arc::clone(&context.clock),
+            ),
             node_header,
             context,
         })
@@ -94,7 +102,7 @@
 
     /// Returns the state for the dump.
     pub fn dump(&self) -> serde_json::Value {
-        serde_json::json!({})
+        dump::dump(self)
     }
 
     /// Returns the configuration in force as requests use it.
--- /dev/null
+++ b/crates/shallotroute_gateway/src/metrics.rs
@@ -0,0 +1,122 @@
+//! Counters of callers' requests.
+
+use std::time::Duration;
+
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+use shallotroute_types::{class::Class, outcome::Outcome};
+
+/// The upper bounds of the latency histogram, in seconds.
+const BUCKETS: [f64; 14] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
+];
+
+/// The counters of all requests.
+pub(crate) struct Metrics {
+    classes: [PerClass; Class::ALL.len()],
+    refusals: Family<Reason, Counter>,
+    pub(crate) retries: Counter,
+    pub(crate) cut: Counter,
+    pub(crate) replays: Counter,
+}
+
+/// The counters of a class, looked up once.
+struct PerClass {
+    in_progress: Gauge,
+    seconds: Histogram,
+    ran: Counter,
+    not_run: Counter,
+    unknown: Counter,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByClass {
+    class: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByOutcome {
+    class: String,
+    outcome: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Reason {
+    code: &'static str,
+}
+
+impl Metrics {
+    pub(crate) fn new(registry: &mut Registry) -> Self {
+        let registry = registry.sub_registry_with_prefix("shallotroute_requests");
+        let finished = Family::<ByOutcome, Counter>::default();
+        let in_progress = Family::<ByClass, Gauge>::default();
+        let seconds =
+            Family::<ByClass, Histogram>::new_with_constructor(|| Histogram::new(BUCKETS));
+        let refusals = Family::<Reason, Counter>::default();
+        let (retries, cut, replays) = <(Counter, Counter, Counter)>::default();
+        registry.register("finished", "Requests that have ended", finished.clone());
+        registry.register("in_progress", "Requests in progress", in_progress.clone());
+        registry.register("seconds", "Time to the end of a response", seconds.clone());
+        registry.register("refused", "Requests that got an error", refusals.clone());
+        registry.register("retries", "Attempts after the first one", retries.clone());
+        registry.register("cut", "Responses that broke off", cut.clone());
+        registry.register("replays", "Stored responses sent again", replays.clone());
+        let classes = Class::ALL.map(|class| {
+            let class = class.to_string();
+            let counter = |outcome: Outcome| {
+                let labels = ByOutcome {
+                    class: class.clone(),
+                    outcome: outcome.to_string(),
+                };
+                finished.get_or_create(&labels).clone()
+            };
+            let labels = ByClass {
+                class: class.clone(),
+            };
+            PerClass {
+                in_progress: in_progress.get_or_create(&labels).clone(),
+                seconds: seconds.get_or_create(&labels).clone(),
+                ran: counter(Outcome::Ran),
+                not_run: counter(Outcome::NotRun),
+                unknown: counter(Outcome::Unknown),
+            }
+        });
+        Self {
+            classes,
+            refusals,
+            retries,
+            cut,
+            replays,
+        }
+    }
+
+    pub(crate) fn start(&self, class: Class) {
+        self.class(class).in_progress.inc();
+    }
+
+    pub(crate) fn finish(&self, class: Class, outcome: Outcome, elapsed: Duration) {
+        let counters = self.class(class);
+        counters.in_progress.dec();
+        counters.seconds.observe(elapsed.as_secs_f64());
+        match outcome {
+            Outcome::Ran => counters.ran.inc(),
+            Outcome::NotRun => counters.not_run.inc(),
+            Outcome::Unknown => counters.unknown.inc(),
+        };
+    }
+
+    pub(crate) fn refuse(&self, code: &'static str) {
+        self.refusals.get_or_create(&Reason { code }).inc();
+    }
+
+    fn class(&self, class: Class) -> &PerClass {
+        match class {
+            Class::Interactive => &self.classes[0],
+            Class::Training => &self.classes[1],
+            Class::Batch => &self.classes[2],
+        }
+    }
+}
--- a/crates/shallotroute_gateway/src/replay.rs
+++ b/crates/shallotroute_gateway/src/replay.rs
@@ -51,7 +51,10 @@
     let token = Uuid::try_parse(&call.id).unwrap_or_else(|_| gateway.identity());
     let entry = match gateway.records.begin(identity, token, lifetime).await {
         Ok(entry) => entry,
-        Err(Decision::Replay(response)) => return Ok(stored(response)),
+        Err(Decision::Replay(response)) => {
+            gateway.journal.metrics.replays.inc();
+            return Ok(stored(response));
+        }
         Err(Decision::Refuse(refusal)) => return Err(refused(refusal)),
         Err(Decision::Send) => return Err(refused(Refusal::Unvouched)),
     };
@@ -159,7 +162,7 @@
     fn finish(&mut self) {
         // A broken stream of events ends with an error event, not with an error of its body.
         if let Some(entry) = self.entry.take()
-            && !self.permit.is_broken()
+            && !self.permit.progress.is_broken()
         {
             entry.finish(Outcome::Ran, self.stored.take());
         }
--- a/crates/shallotroute_gateway/src/runtime.rs
+++ b/crates/shallotroute_gateway/src/runtime.rs
@@ -19,7 +19,7 @@
     pool::{Choice, Pool, Query},
     table::Table,
 };
-use shallotroute_types::name::Name;
+use shallotroute_types::{name::Name, revision::Revision};
 use tokio::sync::watch;
 
 use crate::admission::Ticket;
@@ -118,6 +118,10 @@
 }
 
 impl Runtime {
+    pub(crate) fn revision(&self) -> Revision {
+        self.snapshot.revision()
+    }
+
     fn new(
         snapshot: &Arc<Snapshot>,
         before: Option<&Self>,
--- a/crates/shallotroute_gateway/src/stream.rs
+++ b/crates/shallotroute_gateway/src/stream.rs
@@ -30,7 +30,7 @@
 pub(crate) struct Guarded {
     incoming: Incoming,
     deadline: Pin<Box<Sleep>>,
-    _sent: Sent,
+    sent: Sent,
 }
 
 impl Guarded {
@@ -38,7 +38,7 @@
         Self {
             incoming,
             deadline: Box::pin(sleep_until(deadline.into())),
-            _sent: sent,
+            sent,
         }
     }
 
@@ -56,7 +56,12 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         let frame = Pin::new(&mut self.incoming).poll_frame(context);
+        let progress = &self.sent.permit.progress;
+        if let Poll::Ready(Some(Err(_))) = &frame {
+            progress.mark_broken(Evidence::Cut);
+        }
         if frame.is_pending() && self.deadline.as_mut().poll(context).is_ready() {
+            self.sent.permit.progress.mark_broken(Evidence::TimedOut);
             return Poll::Ready(Some(Err("the deadline is over".into())));
         }
         frame.map_err(Into::into)
@@ -89,6 +94,7 @@
     state: State,
     timer: Pin<Box<Sleep>>,
     request_id: Arc<str>,
+    prefix: Option<u64>,
     sent: Sent,
 }
 
@@ -110,6 +116,7 @@
             state: State::Open,
             timer: Box::pin(sleep_until(call.deadline.into())),
             request_id: Arc::clone(&call.id),
+            prefix: call.head.as_ref().and_then(|head| head.prefix),
             sent,
         }
     }
@@ -171,6 +178,7 @@
         }
         if self.validator.is_done() && self.state == State::Open {
             self.state = State::Marked;
+            self.sent.learn(self.prefix, self.validator.usage());
             self.timer.as_mut().reset(Instant::now() + CLOSE_TIMEOUT);
         }
         if bytes.len() > MAX_EVENT_BYTES {
@@ -208,7 +216,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         if let Err(evidence) = ready!(self.poll_fill(context)) {
             self.state = State::Ended;
-            self.sent.permit.mark_broken();
+            self.sent.permit.progress.mark_broken(evidence);
             let event = self.error_event(evidence);
             self.ready.push_back(event);
         }
--- a/crates/shallotroute_gateway/tests/support/mod.rs
+++ b/crates/shallotroute_gateway/tests/support/mod.rs
@@ -68,7 +68,8 @@
 
 struct Closure {
     answer: Box<Answer>,
-    received: Arc<Mutex<Vec<Received>>>,
+    /// The requests so far; none when they are not to be kept.
+    received: Option<Arc<Mutex<Vec<Received>>>>,
 }
 
 impl Handler for Closure {
@@ -85,7 +86,9 @@
                 headers: parts.headers,
                 body: body::read(body, 8 << 20).await.unwrap(),
             };
-            self.received.lock().unwrap().push(received.clone());
+            if let Some(all) = &self.received {
+                all.lock().unwrap().push(received.clone());
+            }
             (self.answer)(received).await
         })
     }
@@ -93,6 +96,23 @@
 
 impl Backend {
     pub async fn start<F, A>(answer: F) -> Self
+    where
+        F: Fn(Received) -> A + Send + Sync + 'static,
+        A: Future<Output = Response<Body>> + Send + 'static,
+    {
+        Self::start_with(answer, true).await
+    }
+
+    /// Starts a backend server that does not keep the requests.
+    pub async fn quiet<F, A>(answer: F) -> Self
+    where
+        F: Fn(Received) -> A + Send + Sync + 'static,
+        A: Future<Output = Response<Body>> + Send + 'static,
+    {
+        Self::start_with(answer, false).await
+    }
+
+    async fn start_with<F, A>(answer: F, keep: bool) -> Self
     where
         F: Fn(Received) -> A + Send + Sync + 'static,
         A: Future<Output = Response<Body>> + Send + 'static,
@@ -102,7 +122,7 @@
         let received = Arc::new(Mutex::new(Vec::new()));
         let handler = Arc::new(Closure {
             answer: Box::new(move |request| Box::pin(answer(request))),
-            received: Arc::clone(&received),
+            received: keep.then(|| Arc::clone(&received)),
         });
         let stop = CancellationToken::new();
         tokio::spawn(server::serve(listener, handler, stop.clone()));
--- a/crates/shallotroute_routing/src/lib.rs
+++ b/crates/shallotroute_routing/src/lib.rs
@@ -1,6 +1,7 @@
 //! Decisions on callers' requests: route, admission, selection, retry, identity.
 
 pub mod admission;
+pub mod affinity;
 pub mod answer;
 pub mod identity;
 pub mod inference;
--- a/crates/shallotroute_routing/src/pool.rs
+++ b/crates/shallotroute_routing/src/pool.rs
@@ -10,9 +10,10 @@
 use shallotroute_types::{name::Name, place::Zone};
 
 use crate::{
+    affinity::Estimate,
     outcome::Evidence,
     retry::Budget,
-    selection::{self, Preference},
+    selection::{self, Preference, Reason},
     server::{Availability, Mark, Report, Server},
 };
 
@@ -29,6 +30,7 @@
     latency: Option<f64>,
     latency_at: Option<Instant>,
     capacity: Option<(u32, Instant)>,
+    estimate: Estimate,
 }
 
 /// What a request asks of the choice.
@@ -51,6 +53,10 @@
     pub address: SocketAddr,
     /// How many servers could have been chosen.
     pub candidates: usize,
+    /// The server's load before the request.
+    pub load: u32,
+    /// Why it was chosen.
+    pub reason: Reason,
 }
 
 impl Pool {
@@ -64,6 +70,7 @@
             latency: None,
             latency_at: None,
             capacity: None,
+            estimate: Estimate::default(),
         };
         pool.update(object);
         pool
@@ -148,10 +155,13 @@
         let preference = Preference {
             zone: query.zone,
             prefix: query.prefix,
+            holder: query
+                .prefix
+                .and_then(|prefix| self.estimate.holder(prefix, now)),
             latency: self.latency,
         };
         let (servers, turn) = (&self.servers, self.turn);
-        let index = selection::choose(
+        let (index, reason) = selection::choose(
             self.selection,
             servers,
             &usable,
@@ -162,11 +172,14 @@
         )?;
         self.turn = index + 1;
         let server = &mut self.servers[index];
+        let load = server.load(now);
         server.send();
         Some(Choice {
             name: server.object.name.clone(),
             address: server.object.address,
             candidates: usable.len(),
+            load,
+            reason,
         })
     }
 
@@ -177,6 +190,11 @@
         }
     }
 
+    /// Corrects the estimate of the servers' prefix caches by a response.
+    pub fn learn(&mut self, prefix: u64, name: &Name, cached: Option<u64>, now: Instant) {
+        self.estimate.learn(prefix, name, cached, now);
+    }
+
     /// Counts a request at a server as finished.
     pub fn finish(&mut self, name: &Name) {
         if let Some(server) = self.server(name) {
--- a/crates/shallotroute_routing/src/selection.rs
+++ b/crates/shallotroute_routing/src/selection.rs
@@ -2,9 +2,11 @@
 
 use std::{cmp::Reverse, time::Instant};
 
+use derive_more::Display;
 use rand::{Rng, RngExt, seq::IndexedRandom};
+use serde::Serialize;
 use shallotroute_config::object::Selection;
-use shallotroute_types::place::Zone;
+use shallotroute_types::{name::Name, place::Zone};
 
 use crate::server::Server;
 
@@ -15,6 +17,8 @@
     pub zone: &'a Zone,
     /// The hash of the start of the prompt.
     pub prefix: Option<u64>,
+    /// The server whose prefix cache most likely holds it.
+    pub holder: Option<&'a Name>,
     /// The typical latency of the pool's servers, in seconds.
     pub latency: Option<f64>,
 }
@@ -26,6 +30,27 @@
 /// shows when it has recovered.
 const MAX_SLOW_COST: f64 = 20.0;
 
+/// Why a server was chosen.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reason {
+    /// It was its turn.
+    #[display("turn")]
+    Turn,
+    /// It had the fewest requests in progress.
+    #[display("fewest")]
+    Fewest,
+    /// Its cache held the start of the prompt at the last look.
+    #[display("cached")]
+    Cached,
+    /// Rendezvous hashing gives it the start of the prompt.
+    #[display("prefix")]
+    Prefix,
+    /// It had the better score of two candidates.
+    #[display("score")]
+    Score,
+}
+
 /// The factor by which another availability zone raises a server's score.
 const ZONE_COST: f64 = 1.5;
 
@@ -46,14 +71,15 @@
     turn: usize,
     now: Instant,
     random: &mut R,
-) -> Option<usize> {
+) -> Option<(usize, Reason)> {
     let start = usable.partition_point(|&index| index < turn % servers.len().max(1));
     let rotated = usable.iter().cycle().skip(start).take(usable.len());
     match selection {
-        Selection::RoundRobin => rotated.copied().next(),
+        Selection::RoundRobin => rotated.copied().next().map(|it| (it, Reason::Turn)),
         Selection::LeastLoaded => rotated
             .copied()
-            .min_by_key(|&index| servers[index].in_progress()),
+            .min_by_key(|&index| servers[index].in_progress())
+            .map(|it| (it, Reason::Fewest)),
         Selection::Adaptive => adaptive(servers, usable, preference, now, random),
     }
 }
@@ -64,18 +90,15 @@
     preference: &Preference<'_>,
     now: Instant,
     random: &mut R,
-) -> Option<usize> {
+) -> Option<(usize, Reason)> {
     let affine = preference
         .prefix
         .and_then(|prefix| affine(servers, usable, prefix, preference, now));
     affine.or_else(|| {
         let (first, second) = draw(servers, usable, preference.zone, random)?;
         let score = |index: usize| score(&servers[index], preference, now);
-        Some(if score(second) < score(first) {
-            second
-        } else {
-            first
-        })
+        let is_better = score(second) < score(first);
+        Some((if is_better { second } else { first }, Reason::Score))
     })
 }
 
@@ -87,7 +110,7 @@
     prefix: u64,
     preference: &Preference<'_>,
     now: Instant,
-) -> Option<usize> {
+) -> Option<(usize, Reason)> {
     let (load, slots) = usable.iter().fold((1_u64, 0_u64), |(load, slots), &index| {
         let server = &servers[index];
         (
@@ -101,12 +124,19 @@
         let slots = f64::from(server.object.slots);
         next <= slots * FREE_SHARE || next <= (LOAD_BOUND * mean * slots).ceil()
     };
-    usable
-        .iter()
-        .copied()
-        .filter(|&index| within(&servers[index]))
-        .filter(|&index| slowness(&servers[index], preference, now) <= SLOW_RATIO)
-        .max_by_key(|&index| (mix(prefix ^ servers[index].key), Reverse(index)))
+    let is_free = |index: &usize| {
+        let server = &servers[*index];
+        within(server) && slowness(server, preference, now) <= SLOW_RATIO
+    };
+    let free = || usable.iter().copied().filter(is_free);
+    let holder = preference.holder;
+    let cached = holder.and_then(|name| free().find(|&it| servers[it].object.name == *name));
+    match cached {
+        Some(index) => Some((index, Reason::Cached)),
+        None => free()
+            .max_by_key(|&index| (mix(prefix ^ servers[index].key), Reverse(index)))
+            .map(|it| (it, Reason::Prefix)),
+    }
 }
 
 /// Draws two candidates. With servers in the own zone the first one is from there; the second one
--- a/crates/shallotroute_routing/src/server.rs
+++ b/crates/shallotroute_routing/src/server.rs
@@ -5,6 +5,7 @@
 use derive_more::Display;
 use serde::Serialize;
 use shallotroute_config::object;
+use shallotroute_types::name::Name;
 
 use crate::outcome::{Evidence, Refusal};
 
@@ -75,6 +76,27 @@
     pub leaving: bool,
 }
 
+/// The state of a server, for people.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Summary {
+    /// Its name.
+    pub name: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Whether it may get a request.
+    pub availability: Availability,
+    /// How many requests it runs at once.
+    pub slots: u32,
+    /// Requests of this node in progress.
+    pub in_progress: u32,
+    /// Requests of all senders in progress.
+    pub load: u32,
+    /// The moving average of the time to a response, in milliseconds.
+    pub latency_ms: Option<f64>,
+    /// Requests that this node has sent.
+    pub sent: u64,
+}
+
 /// The counters at the time when a report was asked for.
 #[derive(Clone, Copy, Debug)]
 pub struct Mark {
@@ -162,6 +184,20 @@
             .map(|it| it.seconds)
     }
 
+    /// Returns the state for people.
+    pub fn summary(&self, now: Instant) -> Summary {
+        Summary {
+            name: self.object.name.clone(),
+            zone: self.object.zone.clone(),
+            availability: self.availability(now),
+            slots: self.object.slots,
+            in_progress: self.in_progress(),
+            load: self.load(now),
+            latency_ms: self.latency(now).map(|seconds| seconds * 1_000.0),
+            sent: self.sent,
+        }
+    }
+
     /// Takes over what the host list says.
     pub fn list(&mut self, leaving: bool) {
         self.listed_leaving = leaving;
--- a/crates/shallotroute_routing/tests/selection.rs
+++ b/crates/shallotroute_routing/tests/selection.rs
@@ -12,6 +12,7 @@
 use shallotroute_routing::{
     outcome::{Evidence, Refusal},
     pool::{Choice, Pool, Query},
+    selection::Reason,
     server::Report,
 };
 use shallotroute_types::name::Name;
@@ -137,6 +138,31 @@
     assert_that!(servers.len(), ge(4));
 }
 
+/// Guards against prompts that follow an old estimate after the engine has evicted their prefix, and
+/// against prompts that leave the server that has it.
+#[test]
+fn follows_the_estimate_of_cached_prefixes() {
+    let mut fixture = Fixture::new(Selection::Adaptive, 8);
+    let home = fixture.choose(Some(42)).unwrap();
+    assert_that!(home.reason, eq(Reason::Prefix));
+    let other = Name::from(if home.name.as_str() == "s0" {
+        "s1"
+    } else {
+        "s0"
+    });
+    fixture.pool.learn(42, &other, Some(16), fixture.now);
+    let choice = fixture.choose(Some(42)).unwrap();
+    assert_that!(
+        (choice.name, choice.reason),
+        eq(&(other.clone(), Reason::Cached))
+    );
+    fixture.pool.learn(42, &other, Some(0), fixture.now);
+    assert_that!(fixture.choose(Some(42)).unwrap().name, eq(&home.name));
+    fixture.pool.learn(42, &other, None, fixture.now);
+    fixture.now += Duration::from_secs(121);
+    assert_that!(fixture.choose(Some(42)).unwrap().name, eq(&home.name));
+}
+
 /// Guards against a slow server that keeps its full share and one that never gets work again.
 #[test]
 fn gives_a_slow_server_less_work() {
