gateway: keep a newer revision and a newer report

Change: the index is rebuilt only for a higher revision; an overtaken report is dropped. Measured: cargo test -p shallotroute_routing -p shallotroute_gateway: 72 passed. Conclusion: neither can bring back an older state.

--- a/crates/shallotroute_gateway/src/dispatch.rs
+++ b/crates/shallotroute_gateway/src/dispatch.rs
@@ -52,6 +52,8 @@
             Err(broken) => broken,
         };
         permit.progress.fail(broken.evidence);
+        let server = tried.last().map_or("", |name| name.as_str());
+        spdlog::debug!("request {} at {}: {}", call.id, server, broken.evidence);
         outcome = outcome::combine(outcome, broken.evidence.outcome());
         let attempt = Attempt {
             evidence: broken.evidence,
--- a/crates/shallotroute_gateway/src/runtime.rs
+++ b/crates/shallotroute_gateway/src/runtime.rs
@@ -97,20 +97,20 @@
     ) -> Arc<Runtime> {
         let current = self.current.read().unwrap_or_else(PoisonError::into_inner);
         match &*current {
-            Some(runtime) if Arc::ptr_eq(&runtime.snapshot, snapshot) => {
+            // A revision in force is never replaced by a lower one.
+            Some(runtime) if runtime.revision() >= snapshot.revision() => {
                 return Arc::clone(runtime);
             }
             Some(_) | None => drop(current),
         }
         let mut current = self.current.write().unwrap_or_else(PoisonError::into_inner);
         match &*current {
-            // Another request may have got here first, perhaps with a newer revision.
-            Some(runtime) if runtime.snapshot.revision() >= snapshot.revision() => {
-                Arc::clone(runtime)
-            }
+            // Another request may have got here first.
+            Some(runtime) if runtime.revision() >= snapshot.revision() => Arc::clone(runtime),
             Some(_) | None => {
                 let runtime = Arc::new(Runtime::new(snapshot, current.as_deref(), random));
                 *current = Some(Arc::clone(&runtime));
+                spdlog::info!("requests use revision {}", runtime.revision());
                 runtime
             }
         }
--- a/crates/shallotroute_routing/src/server.rs
+++ b/crates/shallotroute_routing/src/server.rs
@@ -225,9 +225,14 @@
     /// Takes over a report that was asked for at `mark`. A refusal that came after the mark is newer
     /// than the report and stays.
     pub fn report(&mut self, mark: Mark, report: Report) {
+        if self.report.is_some_and(|it| it.mark.at > mark.at) {
+            return;
+        }
         self.report = Some(Reported { report, mark });
-        self.failures = 0;
-        self.failed = None;
+        self.failed = self.failed.filter(|at| *at > mark.at);
+        if self.failed.is_none() {
+            self.failures = 0;
+        }
         self.overloaded = self.overloaded.filter(|at| *at > mark.at);
         self.refused_leaving = self.refused_leaving.filter(|at| *at > mark.at);
     }
--- a/crates/shallotroute_routing/tests/selection.rs
+++ b/crates/shallotroute_routing/tests/selection.rs
@@ -236,6 +236,12 @@
     fixture.now += Duration::from_millis(10);
     fixture.report("s0", 0, false);
     assert_that!(fixture.choose(None), some(anything()));
+    let overtaken = Some(Report {
+        load: 9,
+        leaving: true,
+    });
+    fixture.pool.report(&name, mark, overtaken, fixture.now);
+    assert_that!(fixture.choose(None), some(anything()));
 }
 
 /// Guards against a fleet that sends more than the pool has slots, and slots that stay free.
