--- a/crates/shallotroute_gateway/src/dispatch.rs
+++ b/crates/shallotroute_gateway/src/dispatch.rs
@@ -25,7 +25,6 @@
     call: &Call,
     permit: Arc<Permit>,
 ) -> Result<Response<Body>> {
-    call.pool.state().pool.budget().deposit();
     let clock = &*gateway.context.clock;
     let mut tried = Vec::new();
     let mut outcome = Outcome::NotRun;
@@ -42,12 +41,19 @@
             return Err(failure.with_outcome(outcome));
         };
         tried.push(choice.name.clone());
+        permit.progress.attempt(&choice);
+        if tried.len() > 1 {
+            gateway.journal.metrics.retries.inc();
+        }
         let sent = Sent::new(&call.pool, choice, clock.now(), Arc::clone(&permit));
         let result = attempt::run(&gateway.client, clock, call, tried.len(), sent).await?;
         let broken = match result {
             Ok(response) => return Ok(response),
             Err(broken) => broken,
         };
+        permit.progress.fail(broken.evidence);
+        let server = tried.last().map_or("", |name| name.as_str());
+        spdlog::debug!("request {} at {}: {}", call.id, server, broken.evidence);
         outcome = outcome::combine(outcome, broken.evidence.outcome());
         let attempt = Attempt {
             evidence: broken.evidence,
--- a/crates/shallotroute_gateway/src/entry.rs
+++ b/crates/shallotroute_gateway/src/entry.rs
@@ -17,10 +17,13 @@
     inference::Head,
     table::{self, Client},
 };
+use shallotroute_types::outcome::Outcome;
+use tokio::time::timeout;
 
 use crate::{
     Gateway, admission, dispatch,
     failure::{Failure, Result, Step},
+    journal::Progress,
     replay,
     runtime::{Cell, Runtime},
 };
@@ -28,6 +31,9 @@
 /// The longest body of a request, in bytes.
 const MAX_BODY_BYTES: usize = 4 << 20;
 
+/// How long a caller may take to send a body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// The longest time limit that a caller may ask for.
 const MAX_TIMEOUT: Duration = Duration::from_secs(3600);
 
@@ -52,6 +58,7 @@
     /// Whether it may run twice.
     pub(crate) idempotent: bool,
     pub(crate) deadline: Instant,
+    pub(crate) progress: Arc<Progress>,
 }
 
 #[derive(Serialize)]
@@ -76,7 +83,10 @@
         Some(runtime) => answer(&gateway, runtime, request, Arc::clone(&id)).await,
         None => Err(not_ready()),
     };
-    let mut response = result.unwrap_or_else(|failure| failure.response(&id));
+    let mut response = result.unwrap_or_else(|failure| {
+        gateway.journal.metrics.refuse(failure.code);
+        failure.response(&id)
+    });
     let headers = response.headers_mut();
     if let Ok(value) = HeaderValue::from_str(&id) {
         headers.insert(X_REQUEST_ID, value);
@@ -102,9 +112,30 @@
     if let Some(response) = models(runtime, &request) {
         return Ok(response);
     }
-    let call = read(runtime, request, id, client, received).await?;
-    let permit = admission::enter(gateway, &call).await?;
-    let permit = Arc::new(permit);
+    let class = client.caller.class;
+    let journal = &gateway.journal;
+    let progress = journal.start(&id, &client.caller.name, class, received);
+    let result = send(gateway, runtime, request, id, client, &progress, received).await;
+    match &result {
+        Ok(_) if progress.is_broken() => {}
+        Ok(_) => progress.end(Outcome::Ran, None),
+        Err(failure) => progress.end(failure.outcome, Some(failure.code)),
+    }
+    result
+}
+
+async fn send(
+    gateway: &Arc<Gateway>,
+    runtime: &Runtime,
+    request: Request<Incoming>,
+    id: Arc<str>,
+    client: Arc<Client>,
+    progress: &Arc<Progress>,
+    received: Instant,
+) -> Result<Response<Body>> {
+    let call = read(runtime, request, id, client, progress, received).await?;
+    progress.route(&call.route.name);
+    let permit = Arc::new(admission::enter(gateway, &call).await?);
     match replay::key(&call) {
         Some(key) => replay::run(gateway, &call, key, permit).await,
         None => dispatch::run(gateway, &call, permit).await,
@@ -173,32 +204,41 @@
     request: Request<Incoming>,
     id: Arc<str>,
     client: Arc<Client>,
+    progress: &Arc<Progress>,
     received: Instant,
 ) -> Result<Call> {
     let (parts, incoming) = request.into_parts();
-    let body = body::read(incoming, MAX_BODY_BYTES)
-        .await
-        .map_err(
-            |error| match error.is::<http_body_util::LengthLimitError>() {
-                true => Failure::not_run(
-                    StatusCode::PAYLOAD_TOO_LARGE,
-                    "body_too_large",
-                    Step::Entry,
-                    format!("the body is longer than {MAX_BODY_BYTES} bytes"),
-                ),
-                false => {
-                    let message = "the body could not be read to its end";
-                    Failure::not_run(StatusCode::BAD_REQUEST, "body_cut", Step::Entry, message)
-                }
-            },
-        )?;
+    let reading = body::read(incoming, MAX_BODY_BYTES);
+    let body = timeout(BODY_TIMEOUT, reading).await.map_err(|_| {
+        let message = "the body did not arrive in time";
+        Failure::not_run(
+            StatusCode::REQUEST_TIMEOUT,
+            "body_late",
+            Step::Entry,
+            message,
+        )
+    })?;
+    let body = body.map_err(
+        |error| match error.is::<http_body_util::LengthLimitError>() {
+            true => Failure::not_run(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "body_too_large",
+                Step::Entry,
+                format!("the body is longer than {MAX_BODY_BYTES} bytes"),
+            ),
+            false => {
+                let message = "the body could not be read to its end";
+                Failure::not_run(StatusCode::BAD_REQUEST, "body_cut", Step::Entry, message)
+            }
+        },
+    )?;
     let head = head(&parts.method, parts.uri.path(), &body)?;
     let model = head.as_ref().map(|head| head.model.as_str());
     let route = runtime.table.route(parts.uri.path(), model);
     let route = Arc::clone(route.ok_or_else(|| no_route(model, parts.uri.path()))?);
     let pool = runtime.pools.get(&route.pool);
     let pool = Arc::clone(pool.ok_or_else(|| no_route(model, parts.uri.path()))?);
-    let timeout = timeout(&parts.headers, &route)?;
+    let limit = time_limit(&parts.headers, &route)?;
     Ok(Call {
         id,
         idempotent: table::is_idempotent(&route, parts.method.as_str()),
@@ -210,7 +250,8 @@
         route,
         pool,
         head,
-        deadline: received + timeout,
+        deadline: received + limit,
+        progress: Arc::clone(progress),
     })
 }
 
@@ -245,7 +286,7 @@
     Failure::not_run(StatusCode::NOT_FOUND, code, Step::Entry, message)
 }
 
-fn timeout(headers: &HeaderMap, route: &Route) -> Result<Duration> {
+fn time_limit(headers: &HeaderMap, route: &Route) -> Result<Duration> {
     let Some(value) = headers.get(X_TIMEOUT) else {
         return Ok(route.timeout());
     };
