--- a/crates/shallotroute_rollout/tests/scheduler.rs
+++ b/crates/shallotroute_rollout/tests/scheduler.rs
@@ -92,3 +92,25 @@
     expect_that!(bench.groups(after), some(elements_are![eq(&3)]));
     expect_that!(bench.groups(rest), some(elements_are![eq(&1), eq(&2)]));
 }
+
+/// Guards against the score of a discarded answer on the answer that replaced it.
+#[gtest]
+fn a_late_score_of_a_discarded_answer_does_not_count() {
+    let mut object = trainer("a");
+    object.scorer = Some("rewards".into());
+    let mut bench = Bench::new(configuration(pool(1, 4), vec![object]));
+    bench.report(5);
+    let key = key("a", 0);
+    bench.event(Event::Submitted(key.clone(), specification(1, 1)));
+    let first = *bench.running.keys().next().unwrap();
+    bench.finish(5);
+    let pull = bench.pull(&key, &[], 7);
+    bench.pass(std::time::Duration::from_secs(1), 7);
+    let second = *bench.running.keys().next().unwrap();
+    bench.finish(7);
+    bench.event(Event::Scored(key.clone(), 0, first, Some(1.0)));
+    expect_that!(bench.groups(pull), none());
+    bench.event(Event::Scored(key, 0, second, Some(2.0)));
+    let answer = bench.answers[&pull].as_ref().unwrap();
+    expect_that!(answer.groups[0].samples[0].score, some(eq(2.0)));
+}
