--- a/crates/shallotroute/examples/measure/observer.rs
+++ b/crates/shallotroute/examples/measure/observer.rs
@@ -176,10 +176,7 @@
         let mut cpu = Duration::ZERO;
         for node in &world.fleet.nodes {
             let metrics = world.fleet.operator.metrics(node.settings().admin).await;
-            bytes += metric(
-                &metrics.unwrap_or_default(),
-                "shallotroute_heartbeat_sent_bytes_total",
-            );
+            bytes += metric(&metrics.unwrap_or_default(), "heartbeat_sent_bytes_total");
             cpu += node.cpu_time().unwrap_or_default();
         }
         Self {
@@ -191,10 +188,12 @@
     }
 }
 
+/// Returns the value of the metric whose name ends with `name`.
 fn metric(text: &str, name: &str) -> f64 {
     text.lines()
-        .filter_map(|line| line.strip_prefix(name))
-        .filter_map(|rest| rest.split_whitespace().last()?.parse::<f64>().ok())
+        .filter_map(|line| line.split_once(' '))
+        .filter(|(found, _)| found.ends_with(name))
+        .filter_map(|(_, value)| value.parse::<f64>().ok())
         .sum()
 }
 
--- a/crates/shallotroute_standin/src/admin.rs
+++ b/crates/shallotroute_standin/src/admin.rs
@@ -67,8 +67,15 @@
             "reason": reason,
             "files": [{ "file": "objects.yaml", "text": text }],
         });
-        self.post(admin, "/admin/v1/publications", &submission)
-            .await
+        let path = "/admin/v1/publications";
+        let (status, text) = self
+            .call(Method::POST, admin, path, Some(&submission))
+            .await?;
+        match serde_json::from_str::<Value>(&text) {
+            // A publication that was not made has a result too, with the status of an error.
+            Ok(answer) if answer.get("result").is_some() => Ok(answer),
+            Ok(_) | Err(_) => accept(admin, status, text),
+        }
     }
 
     /// Reads a path of the administration API.
--- a/crates/shallotroute_standin/src/fleet.rs
+++ b/crates/shallotroute_standin/src/fleet.rs
@@ -247,12 +247,12 @@
     let binary = folder.join("shallotroute");
     let fresh = modified(&binary).is_some_and(|at| Some(at) >= modified(&example));
     if !fresh {
-        build(folder)?;
+        build(folder, &example)?;
     }
     Ok(binary)
 }
 
-fn build(folder: &Path) -> io::Result<()> {
+fn build(folder: &Path, example: &Path) -> io::Result<()> {
     let cargo = env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
     let mut command = Command::new(cargo);
     command.args([
@@ -263,6 +263,11 @@
         "--bin",
         "shallotroute",
     ]);
+    // With the example, cargo selects the same features of the dependencies as for the example, so
+    // that it builds none of them again.
+    if let Some(name) = example.file_stem() {
+        command.arg("--example").arg(name);
+    }
     if folder.file_name().is_some_and(|name| name == "release") {
         command.arg("--release");
     }
--- a/crates/shallotroute_standin/src/process.rs
+++ b/crates/shallotroute_standin/src/process.rs
@@ -74,6 +74,7 @@
     binary: PathBuf,
     file: PathBuf,
     log: PathBuf,
+    output: PathBuf,
     child: Mutex<Option<Child>>,
 }
 
@@ -94,6 +95,7 @@
             binary: binary.to_owned(),
             file: folder.join(format!("{}.yaml", settings.id)),
             log: folder.join(format!("{}.log", settings.id)),
+            output: folder.join(format!("{}.out", settings.id)),
             settings,
             child: Mutex::new(None),
         };
@@ -113,13 +115,13 @@
     /// The program can't be started.
     pub fn restart(&self) -> io::Result<()> {
         fs::write(&self.file, self.settings.to_yaml())?;
-        let log = File::options().create(true).append(true).open(&self.log)?;
+        let append = |path| File::options().create(true).append(true).open(path);
         let child = Command::new(&self.binary)
             .arg("--settings")
             .arg(&self.file)
             .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
+            .stdout(append(&self.output)?)
+            .stderr(append(&self.log)?)
             .spawn()?;
         let before = self.lock().replace(child);
         if let Some(mut before) = before {
@@ -174,11 +176,16 @@
         Some(Duration::from_secs_f64((user + system) / TICKS_PER_SECOND))
     }
 
-    /// Returns what the process has written to its log.
+    /// Returns what the process has written to its standard error, which is its log.
     pub fn log(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
     }
 
+    /// Returns what the process has written to its standard output.
+    pub fn output(&self) -> String {
+        fs::read_to_string(&self.output).unwrap_or_default()
+    }
+
     fn status(&self) -> Option<ExitStatus> {
         let mut child = self.lock();
         child.as_mut()?.try_wait().ok().flatten()
