shallotroute: measure the way into force from the acceptance

Cause: the requirement counts from an accepted configuration, and measure counted from the operator's call. Change: config_in_force_s counts from the first write of the head in the record of the key-value service's stand-in; config_in_force_after_call_s keeps the figure from the call; config_lost counts publications that no head names.

--- a/crates/shallotroute/examples/measure/observer.rs
+++ b/crates/shallotroute/examples/measure/observer.rs
@@ -49,6 +49,9 @@
 /// How often the revision in force is read.
 const POLL: Duration = Duration::from_millis(20);
 
+/// The key of the newest revision.
+const HEAD_KEY: &str = "config/head";
+
 /// The object that publications change; nothing refers to it.
 const MARKER: &str = "marker";
 
@@ -128,14 +131,15 @@
         self.reverted.load(Ordering::Relaxed)
     }
 
-    /// Returns when a publication was in force at all nodes that were up, or none when it was not.
+    /// Returns how long after `from` a revision was in force at all nodes that were up, or none when
+    /// it was not.
     pub(crate) fn in_force_after(
         &self,
-        publication: &Publication,
+        revision: u64,
+        from: Instant,
         outages: &[Outage],
         nodes: usize,
     ) -> Option<Duration> {
-        let revision = publication.revision?;
         let seen = self.seen();
         let mut longest = Duration::ZERO;
         for node in 0..nodes {
@@ -146,12 +150,10 @@
             let down = outages.iter().any(|outage| {
                 outage.node == node
                     && at.is_none_or(|at| outage.from <= at)
-                    && outage.to.is_none_or(|to| to >= publication.started)
+                    && outage.to.is_none_or(|to| to >= from)
             });
             match at {
-                Some(at) if !down => {
-                    longest = longest.max(at.saturating_duration_since(publication.started));
-                }
+                Some(at) if !down => longest = longest.max(at.saturating_duration_since(from)),
                 None if !down => return None,
                 Some(_) | None => {}
             }
@@ -188,6 +190,21 @@
     }
 }
 
+/// Returns when the key-value service accepted each revision.
+pub(crate) fn accepted(world: &World) -> BTreeMap<u64, Instant> {
+    let writes = world.fleet.store.writes();
+    let heads = writes.iter().filter(|write| write.key == HEAD_KEY);
+    let mut accepted = BTreeMap::new();
+    for write in heads {
+        let head: Value = serde_json::from_slice(&write.value).unwrap_or_default();
+        if let Some(revision) = head["revision"].as_u64() {
+            // A barrier write repeats the head; the first write counts.
+            accepted.entry(revision).or_insert(write.at);
+        }
+    }
+    accepted
+}
+
 /// Returns the value of the metric whose name ends with `name`.
 fn metric(text: &str, name: &str) -> f64 {
     text.lines()
--- a/crates/shallotroute/examples/measure/report.rs
+++ b/crates/shallotroute/examples/measure/report.rs
@@ -14,7 +14,7 @@
 use crate::{
     fault::Outage,
     load::{Kind, Sent},
-    observer::{Observer, Usage},
+    observer::{self, Observer, Usage},
     policy::Policy,
     scenario::Scenario,
     world::World,
@@ -242,10 +242,24 @@
     let nodes = evidence.world.fleet.nodes.len();
     let all = observer.all();
     let published: Vec<_> = all.iter().filter(|one| one.revision.is_some()).collect();
-    let times: Vec<Option<Duration>> = published
+    let accepted = observer::accepted(evidence.world);
+    let in_force =
+        |revision: u64, from| observer.in_force_after(revision, from, &evidence.outages, nodes);
+    let called: Vec<Option<Duration>> = published
         .iter()
-        .map(|one| observer.in_force_after(one, &evidence.outages, nodes))
+        .map(|one| in_force(one.revision?, one.started))
         .collect();
+    let changes = accepted.range(evidence.world.first_revision + 1..);
+    let times: Vec<Option<Duration>> = changes
+        .map(|(revision, at)| in_force(*revision, *at))
+        .collect();
+    let lost = published
+        .iter()
+        .filter(|one| {
+            one.revision
+                .is_some_and(|revision| !accepted.contains_key(&revision))
+        })
+        .count();
     let mut states: BTreeMap<&str, u64> = BTreeMap::new();
     for one in &all {
         *states.entry(&one.state).or_default() += 1;
@@ -257,6 +271,8 @@
     json!({
         "config_publications": states,
         "config_in_force_s": quantiles(times.iter().copied().flatten(), 1.0),
+        "config_in_force_after_call_s": quantiles(called.iter().copied().flatten(), 1.0),
+        "config_lost": lost,
         "config_not_in_force": times.iter().filter(|time| time.is_none()).count(),
         "config_reverted": observer.reverted(),
         "config_revision_twice": count - revisions.len(),
