--- a/crates/shallotroute_config/src/time.rs
+++ b/crates/shallotroute_config/src/time.rs
@@ -17,7 +17,7 @@
     format!("{year:04}-{month:02}-{day:02}T{hour:02}:{minute:02}:{second:02}.{millis:03}Z")
 }
 
-/// Reads a time as [`format`] writes it, with or without a fraction, or seconds since 1970.
+/// Reads a time as [`format()`] writes it, with or without a fraction, or seconds since 1970.
 pub fn parse(text: &str) -> Option<SystemTime> {
     if let Ok(seconds) = text.parse::<u32>() {
         return Some(UNIX_EPOCH + Duration::from_secs(seconds.into()));
--- a/crates/shallotroute_rollout/src/scheduler/event.rs
+++ b/crates/shallotroute_rollout/src/scheduler/event.rs
@@ -18,7 +18,7 @@
 pub enum Event {
     /// Another revision is in force.
     Configured(Arc<Configuration>),
-    /// A trainer submitted a step that was checked with [`Scheduler::admit`].
+    /// A trainer submitted a step that was checked with [`Scheduler::admit`](super::Scheduler::admit).
     Submitted(Key, Arc<Specification>),
     /// A trainer is at a version whose weights are in the store.
     Announced(Name, Version),
