--- a/crates/shallotroute_config/src/adoption/message.rs
+++ b/crates/shallotroute_config/src/adoption/message.rs
@@ -13,7 +13,7 @@
 };
 
 use crate::{
-    bundle::{Bundle, Head},
+    bundle::{Bundle, Head, Part},
     snapshot::Snapshot,
 };
 
@@ -52,6 +52,9 @@
     /// A node.
     #[display("{_0}")]
     Peer(Id),
+    /// A publication of the node itself.
+    #[display("publication")]
+    Publication,
 }
 
 /// A revision that the node holds.
@@ -67,6 +70,15 @@
     pub since: Instant,
 }
 
+impl Held {
+    /// Returns the part with that hash.
+    pub fn part(&self, hash: &str) -> Option<Part> {
+        let names = &self.snapshot.record.parts;
+        let index = names.iter().position(|name| name == hash)?;
+        self.bundle.parts.get(index).cloned()
+    }
+}
+
 /// What happened.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -94,6 +106,9 @@
         /// The bytes.
         bundle: Option<Bundle>,
     },
+    /// The node itself published a revision. It need not wait until it reads its own head, which
+    /// takes seconds while the key-value service is slow.
+    Published(Bundle),
     /// A node told about itself, in an answer to [`Action::Compare`] or in a call of its own.
     Reported(Report),
     /// Time has passed; at least every 200 ms.
--- a/crates/shallotroute_config/src/publication.rs
+++ b/crates/shallotroute_config/src/publication.rs
@@ -12,12 +12,13 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    bundle::{Bundle, HEAD_KEY, Head, part_key, record_key},
+    bundle::{Bundle, HEAD_KEY, Head, Part, part_key, record_key},
     snapshot::Record,
 };
 
-/// How long a publication may take before its result is "unknown".
-pub const LIMIT: Duration = Duration::from_secs(15);
+/// How long a publication may take before its result is "unknown": 8 s for the four calls to a
+/// key-value service that answers after 2 s, and 9 s to find out what became of a lost answer.
+pub const LIMIT: Duration = Duration::from_secs(20);
 
 /// How long the result of an unknown publication is looked for afterwards.
 pub const RESOLVE_LIMIT: Duration = Duration::from_secs(600);
@@ -39,6 +40,8 @@
     pub version: u64,
     /// The record and its parts.
     pub bundle: Bundle,
+    /// The hashes of the parent's parts, which are stored already.
+    pub stored: Vec<String>,
 }
 
 /// The answer to a write.
@@ -121,6 +124,8 @@
 #[derive(Clone, Debug)]
 pub struct Publication {
     plan: Plan,
+    /// The parts to write.
+    parts: Vec<Part>,
     head: Head,
     step: Step,
     /// Whether a write of the new head may have taken effect or may still.
@@ -143,8 +148,11 @@
             record: Some(plan.bundle.hash()),
             publication: plan.publication.clone(),
         };
+        let stored = |part: &&Part| !plan.stored.contains(&crate::bundle::hash(part));
+        let parts = plan.bundle.parts.iter().filter(stored).cloned().collect();
         let publication = Self {
             plan,
+            parts,
             head,
             step: Step::Store(0),
             uncertain: false,
@@ -161,6 +169,11 @@
         &self.head
     }
 
+    /// Returns the record and the parts.
+    pub fn bundle(&self) -> &Bundle {
+        &self.plan.bundle
+    }
+
     /// Goes on after [`Outcome::Unknown`] until `deadline`, only to find out what became of it.
     pub fn resolve(&mut self, deadline: Instant) -> Action {
         self.resolving = true;
@@ -210,8 +223,8 @@
         };
         let bundle = &self.plan.bundle;
         match &self.step {
-            Step::Store(index) => match bundle.parts.get(*index) {
-                Some(part) => write(part_key(&crate::bundle::hash(part)), 0, part.clone()),
+            Step::Store(index) => match self.parts.get(*index) {
+                Some(part) => write(part_key(&crate::bundle::hash(part)), 0, part.to_vec()),
                 None => write(record_key(&bundle.hash()), 0, bundle.record.clone()),
             },
             Step::Swap => write(HEAD_KEY.into(), self.plan.version, self.head.to_bytes()),
@@ -235,7 +248,7 @@
             // Records and parts are named by their hashes, so an existing one is the same one.
             (Step::Store(index), Answer::Done | Answer::Conflict) => {
                 self.failures = 0;
-                self.step = match *index < self.plan.bundle.parts.len() {
+                self.step = match *index < self.parts.len() {
                     true => Step::Store(index + 1),
                     false => Step::Swap,
                 };
--- a/crates/shallotroute_control/src/repository.rs
+++ b/crates/shallotroute_control/src/repository.rs
@@ -2,14 +2,15 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
+use futures::{StreamExt, TryStreamExt, stream};
 use shallotroute_config::{
-    bundle::{self, Bundle, HEAD_KEY, Head, part_key, record_key},
+    bundle::{self, Bundle, HEAD_KEY, Head, Part, part_key, record_key},
     publication::Answer,
     snapshot::{Record, Snapshot},
 };
@@ -24,10 +25,15 @@
 /// How many records are kept; records are immutable, so a kept one is always right.
 const MAX_RECORDS: usize = 4096;
 
+/// How many parts are read at once.
+const PARALLEL_READS: usize = 8;
+
 /// Reads and writes revisions.
 pub(crate) struct Repository {
     store: Arc<dyn Store>,
     records: Mutex<HashMap<String, Record>>,
+    /// The newest revision in force, whose objects need not be read again.
+    newest: Mutex<Option<Arc<Snapshot>>>,
 }
 
 impl Repository {
@@ -35,6 +41,7 @@
         Self {
             store,
             records: Mutex::default(),
+            newest: Mutex::default(),
         }
     }
 
@@ -66,18 +73,23 @@
         Ok(record)
     }
 
-    /// Reads a revision's record and parts and verifies the record's hash.
-    pub(crate) async fn bundle(&self, hash: &str) -> Result<Bundle> {
+    /// Reads a revision's record, and the parts that `held` does not have, and verifies the record's
+    /// hash.
+    pub(crate) async fn bundle(
+        &self,
+        hash: &str,
+        held: impl Fn(&str) -> Option<Part>,
+    ) -> Result<Bundle> {
         let record = self.record_bytes(hash).await?;
         let names = bundle::record(&record).change_context(Error::Malformed(record_key(hash)))?;
-        let mut bundle = Bundle {
-            record,
-            parts: Vec::new(),
-        };
-        for part in &names.parts {
-            bundle.parts.push(self.value(&part_key(part)).await?);
+        let mut reads = Vec::new();
+        for name in names.parts {
+            let part = held(&name);
+            reads.push(self.part(name, part));
         }
-        Ok(bundle)
+        let parts = stream::iter(reads).buffered(PARALLEL_READS).try_collect();
+        let parts = parts.await?;
+        Ok(Bundle { record, parts })
     }
 
     /// Writes a key if it has version `expected`.
@@ -119,7 +131,7 @@
     }
 
     /// Reads the revision that a head names; none before the first publication.
-    pub(crate) async fn snapshot(&self, head: &Head) -> Result<Option<Snapshot>> {
+    pub(crate) async fn snapshot(&self, head: &Head) -> Result<Option<Arc<Snapshot>>> {
         match &head.record {
             Some(hash) => self.open(hash).await.map(Some),
             None => Ok(None),
@@ -127,7 +139,11 @@
     }
 
     /// Reads `revision` of the chain that ends at `head`.
-    pub(crate) async fn at(&self, head: &Head, revision: Revision) -> Result<Option<Snapshot>> {
+    pub(crate) async fn at(
+        &self,
+        head: &Head,
+        revision: Revision,
+    ) -> Result<Option<Arc<Snapshot>>> {
         match self.find(head, revision).await? {
             Some(hash) => self.open(&hash).await.map(Some),
             None => Ok(None),
@@ -135,10 +151,21 @@
     }
 
     /// Reads the revision with this record hash.
-    pub(crate) async fn open(&self, hash: &str) -> Result<Snapshot> {
-        let bundle = self.bundle(hash).await?;
+    pub(crate) async fn open(&self, hash: &str) -> Result<Arc<Snapshot>> {
+        let newest = self.newest().clone();
+        if let Some(newest) = newest.filter(|newest| newest.hash == hash) {
+            return Ok(newest);
+        }
+        let bundle = self.bundle(hash, |_| None).await?;
         let malformed = || Error::Malformed(record_key(hash));
-        bundle.open().change_context_lazy(malformed)
+        bundle.open().map(Arc::new).change_context_lazy(malformed)
+    }
+
+    async fn part(&self, name: String, held: Option<Part>) -> Result<Part> {
+        match held {
+            Some(part) => Ok(part),
+            None => self.value(&part_key(&name)).await.map(Part::from),
+        }
     }
 
     async fn record_bytes(&self, hash: &str) -> Result<Vec<u8>> {
@@ -156,7 +183,16 @@
         Ok(value.to_vec())
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<String, Record>> {
+    /// Keeps a revision that came into force.
+    pub(crate) fn remember(&self, snapshot: Arc<Snapshot>) {
+        *self.newest() = Some(snapshot);
+    }
+
+    fn newest(&self) -> MutexGuard<'_, Option<Arc<Snapshot>>> {
+        self.newest.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<String, Record>> {
         self.records.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
