--- a/crates/shallotroute_membership/tests/scale.rs
+++ b/crates/shallotroute_membership/tests/scale.rs
@@ -47,6 +47,18 @@
     fleet.views().all(|view| condition(&view))
 }
 
+/// Publishes five revisions and returns how long each took to reach all nodes.
+fn publish(fleet: &mut Fleet) -> Vec<Option<Duration>> {
+    let publisher = fleet.nodes.len() / 2;
+    let revisions = (1..=5).map(Revision);
+    let reach = |number| {
+        fleet.publish(publisher, number);
+        let known = |fleet: &Fleet| fleet.nodes.iter().all(|node| node.known >= number);
+        fleet.run_until(REVISION_WITHIN * 2, known)
+    };
+    revisions.map(reach).collect()
+}
+
 fn measure(count: usize, loss: f64, forming: Duration) -> Measurement {
     let mut fleet = Fleet::new(count, loss, 42);
     if count > WARM_ABOVE {
@@ -59,13 +71,7 @@
     let start = fleet.now;
     fleet.run(Duration::from_secs(10));
     let majority = all(&fleet, |view| view.majority);
-    let mut revision = Vec::new();
-    for number in 1..=5 {
-        let number = Revision(number);
-        fleet.publish(count / 2, number);
-        let known = |fleet: &Fleet| fleet.nodes.iter().all(|node| node.known >= number);
-        revision.push(fleet.run_until(REVISION_WITHIN * 2, known));
-    }
+    let revision = publish(&mut fleet);
     let after: u64 = fleet.nodes.iter().map(|node| node.bytes_out).sum();
     let seconds = (fleet.now - start).as_secs_f64();
     let (suspicions, deaths) = (
--- a/crates/shallotroute_peer/src/metrics.rs
+++ b/crates/shallotroute_peer/src/metrics.rs
@@ -35,33 +35,27 @@
     pub(crate) fn register(registry: &mut Registry) -> Self {
         let metrics = Self::default();
         let registry = registry.sub_registry_with_prefix("shallotroute_heartbeat");
-        registry.register(
-            "received_datagrams",
-            "Datagrams received, dropped ones included",
-            metrics.datagrams_in.clone(),
-        );
-        registry.register(
-            "sent_datagrams",
-            "Datagrams sent",
-            metrics.datagrams_out.clone(),
-        );
-        registry.register_with_unit(
-            "received",
-            "Payload of datagrams received, dropped ones included",
-            Unit::Bytes,
-            metrics.bytes_in.clone(),
-        );
-        registry.register_with_unit(
-            "sent",
-            "Payload of datagrams sent",
-            Unit::Bytes,
-            metrics.bytes_out.clone(),
-        );
-        registry.register(
-            "send_errors",
-            "Datagrams that could not be sent",
-            metrics.send_errors.clone(),
-        );
+        for (name, help, counter) in [
+            (
+                "received_datagrams",
+                "Datagrams received",
+                &metrics.datagrams_in,
+            ),
+            ("sent_datagrams", "Datagrams sent", &metrics.datagrams_out),
+            ("send_errors", "Datagrams not sent", &metrics.send_errors),
+        ] {
+            registry.register(name, help, counter.clone());
+        }
+        for (name, help, counter) in [
+            (
+                "received",
+                "Payload of datagrams received",
+                &metrics.bytes_in,
+            ),
+            ("sent", "Payload of datagrams sent", &metrics.bytes_out),
+        ] {
+            registry.register_with_unit(name, help, Unit::Bytes, counter.clone());
+        }
         registry.register(
             "dropped_datagrams",
             "Datagrams received and dropped, by reason",
--- a/crates/shallotroute_peer/tests/support/mod.rs
+++ b/crates/shallotroute_peer/tests/support/mod.rs
@@ -35,13 +35,7 @@
     let (members_sender, members) = watch::channel(Arc::new(View::default()));
     let (drain, stop) = (CancellationToken::new(), CancellationToken::new());
     let options = Options {
-        local: Local {
-            id: Name::new(format!("n{index}")),
-            region: Name::new("r"),
-            zone: Name::new("z"),
-            address,
-            incarnation: Incarnation(1),
-        },
+        local: local(index, address),
         seeds,
         key,
         socket,
@@ -68,3 +62,13 @@
         registry,
     }
 }
+
+fn local(index: u64, address: SocketAddr) -> Local {
+    Local {
+        id: Name::new(format!("n{index}")),
+        region: Name::new("r"),
+        zone: Name::new("z"),
+        address,
+        incarnation: Incarnation(1),
+    }
+}
