config, control, node: publications go on with a failed node among three; outages are logged

Cause: with 3 nodes, one of them paused and still in the host list, a revision needed two other holders and stayed out of force until the list dropped the node (30 s). An unreachable key-value service was logged on the level debug only. The throttle of the key-value service was not used by the node. Ruled out: counting only live nodes; a failed node that returns could lead a restarted one back. Change: two other holders are needed from three other nodes on, below that one, and a start in an outage then needs all answers; failures of outside services are warnings when they begin; the node's calls to the key-value service go through the throttle, whose share follows the number of live members. Before: a_paused_node_does_not_hold_up_a_publication_and_catches_up and an_unreachable_platform_is_named fail.

--- a/crates/shallotroute_config/src/adoption/roster.rs
+++ b/crates/shallotroute_config/src/adoption/roster.rs
@@ -21,9 +21,13 @@
 /// How many nodes of each availability zone watch the head.
 const WATCHERS_PER_ZONE: usize = 2;
 
-/// How many other nodes have to hold a revision before it comes into force, if there are as many.
+/// How many other nodes have to hold a revision before it comes into force.
 const HOLDERS: usize = 2;
 
+/// The fewest peers of which [`HOLDERS`] are needed. Among fewer, one holder is enough: a node that
+/// fails while the host list still names it would otherwise hold up every publication.
+const PEERS_FOR_HOLDERS: usize = HOLDERS + 1;
+
 /// How long a node that failed is not asked for a revision.
 const FAILURE_PAUSE: Duration = Duration::from_millis(500);
 
@@ -139,9 +143,10 @@
         }
     }
 
-    /// Tells whether there are as many peers as a revision needs holders in the largest fleet.
+    /// Tells whether there are enough peers that knowing more of them would not raise the number of
+    /// holders that a revision needs.
     pub(super) fn has_enough_peers(&self) -> bool {
-        self.peers().take(HOLDERS).count() == HOLDERS
+        self.peers().take(PEERS_FOR_HOLDERS).count() == PEERS_FOR_HOLDERS
     }
 
     /// Returns the number of live hosts that seem to be nodes and that the node never heard from.
@@ -157,7 +162,7 @@
 
     /// Tells whether enough other nodes hold `revision` or a later one.
     pub(super) fn is_replicated(&self, revision: Revision) -> bool {
-        let needed = self.peers().count().min(HOLDERS);
+        let needed = holders_needed(self.peers().count());
         let holders = self.live().filter(|member| self.known(member) >= revision);
         holders.take(needed).count() == needed
     }
@@ -171,8 +176,8 @@
         if count == 0 || self.listed.is_empty() {
             return None;
         }
-        // A revision in force has min(2, count) holders, so count - holders + 1 answers have one.
-        let needed = count - count.min(HOLDERS) + 1;
+        // Of count peers, count - holders + 1 answers include one holder of any revision in force.
+        let needed = count - holders_needed(count) + 1;
         let answers: Vec<Revision> = self
             .peers()
             .filter_map(|member| self.reports.get(&member.id))
@@ -226,3 +231,11 @@
         live.sample(rng, count).copied().collect()
     }
 }
+
+/// Returns how many of `peers` other nodes have to hold a revision before it comes into force.
+fn holders_needed(peers: usize) -> usize {
+    match peers {
+        PEERS_FOR_HOLDERS.. => HOLDERS,
+        _ => peers.min(1),
+    }
+}
--- a/crates/shallotroute_control/src/adopter.rs
+++ b/crates/shallotroute_control/src/adopter.rs
@@ -13,7 +13,7 @@
 use shallotroute_context::Context;
 use shallotroute_types::revision::Revision;
 
-use crate::{Outputs, metric::Metrics, peer, repository::Repository};
+use crate::{Outputs, health::Health, metric::Metrics, peer, repository::Repository};
 
 /// The adoption of revisions with its inputs and outputs.
 pub(crate) struct Adopter {
@@ -21,6 +21,7 @@
     repository: Arc<Repository>,
     outputs: Outputs,
     metrics: Metrics,
+    store_health: Health,
     state: Mutex<State>,
 }
 
@@ -48,6 +49,7 @@
             repository,
             outputs,
             metrics,
+            store_health: Health::new("the key-value service"),
             state: Mutex::new(State { adoption, rng }),
         }
     }
@@ -166,14 +168,15 @@
             | Action::Compare { .. }
             | Action::Apply(_) => (Call::Read, self.repository.head().await),
         };
-        match logged(result) {
-            Some((version, head)) => Event::Head {
+        self.store_health.note(&result);
+        match result {
+            Ok((version, head)) => Event::Head {
                 call,
                 version,
                 head,
                 asked,
             },
-            None => Event::HeadFailed(call),
+            Err(_) => Event::HeadFailed(call),
         }
     }
 }
--- a/crates/shallotroute_control/src/lib.rs
+++ b/crates/shallotroute_control/src/lib.rs
@@ -23,6 +23,7 @@
 mod adopter;
 pub mod api;
 mod error;
+mod health;
 mod ledger;
 mod metric;
 mod operator;
@@ -31,6 +32,7 @@
 mod repository;
 
 use adopter::Adopter;
+use health::Health;
 use metric::Metrics;
 pub use operator::Operator;
 use publisher::Publisher;
@@ -166,20 +168,22 @@
     }
 
     async fn follow_hosts(&self) {
+        let health = Health::new("the host list");
         loop {
             let mut pause = HOSTS_INTERVAL;
-            match timeout(HOSTS_TIMEOUT, self.hosts.hosts()).await {
-                Ok(Ok(hosts)) => {
-                    pause += INTERVAL_PER_HOST * u32::try_from(hosts.len()).unwrap_or(u32::MAX);
-                    let live = hosts
-                        .iter()
-                        .filter(|host| host.state == host::State::Live)
-                        .map(|host| host.name.clone());
-                    self.adopter.feed(Event::Hosts(live.collect()));
-                    self.adopter.write_hosts(hosts);
-                }
-                Ok(Err(report)) => spdlog::debug!("reading the host list failed: {:?}", report),
-                Err(_) => spdlog::debug!("the host list was not read in time"),
+            let read = match timeout(HOSTS_TIMEOUT, self.hosts.hosts()).await {
+                Ok(read) => read.map_err(|report| format!("{report:?}")),
+                Err(_) => Err("it was not read in time".to_owned()),
+            };
+            health.note(&read);
+            if let Ok(hosts) = read {
+                pause += INTERVAL_PER_HOST * u32::try_from(hosts.len()).unwrap_or(u32::MAX);
+                let live = hosts
+                    .iter()
+                    .filter(|host| host.state == host::State::Live)
+                    .map(|host| host.name.clone());
+                self.adopter.feed(Event::Hosts(live.collect()));
+                self.adopter.write_hosts(hosts);
             }
             sleep(pause).await;
         }
--- a/crates/shallotroute_node/src/log.rs
+++ b/crates/shallotroute_node/src/log.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use error_stack::ResultExt;
+use error_stack::{Report, ResultExt, fmt::ColorMode};
 use shallotroute_settings::{Level, Log};
 use spdlog::{
     ErrorHandler, LevelFilter, Logger, Record,
@@ -28,6 +28,7 @@
 ///
 /// Standard error can't be written.
 pub fn init(settings: &Log) -> Result<()> {
+    Report::set_color_mode(ColorMode::None);
     let inner = StdStreamSink::builder()
         .stderr()
         .formatter(JsonFormatter::new())
--- a/crates/shallotroute_node/src/parts.rs
+++ b/crates/shallotroute_node/src/parts.rs
@@ -18,7 +18,10 @@
     service::Kind,
     stream::{self, Services},
 };
-use shallotroute_platform::http::{Engine, Hosts, Scorer, Store};
+use shallotroute_platform::{
+    http::{Engine, Hosts, Scorer, Store},
+    throttle::{self, Throttle},
+};
 use shallotroute_sampling::{Edges, Sampler};
 use shallotroute_settings::Settings;
 use shallotroute_types::{
@@ -70,6 +73,7 @@
 
 /// The parts of a node.
 struct Parts {
+    throttle: Arc<Throttle>,
     heartbeat: Arc<Heartbeat>,
     control: Arc<Control>,
     gateway: Arc<Gateway>,
@@ -97,6 +101,7 @@
             tokio::spawn(Arc::clone(&parts.control).run()),
             tokio::spawn(Arc::clone(&parts.gateway).run()),
             tokio::spawn(Arc::clone(&parts.sampler).run()),
+            tokio::spawn(share_rates(Arc::clone(&parts.throttle), context.clone())),
         ];
         let admin_entry = admin::Entry {
             context: context.clone(),
@@ -201,7 +206,13 @@
         let mut registry = Registry::with_prefix("shallotroute");
         let client = Client::new(CONNECT_TIMEOUT);
         let platform = settings.platform;
-        let store = Arc::new(Store::new(client.clone(), platform.store, PLATFORM_TIMEOUT));
+        let store = Store::new(client.clone(), platform.store, PLATFORM_TIMEOUT);
+        let throttle_options = throttle::Options {
+            seed: context.local.incarnation.0,
+            ..throttle::Options::default()
+        };
+        let clock = Arc::clone(&context.clock);
+        let store = Throttle::new(Arc::new(store), clock, throttle_options, &mut registry);
         let hosts = Arc::new(Hosts::new(client.clone(), platform.hosts, PLATFORM_TIMEOUT));
         let engine = Arc::new(Engine::new(client.clone()));
         let options = Options {
@@ -241,6 +252,7 @@
         // The slot is new, so that setting it can't fail.
         let _ = control_slot.set(Arc::clone(&control));
         Self {
+            throttle: store,
             heartbeat,
             control,
             gateway,
@@ -283,6 +295,20 @@
     (dump, slot)
 }
 
+/// Divides the key-value service's rates among the live members until the node stops.
+async fn share_rates(throttle: Arc<Throttle>, mut context: Context) {
+    loop {
+        let live = context.members.borrow_and_update().live().count();
+        throttle.set_members(live.max(1));
+        tokio::select! {
+            () = context.stop.cancelled() => return,
+            changed = context.members.changed() => if changed.is_err() {
+                return;
+            },
+        }
+    }
+}
+
 fn operator(operator: &shallotroute_settings::Operator) -> Operator {
     Operator {
         name: operator.name.clone(),
