gateway: test restarts with the calendar of the restarted node

Cause: the test of a restarted node used a key from the future of the new node, so that the clock margin and not the start refused it; another one slept for a fixed time. Change: a node can start with a shifted calendar; the dump tells whether records are still to be fetched, and the test waits for that. The support file builds its objects from JSON. Conclusion: the restart cases now test what they name.

--- a/crates/shallotroute_gateway/examples/throughput.rs
+++ b/crates/shallotroute_gateway/examples/throughput.rs
@@ -111,8 +111,10 @@
 
 #[tokio::main]
 async fn main() {
-    let backend =
-        Backend::quiet(|request| async move { support::engine_answer(&request, 4) }).await;
+    let backend = Backend::start_with(false, |request| async move {
+        support::engine_answer(&request, 4)
+    })
+    .await;
     let mut servers = Vec::new();
     for index in 0..8 {
         let mut server = support::server(&format!("engine-{index}"), backend.address);
--- a/crates/shallotroute_gateway/src/dump.rs
+++ b/crates/shallotroute_gateway/src/dump.rs
@@ -27,6 +27,8 @@
 #[derive(Serialize)]
 struct Records {
     count: usize,
+    /// Whether records from before the start are still to be fetched.
+    recovering: bool,
     vouch_from: String,
 }
 
@@ -34,10 +36,9 @@
 pub(crate) fn dump(gateway: &Gateway) -> serde_json::Value {
     let runtime = gateway.runtime();
     let pools = runtime.iter().flat_map(|runtime| &runtime.pools);
-    let (count, vouch_from) = gateway
-        .records
-        .local
-        .with(|store| (store.len(), store.vouch_from()));
+    let records = &gateway.records.local;
+    let (count, recovering) = records.with(|store| (store.len(), store.is_recovering()));
+    let vouch_from = records.with(|store| store.vouch_from());
     let dump = Dump {
         revision: runtime.as_ref().map(|runtime| runtime.revision()),
         pools: pools
@@ -45,6 +46,7 @@
             .collect(),
         records: Records {
             count,
+            recovering,
             vouch_from: format!("{:?} ago", elapsed(gateway, vouch_from)),
         },
         recent: gateway.journal.lines(),
--- a/crates/shallotroute_gateway/tests/identity.rs
+++ b/crates/shallotroute_gateway/tests/identity.rs
@@ -45,9 +45,9 @@
     vec![support::server("service-1", backend.address)]
 }
 
-async fn start(id: &str, backend: &Backend) -> Node {
+async fn start(id: &str, backend: &Backend, shift: Duration) -> Node {
     let set = Set::new(support::objects(Vec::new(), servers(backend)));
-    Node::start_as(id, set, Arc::new(View::default())).await
+    Node::start_as(id, set, shift).await
 }
 
 /// Makes a key that carries the time of the node's calendar.
@@ -74,7 +74,7 @@
 #[tokio::test]
 async fn a_repetition_gets_the_stored_response() {
     let backend = service(64 << 10).await;
-    let node = start("node-1", &backend).await;
+    let node = start("node-1", &backend, Duration::ZERO).await;
     node.clock.set(SHIFT);
     let key = key(&node);
     for _ in 0..3 {
@@ -90,7 +90,7 @@
 #[tokio::test]
 async fn a_repetition_without_a_stored_response_is_told_that_it_ran() {
     let backend = service((64 << 10) + 1).await;
-    let node = start("node-1", &backend).await;
+    let node = start("node-1", &backend, Duration::ZERO).await;
     node.clock.set(SHIFT);
     let key = key(&node);
     let first = order(&node, &key).await;
@@ -107,7 +107,7 @@
 #[tokio::test]
 async fn a_request_that_did_not_run_may_come_again() {
     let backend = service(10).await;
-    let node = start("node-1", &backend).await;
+    let node = start("node-1", &backend, Duration::ZERO).await;
     node.clock.set(SHIFT);
     let key = key(&node);
     let request = node
@@ -126,26 +126,21 @@
 #[tokio::test]
 async fn a_restarted_node_refuses_older_keys() {
     let backend = service(10).await;
-    let node = start("node-1", &backend).await;
+    let node = start("node-1", &backend, Duration::ZERO).await;
     node.clock.set(SHIFT);
     let old = key(&node);
+    assert_that!(order(&node, &old).await.status(), eq(StatusCode::CREATED));
     drop(node);
-    let node = start("node-1", &backend).await;
-    node.clock.set(SHIFT);
-    node.clock.set(2 * SHIFT);
-    assert_that!(
-        order(&node, &key(&node)).await.status(),
-        eq(StatusCode::CREATED)
-    );
-    node.clock.set(SHIFT);
+    let node = start("node-1", &backend, 2 * SHIFT).await;
     for key in [old, "order-1".to_owned()] {
-        let early = start("node-1", &backend).await;
-        early.clock.set(Duration::ZERO);
-        let response = order(&early, &key).await;
+        let response = order(&node, &key).await;
         assert_that!(response.status(), eq(StatusCode::SERVICE_UNAVAILABLE));
         assert_that!(support::error(response).await["outcome"], eq("unknown"));
     }
     assert_that!(backend.count(), eq(1));
+    node.clock.set(3 * SHIFT);
+    let response = order(&node, &key(&node)).await;
+    assert_that!(response.status(), eq(StatusCode::CREATED));
 }
 
 fn view(nodes: &[&Node]) -> View {
@@ -153,7 +148,7 @@
         id: node.context.local.id.clone(),
         region: Name::from("lk-west"),
         zone: Name::from(format!("zone-{}", node.context.local.id)),
-        address: node.peer_address,
+        address: node.context.local.address,
         incarnation: Incarnation(1),
         state: State::Alive,
         known: Revision(1),
@@ -169,7 +164,7 @@
 async fn fleet(backend: &Backend) -> Vec<Node> {
     let mut nodes = Vec::new();
     for id in ["node-1", "node-2", "node-3", "node-4"] {
-        nodes.push(start(id, backend).await);
+        nodes.push(start(id, backend, Duration::ZERO).await);
     }
     let shared = Arc::new(view(&nodes.iter().collect::<Vec<_>>()));
     for node in &nodes {
@@ -245,13 +240,16 @@
     // Each member restarts in turn, so that in the end no first copy is left.
     for index in 0..nodes.len() {
         let id = nodes[index].context.local.id.clone();
-        nodes[index] = start(&id, &backend).await;
-        nodes[index].clock.set(SHIFT);
+        nodes[index] = start(&id, &backend, SHIFT).await;
         let shared = Arc::new(view(&nodes.iter().collect::<Vec<_>>()));
         for node in &nodes {
             node.members.send_replace(Arc::clone(&shared));
         }
-        tokio::time::sleep(Duration::from_millis(2_500)).await;
+        let started = Instant::now();
+        while nodes[index].gateway.dump()["records"]["recovering"] == true {
+            assert_that!(started.elapsed(), lt(Duration::from_secs(20)));
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
     }
     for node in &nodes {
         let response = order(node, &key).await;
--- a/crates/shallotroute_gateway/tests/leaving.rs
+++ b/crates/shallotroute_gateway/tests/leaving.rs
@@ -119,7 +119,7 @@
     fixture
         .node
         .configuration
-        .send_replace(Some(support::snapshot(2, set)));
+        .send_replace(Some(support::snapshot(2, &set)));
     fixture.check().await;
     assert_that!(fixture.leaving.count(), eq(2));
 }
--- a/crates/shallotroute_gateway/tests/support/mod.rs
+++ b/crates/shallotroute_gateway/tests/support/mod.rs
@@ -1,5 +1,12 @@
 //! A gateway over loopback with small backend servers.
-#![allow(dead_code, missing_docs, unreachable_pub, clippy::rc_buffer)]
+#![allow(
+    dead_code,
+    missing_docs,
+    unreachable_pub,
+    clippy::needless_pass_by_value,
+    clippy::rc_buffer,
+    reason = "each test file uses a part of it"
+)]
 
 use std::{
     collections::HashMap,
@@ -9,16 +16,20 @@
 };
 
 use bytes::Bytes;
-use futures::{future::BoxFuture, stream::BoxStream};
+use futures::{
+    future::{BoxFuture, pending},
+    stream::BoxStream,
+};
 use http::{Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use prometheus_client::registry::Registry;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
 use shallotroute_config::{
-    object::{Caller, Object, Pool, Route, Server},
+    object::{Object, Server},
     set::Set,
-    snapshot::{Changes, Record, Snapshot},
+    snapshot::Snapshot,
 };
 use shallotroute_context::{Context, Local};
 use shallotroute_gateway::Gateway;
@@ -27,17 +38,15 @@
     client::Client,
     server::{self, Handler},
 };
-use shallotroute_peer::stream;
+use shallotroute_peer::{service::Kind, stream};
 use shallotroute_platform::{
     engine::{Engine, Event, Generate, Load, State},
-    error::{Error, Kind, Result},
+    error::{self, Result},
     host::Host,
 };
-use shallotroute_types::{
-    class::Class, clock::Clock, member::View, name::Name, node::Incarnation, revision::Revision,
-};
+use shallotroute_types::{clock::Clock, member::View, name::Name, node::Incarnation};
 use tokio::{net::TcpListener, sync::watch};
-use tokio_util::sync::CancellationToken;
+use tokio_util::sync::{CancellationToken, DropGuard};
 
 pub const KEY: &str = "test-key";
 pub const MODEL: &str = "pricing";
@@ -63,13 +72,13 @@
 pub struct Backend {
     pub address: SocketAddr,
     received: Arc<Mutex<Vec<Received>>>,
-    stop: CancellationToken,
+    _stop: DropGuard,
 }
 
 struct Closure {
     answer: Box<Answer>,
-    /// The requests so far; none when they are not to be kept.
-    received: Option<Arc<Mutex<Vec<Received>>>>,
+    keeps: bool,
+    received: Arc<Mutex<Vec<Received>>>,
 }
 
 impl Handler for Closure {
@@ -86,8 +95,8 @@
                 headers: parts.headers,
                 body: body::read(body, 8 << 20).await.unwrap(),
             };
-            if let Some(all) = &self.received {
-                all.lock().unwrap().push(received.clone());
+            if self.keeps {
+                self.received.lock().unwrap().push(received.clone());
             }
             (self.answer)(received).await
         })
@@ -95,41 +104,31 @@
 }
 
 impl Backend {
-    pub async fn start<F, A>(answer: F) -> Self
-    where
-        F: Fn(Received) -> A + Send + Sync + 'static,
-        A: Future<Output = Response<Body>> + Send + 'static,
-    {
-        Self::start_with(answer, true).await
-    }
-
-    /// Starts a backend server that does not keep the requests.
-    pub async fn quiet<F, A>(answer: F) -> Self
-    where
-        F: Fn(Received) -> A + Send + Sync + 'static,
-        A: Future<Output = Response<Body>> + Send + 'static,
-    {
-        Self::start_with(answer, false).await
+    pub async fn start<A: Future<Output = Response<Body>> + Send + 'static>(
+        answer: impl Fn(Received) -> A + Send + Sync + 'static,
+    ) -> Self {
+        Self::start_with(true, answer).await
     }
 
-    async fn start_with<F, A>(answer: F, keep: bool) -> Self
-    where
-        F: Fn(Received) -> A + Send + Sync + 'static,
-        A: Future<Output = Response<Body>> + Send + 'static,
-    {
+    /// Starts a backend server that keeps the requests if `keeps` is set.
+    pub async fn start_with<A: Future<Output = Response<Body>> + Send + 'static>(
+        keeps: bool,
+        answer: impl Fn(Received) -> A + Send + Sync + 'static,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let received = Arc::new(Mutex::new(Vec::new()));
+        let received = Arc::<Mutex<Vec<Received>>>::default();
         let handler = Arc::new(Closure {
             answer: Box::new(move |request| Box::pin(answer(request))),
-            received: keep.then(|| Arc::clone(&received)),
+            keeps,
+            received: Arc::clone(&received),
         });
         let stop = CancellationToken::new();
         tokio::spawn(server::serve(listener, handler, stop.clone()));
         Self {
             address,
             received,
-            stop,
+            _stop: stop.drop_guard(),
         }
     }
 
@@ -142,12 +141,6 @@
     }
 }
 
-impl Drop for Backend {
-    fn drop(&mut self) {
-        self.stop.cancel();
-    }
-}
-
 /// Returns an address at which nothing listens.
 pub async fn closed_address() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -163,40 +156,29 @@
 impl Engine for Engines {
     fn generate(
         &self,
-        address: SocketAddr,
+        _address: SocketAddr,
         _request: Generate,
     ) -> BoxFuture<'_, Result<BoxStream<'static, Result<Event>>>> {
-        Box::pin(async move { Err(unreachable_engine(address).into()) })
+        Box::pin(pending())
     }
 
     fn state(&self, address: SocketAddr) -> BoxFuture<'_, Result<State>> {
         let state = self.states.lock().unwrap().get(&address).cloned();
-        Box::pin(async move { state.ok_or_else(|| unreachable_engine(address).into()) })
+        let lost = error::Error::new("state", address.to_string(), error::Kind::Lost);
+        Box::pin(async move { state.ok_or_else(|| lost.into()) })
     }
 
-    fn load(
-        &self,
-        address: SocketAddr,
-        _command: Load,
-        _timeout: Duration,
-    ) -> BoxFuture<'_, Result<()>> {
-        Box::pin(async move { Err(unreachable_engine(address).into()) })
+    fn load(&self, _: SocketAddr, _: Load, _: Duration) -> BoxFuture<'_, Result<()>> {
+        Box::pin(pending())
     }
 }
 
-fn unreachable_engine(address: SocketAddr) -> Error {
-    Error::new("state", address.to_string(), Kind::Lost)
-}
-
 /// The system's clock with a calendar that can be set forward.
-#[derive(Default)]
-pub struct Shifted {
-    shift: Mutex<Duration>,
-}
+pub struct Shifted(Mutex<Duration>);
 
 impl Shifted {
     pub fn set(&self, shift: Duration) {
-        *self.shift.lock().unwrap() = shift;
+        *self.0.lock().unwrap() = shift;
     }
 }
 
@@ -206,7 +188,7 @@
     }
 
     fn wall(&self) -> SystemTime {
-        SystemTime::now() + *self.shift.lock().unwrap()
+        SystemTime::now() + *self.0.lock().unwrap()
     }
 }
 
@@ -214,7 +196,6 @@
 pub struct Node {
     pub gateway: Arc<Gateway>,
     pub address: SocketAddr,
-    pub peer_address: SocketAddr,
     pub engines: Arc<Engines>,
     pub configuration: watch::Sender<Option<Arc<Snapshot>>>,
     pub confirmed: watch::Sender<bool>,
@@ -224,61 +205,53 @@
     pub context: Context,
     pub clock: Arc<Shifted>,
     client: Client,
+    _guards: [DropGuard; 2],
 }
 
 impl Node {
     pub async fn start(set: Set) -> Self {
-        Self::start_as("node-1", set, Arc::new(View::default())).await
+        Self::start_as("node-1", set, Duration::ZERO).await
     }
 
-    pub async fn start_as(id: &str, set: Set, view: Arc<View>) -> Self {
-        let clock = Arc::new(Shifted::default());
+    /// Starts a node whose calendar is `shift` ahead.
+    pub async fn start_as(id: &str, set: Set, shift: Duration) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let peers = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let peer_address = peers.local_addr().unwrap();
-        let (configuration, configuration_receiver) = watch::channel(Some(snapshot(1, set)));
-        let (confirmed, confirmed_receiver) = watch::channel(true);
-        let (members, members_receiver) = watch::channel(view);
-        let (hosts, hosts_receiver) = watch::channel(Arc::new(Vec::new()));
+        let configuration = watch::Sender::new(Some(snapshot(1, &set)));
+        let confirmed = watch::Sender::new(true);
+        let members = watch::Sender::<Arc<View>>::default();
+        let hosts = watch::Sender::<Arc<Vec<Host>>>::default();
+        let clock = Arc::new(Shifted(Mutex::new(shift)));
         let context = Context {
             local: Local {
                 id: Name::from(id),
                 region: Name::from("lk-west"),
                 zone: Name::from("colombo"),
-                address: peer_address,
+                address: peers.local_addr().unwrap(),
                 incarnation: Incarnation(1),
             },
             clock: clock.clone(),
-            configuration: configuration_receiver,
-            confirmed: confirmed_receiver,
-            members: members_receiver,
-            hosts: hosts_receiver,
+            configuration: configuration.subscribe(),
+            confirmed: confirmed.subscribe(),
+            members: members.subscribe(),
+            hosts: hosts.subscribe(),
             drain: CancellationToken::new(),
             stop: CancellationToken::new(),
         };
         let engines = Arc::new(Engines::default());
         let mut registry = Registry::default();
         let random = ChaCha8Rng::seed_from_u64(7);
-        let gateway = Gateway::with_random(context.clone(), engines.clone(), &mut registry, random);
-        if let Some(service) = gateway.service() {
-            let services = HashMap::from([(shallotroute_peer::service::Kind::Requests, service)]);
-            tokio::spawn(stream::serve(
-                peers,
-                Arc::new(services),
-                context.stop.clone(),
-            ));
-        }
+        let engine = Arc::clone(&engines);
+        let gateway = Gateway::with_random(context.clone(), engine, &mut registry, random);
+        let services = HashMap::from([(Kind::Requests, gateway.service().unwrap())]);
+        let (stop, drain) = (context.stop.clone(), context.drain.clone());
+        tokio::spawn(stream::serve(peers, Arc::new(services), stop.clone()));
         tokio::spawn(gateway.clone().run());
-        tokio::spawn(server::serve(
-            listener,
-            gateway.clone(),
-            context.drain.clone(),
-        ));
+        tokio::spawn(server::serve(listener, gateway.clone(), drain.clone()));
         Self {
             gateway,
             address,
-            peer_address,
             engines,
             configuration,
             confirmed,
@@ -288,6 +261,7 @@
             context,
             clock,
             client: Client::new(Duration::from_secs(1)),
+            _guards: [stop.drop_guard(), drain.drop_guard()],
         }
     }
 
@@ -314,133 +288,74 @@
     }
 }
 
-impl Drop for Node {
-    fn drop(&mut self) {
-        self.context.drain.cancel();
-        self.context.stop.cancel();
-    }
-}
-
 pub async fn text(response: Response<Incoming>) -> String {
     let bytes = body::read(response.into_body(), 8 << 20).await.unwrap();
     String::from_utf8(bytes.to_vec()).unwrap()
 }
 
-pub async fn error(response: Response<Incoming>) -> serde_json::Value {
-    let value: serde_json::Value = serde_json::from_str(&text(response).await).unwrap();
+pub async fn error(response: Response<Incoming>) -> Value {
+    let value: Value = serde_json::from_str(&text(response).await).unwrap();
     value["error"].clone()
 }
 
-pub fn snapshot(revision: u64, set: Set) -> Arc<Snapshot> {
-    Arc::new(Snapshot {
-        hash: format!("hash-{revision}"),
-        record: Record {
-            revision: Revision(revision),
-            parent: None,
-            publication: "publication".into(),
-            author: Name::from("operator"),
-            at: SystemTime::UNIX_EPOCH,
-            reason: "test".into(),
-            changes: Changes::default(),
-            warnings: Vec::new(),
-            parts: Vec::new(),
-        },
-        set,
-    })
-}
-
-pub fn caller() -> Object {
-    Object::Caller(Caller {
-        name: Name::from("desk"),
-        key_hash: blake3::hash(KEY.as_bytes()).to_hex().to_string(),
-        class: Class::Interactive,
-        limit: None,
-        trainer: None,
-    })
+pub fn snapshot(revision: u64, set: &Set) -> Arc<Snapshot> {
+    let record = json!({
+        "revision": revision, "parent": null, "publication": "p", "author": "operator",
+        "at": SystemTime::UNIX_EPOCH, "reason": "test", "warnings": [], "parts": [],
+        "changes": {"added": [], "changed": [], "removed": []},
+    });
+    let snapshot = json!({"hash": format!("hash-{revision}"), "record": record, "set": set});
+    Arc::new(serde_json::from_value(snapshot).unwrap())
 }
 
 pub fn server(name: &str, address: SocketAddr) -> Server {
-    Server {
-        name: Name::from(name),
-        address,
-        zone: Name::from("colombo"),
-        slots: 8,
-        state: shallotroute_config::object::ServerState::Active,
-    }
-}
-
-pub fn pool(
-    name: &str,
-    backend: shallotroute_config::object::Backend,
-    servers: Vec<Server>,
-) -> Pool {
-    Pool {
-        name: Name::from(name),
-        backend,
-        fencing: None,
-        models: Vec::new(),
-        selection: shallotroute_config::object::Selection::RoundRobin,
-        servers,
-    }
-}
-
-pub fn route(name: &str, pool: &str) -> Route {
-    Route {
-        name: Name::from(name),
-        model: None,
-        path_prefix: None,
-        pool: Name::from(pool),
-        idempotent: true,
-        timeout_ms: 5_000,
-    }
+    let server = json!({"name": name, "address": address, "zone": "colombo"});
+    serde_json::from_value(server).unwrap()
 }
 
 /// Returns the objects of one engine pool behind the model and one service pool behind `/orders`,
 /// whose requests are not idempotent.
 pub fn objects(engines: Vec<Server>, services: Vec<Server>) -> Vec<Object> {
-    use shallotroute_config::object::Backend;
-    let mut model = route("assistant", "engines");
-    model.model = Some(Name::from(MODEL));
-    let mut orders = route("orders", "services");
-    orders.path_prefix = Some("/orders".into());
-    orders.idempotent = false;
-    vec![
-        caller(),
-        Object::Pool(pool("engines", Backend::Engine, engines)),
-        Object::Pool(pool("services", Backend::Service, services)),
-        Object::Route(model),
-        Object::Route(orders),
-    ]
+    let key_hash = blake3::hash(KEY.as_bytes()).to_hex();
+    let objects = json!([
+        {"kind": "caller", "name": "desk", "key_hash": key_hash.as_str(), "class": "interactive"},
+        {"kind": "pool", "name": "engines", "backend": "engine", "selection": "round_robin",
+         "servers": engines},
+        {"kind": "pool", "name": "services", "backend": "service", "selection": "round_robin",
+         "servers": services},
+        {"kind": "route", "name": "assistant", "model": MODEL, "pool": "engines",
+         "timeout_ms": 5_000},
+        {"kind": "route", "name": "orders", "path_prefix": "/orders", "pool": "services",
+         "timeout_ms": 5_000, "idempotent": false},
+    ]);
+    serde_json::from_value(objects).unwrap()
 }
 
 /// Returns the events of a whole stream of `count` tokens.
 pub fn events(id: &str, count: u32) -> Vec<String> {
-    let mut events: Vec<String> = (0..count)
-        .map(|start| {
-            let finish = if start + 1 == count { r#""stop""# } else { "null" };
-            let usage = match start + 1 == count {
-                true => format!(r#","usage":{{"prompt_tokens":3,"completion_tokens":{count}}}"#),
-                false => String::new(),
-            };
-            format!(
-                "data: {{\"id\":\"{id}\",\"object\":\"text_completion\",\"choices\":[{{\"index\":0,\
-                 \"text\":\"t{start} \",\"finish_reason\":{finish}}}],\"tokens\":{{\"start\":{start},\
-                 \"count\":1,\"version\":1}}{usage}}}\n\n"
-            )
-        })
-        .collect();
+    let event = |start| {
+        let is_last = start + 1 == count;
+        let mut event = json!({
+            "id": id, "object": "text_completion",
+            "choices": [{"index": 0, "text": format!("t{start} "), "finish_reason": null}],
+            "tokens": {"start": start, "count": 1, "version": 1},
+        });
+        if is_last {
+            event["choices"][0]["finish_reason"] = "stop".into();
+            event["usage"] = json!({"prompt_tokens": 3, "completion_tokens": count});
+        }
+        format!("data: {event}\n\n")
+    };
+    let mut events: Vec<String> = (0..count).map(event).collect();
     events.push("data: [DONE]\n\n".into());
     events
 }
 
 /// Makes a streamed response of `events`; the connection breaks at the end when `cut` is set.
 pub fn streamed(id: &str, events: Vec<String>, cut: bool) -> Response<Body> {
-    let mut chunks: Vec<std::result::Result<Bytes, body::Error>> =
-        events.into_iter().map(|event| Ok(event.into())).collect();
-    if cut {
-        chunks.push(Err("cut".into()));
-    }
-    let mut response = Response::new(body::stream(futures::stream::iter(chunks)));
+    let chunks = events.into_iter().map(|event| Ok(event.into()));
+    let cut = cut.then(|| Err("cut".into()));
+    let mut response = Response::new(body::stream(futures::stream::iter(chunks.chain(cut))));
     let headers = response.headers_mut();
     headers.insert("content-type", "text/event-stream".parse().unwrap());
     headers.insert("x-request-id", id.parse().unwrap());
@@ -450,22 +365,19 @@
 /// Answers as an engine does: a stream of `count` tokens or one JSON document.
 pub fn engine_answer(received: &Received, count: u32) -> Response<Body> {
     let id = received.id();
-    let body: serde_json::Value = serde_json::from_slice(&received.body).unwrap();
+    let body: Value = serde_json::from_slice(&received.body).unwrap();
     if body["stream"] == true {
         return streamed(&id, events(&id, count), false);
     }
-    let mut response = body::json(
-        StatusCode::OK,
-        &serde_json::json!({
-            "id": id, "object": "text_completion",
-            "choices": [{"index": 0, "text": "leek", "finish_reason": "stop"}],
-            "usage": {"prompt_tokens": 3, "completion_tokens": count},
-            "spans": [{"start": 0, "end": count, "version": 1}],
-        }),
-    );
-    response
-        .headers_mut()
-        .insert("x-request-id", id.parse().unwrap());
+    let answer = json!({
+        "id": id, "object": "text_completion",
+        "choices": [{"index": 0, "text": "leek", "finish_reason": "stop"}],
+        "usage": {"prompt_tokens": 3, "completion_tokens": count},
+        "spans": [{"start": 0, "end": count, "version": 1}],
+    });
+    let mut response = body::json(StatusCode::OK, &answer);
+    let headers = response.headers_mut();
+    headers.insert("x-request-id", id.parse().unwrap());
     response
 }
 
@@ -473,8 +385,7 @@
 pub fn refusal(state: &str) -> Response<Body> {
     let mut response = Response::new(body::empty());
     *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    response
-        .headers_mut()
-        .insert("x-server-state", state.parse().unwrap());
+    let headers = response.headers_mut();
+    headers.insert("x-server-state", state.parse().unwrap());
     response
 }
--- a/crates/shallotroute_routing/src/server.rs
+++ b/crates/shallotroute_routing/src/server.rs
@@ -223,7 +223,7 @@
     }
 
     /// Takes over a report that was asked for at `mark`. A refusal that came after the mark is newer
-    /// than the report and stays.
+    /// than the report and stays. A report that a later one has overtaken is dropped.
     pub fn report(&mut self, mark: Mark, report: Report) {
         if self.report.is_some_and(|it| it.mark.at > mark.at) {
             return;
