routing: hold an overloaded server back for 100 ms

Cause: after one refusal as overloaded a server got no request for 500 ms, so that interactive requests were refused while it already had places again. Measured: cargo test -p shallotroute_routing -p shallotroute_gateway: all passed. Conclusion: a refused server is probed at most ten times a second by each node.

--- a/crates/shallotroute_gateway/src/attempt.rs
+++ b/crates/shallotroute_gateway/src/attempt.rs
@@ -37,7 +37,7 @@
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
 /// When a server that refused may have room again.
-const REFUSAL_RETRY: Duration = Duration::from_secs(1);
+pub(crate) const REFUSAL_RETRY: Duration = Duration::from_secs(1);
 
 /// The bytes of a response that was read whole, kept as an extension of the response.
 #[derive(Clone)]
--- a/crates/shallotroute_gateway/src/dispatch.rs
+++ b/crates/shallotroute_gateway/src/dispatch.rs
@@ -75,5 +75,5 @@
     );
     let status = StatusCode::SERVICE_UNAVAILABLE;
     Failure::not_run(status, "no_server", Step::Selection, message)
-        .with_retry_after(std::time::Duration::from_secs(1))
+        .with_retry_after(attempt::REFUSAL_RETRY)
 }
--- a/crates/shallotroute_gateway/tests/identity.rs
+++ b/crates/shallotroute_gateway/tests/identity.rs
@@ -117,7 +117,7 @@
     let refused = node.send(request.body(body::empty()).unwrap()).await;
     assert_that!(refused.status(), eq(StatusCode::SERVICE_UNAVAILABLE));
     assert_that!(support::error(refused).await["outcome"], eq("not_run"));
-    // The server is held back for half a second after its refusal.
+    // The server is held back for a moment after its refusal.
     tokio::time::sleep(Duration::from_millis(600)).await;
     assert_that!(order(&node, &key).await.status(), eq(StatusCode::CREATED));
 }
--- a/crates/shallotroute_routing/src/server.rs
+++ b/crates/shallotroute_routing/src/server.rs
@@ -13,8 +13,9 @@
 /// longer than the lag of the host list, which names the server by then.
 const LEAVING_HOLD: Duration = Duration::from_secs(60);
 
-/// How long a server that refused as overloaded gets no work, unless it reports earlier.
-const OVERLOAD_HOLD: Duration = Duration::from_millis(500);
+/// How long a server that refused as overloaded gets no work. Places become free within a few token
+/// times, and a longer hold would refuse interactive requests that the server would take first.
+const OVERLOAD_HOLD: Duration = Duration::from_millis(100);
 
 /// How long a server gets no work after a first failed connection while others can be reached.
 const FAILURE_HOLD: Duration = Duration::from_millis(200);
