--- a/crates/shallotroute_routing/src/server.rs
+++ b/crates/shallotroute_routing/src/server.rs
@@ -13,8 +13,9 @@
 /// longer than the lag of the host list, which names the server by then.
 const LEAVING_HOLD: Duration = Duration::from_secs(60);
 
-/// How long a server that refused as overloaded gets no work, unless it reports earlier.
-const OVERLOAD_HOLD: Duration = Duration::from_millis(500);
+/// How long a server that refused as overloaded gets no work. Places become free within a few token
+/// times, and a longer hold would refuse interactive requests that the server would take first.
+const OVERLOAD_HOLD: Duration = Duration::from_millis(100);
 
 /// How long a server gets no work after a first failed connection while others can be reached.
 const FAILURE_HOLD: Duration = Duration::from_millis(200);
@@ -223,7 +224,7 @@
     }
 
     /// Takes over a report that was asked for at `mark`. A refusal that came after the mark is newer
-    /// than the report and stays.
+    /// than the report and stays. A report that a later one has overtaken is dropped.
     pub fn report(&mut self, mark: Mark, report: Report) {
         if self.report.is_some_and(|it| it.mark.at > mark.at) {
             return;
