--- a/crates/shallotroute_rollout/src/scheduler.rs
+++ b/crates/shallotroute_rollout/src/scheduler.rs
@@ -60,6 +60,8 @@
     version: Option<Version>,
     /// The step of its last pull.
     current: u64,
+    /// Its version in that pull.
+    pulled: Version,
     /// Mean seconds of a whole attempt, exponentially weighted.
     sample_seconds: Option<f64>,
 }
--- a/crates/shallotroute_rollout/src/scheduler/placement.rs
+++ b/crates/shallotroute_rollout/src/scheduler/placement.rs
@@ -66,12 +66,19 @@
                     candidates.push((key.clone(), self.candidate(key, step, ahead), position));
                     break;
                 }
-                ahead += u64::from(key.step >= current && !step.is_settled());
+                ahead += u64::from(key.step >= current && !self.is_learned(key, step));
             }
         }
         candidates
     }
 
+    /// Tells whether the trainer has moved to a later version since the step was in answers as a
+    /// whole. Until then it is expected to, which makes the samples of later steps older.
+    fn is_learned(&self, key: &Key, step: &Step) -> bool {
+        let trainer = self.trainers.get(&key.trainer);
+        step.is_settled() && trainer.is_some_and(|trainer| trainer.version > Some(trainer.pulled))
+    }
+
     fn candidate(&self, key: &Key, step: &Step, ahead: u64) -> Candidate {
         let object = self.configuration.trainers.get(&key.trainer);
         let known = self
--- a/crates/shallotroute_rollout/src/scheduler/pulls.rs
+++ b/crates/shallotroute_rollout/src/scheduler/pulls.rs
@@ -36,6 +36,7 @@
         let trainer = self.trainers.entry(key.trainer.clone()).or_default();
         trainer.version = Some(pull.version);
         trainer.current = key.step;
+        trainer.pulled = pull.version;
         self.pulls.insert(number, pull);
         self.stop_doomed(&key.trainer);
         self.discard_doomed(&key);
--- a/crates/shallotroute_rollout/src/scheduler/tail.rs
+++ b/crates/shallotroute_rollout/src/scheduler/tail.rs
@@ -11,9 +11,9 @@
 /// The share of a step's samples that counts as its tail.
 const TAIL_SHARE: f64 = 0.1;
 
-/// A second attempt starts when the first one has run for this many mean attempt times. A fresh
+/// A second attempt starts when the first one has run for this many mean attempt times: a fresh
 /// attempt is expected to take one.
-const HEDGE_AFTER: f64 = 1.5;
+const HEDGE_AFTER: f64 = 1.0;
 
 /// How much higher the priority of samples in the tail is.
 const TAIL_PRIORITY: u8 = 2;
--- a/crates/shallotroute_rollout/src/swap.rs
+++ b/crates/shallotroute_rollout/src/swap.rs
@@ -26,10 +26,11 @@
 /// How many engines load from one engine at the same time.
 const SOURCE_FANOUT: usize = 2;
 
-/// The least share of a trainer's samplers in one wave, with `idle_weight` 1.0.
-const LEAST_WAVE: f64 = 0.125;
+/// The share of a trainer's samplers in one wave with `idle_weight` 0.0. Smaller waves lengthen the
+/// trainers' idle time without making samples fresher (`docs/notes/rollouts.md`).
+const LEAST_WAVE: f64 = 0.25;
 
-/// The greatest share of a trainer's samplers in one wave, with `idle_weight` 0.0.
+/// The share of a trainer's samplers in one wave with `idle_weight` 1.0.
 const GREATEST_WAVE: f64 = 0.5;
 
 /// The pause after a command that did not succeed; doubles with each further one.
@@ -378,7 +379,7 @@
         }
         let total = taken + serving;
         let weight = idle_weight.clamp(0.0, 1.0);
-        let share = GREATEST_WAVE - weight * (GREATEST_WAVE - LEAST_WAVE);
+        let share = LEAST_WAVE + weight * (GREATEST_WAVE - LEAST_WAVE);
         let wave = ((total as f64 * share).ceil() as usize).max(1);
         // One sampler keeps serving, unless it is the only one and would never change.
         let spare = match total {
