--- a/crates/shallotroute_membership/src/member.rs
+++ b/crates/shallotroute_membership/src/member.rs
@@ -4,7 +4,11 @@
 
 use shallotroute_types::member::{Member, State};
 
-use crate::{digest, pace::Pace};
+use crate::{
+    digest,
+    pace::Pace,
+    phase::{self, Trigger},
+};
 
 /// What a node knows of another member.
 #[derive(Clone, Debug)]
@@ -25,8 +29,11 @@
 /// What a report changed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Change {
-    /// The state, the incarnation or the address changed; other members are told.
+    /// The state, the incarnation or the address changed.
     pub(crate) state: bool,
+    /// Others have to be told. Suspicion and its end are not passed on: they would crowd out the
+    /// ages that end most suspicions.
+    pub(crate) spread: bool,
     /// The known revision or the revision in force changed.
     pub(crate) revision: bool,
 }
@@ -108,17 +115,17 @@
     /// resumed after a pause in which it could hear nothing.
     pub(crate) fn tick(&mut self, now: Instant, resumed: Instant, pace: &Pace) -> Change {
         let silence = now.saturating_duration_since(self.heard.max(resumed));
-        let state = match self.member.state {
-            State::Dead => State::Dead,
-            _ if silence >= pace.dead_after => State::Dead,
-            State::Alive if silence >= pace.suspect_after => State::Suspect,
-            State::Suspect if silence < pace.suspect_after => State::Alive,
-            other => other,
+        let trigger = match silence {
+            silence if silence >= pace.dead_after => Trigger::Expired,
+            silence if silence >= pace.suspect_after => Trigger::Silent,
+            _ => Trigger::Fresh,
         };
+        let state = phase::next(self.member.state, trigger);
         let changed = state != self.member.state;
         self.member.state = state;
         Change {
             state: changed,
+            spread: changed && state == State::Dead,
             revision: false,
         }
     }
@@ -126,23 +133,26 @@
     fn replace(&mut self, member: &Member) -> Change {
         // A restarted process may hold less than the one before, so that nothing is carried over.
         let revision = (member.known, member.in_force) != (self.member.known, self.member.in_force);
-        self.member = member.clone();
+        let state = phase::next(self.member.state, Trigger::Renewed);
+        let before = std::mem::replace(&mut self.member, member.clone());
+        self.member.state = reported(state, member.state);
+        let member = &self.member;
+        let died = (before.state == State::Dead) != (member.state == State::Dead);
+        let left = (before.state == State::Leaving) != (member.state == State::Leaving);
         Change {
             state: true,
+            spread: died || left || before.address != member.address,
             revision,
         }
     }
 
     fn merge(&mut self, member: &Member) -> Change {
-        let state = match (self.member.state, member.state) {
-            (_, State::Dead) => State::Dead,
-            (State::Alive | State::Suspect, State::Leaving) => State::Leaving,
-            (current, _) => current,
-        };
+        let state = reported(self.member.state, member.state);
         let known = self.member.known.max(member.known);
         let in_force = self.member.in_force.max(member.in_force);
         let change = Change {
             state: state != self.member.state,
+            spread: state != self.member.state,
             revision: (known, in_force) != (self.member.known, self.member.in_force),
         };
         self.member.state = state;
@@ -151,3 +161,13 @@
         change
     }
 }
+
+/// Returns the state after a report of a state under the same incarnation.
+fn reported(state: State, report: State) -> State {
+    match report {
+        // Suspicion follows from the age of the news alone.
+        State::Alive | State::Suspect => state,
+        State::Leaving => phase::next(state, Trigger::Left),
+        State::Dead => phase::next(state, Trigger::Departed),
+    }
+}
