sampling: commands go through the lease crate's controller

Cause: the wait of a new holder for engines that ignore fencing numbers was an interim rule in the swap controller, and a command whose answer was lost could be overtaken by a late one.

Change: the swap controller decides which engine loads what and from where; `shallotroute_lease::command` decides when an engine may be commanded and reads its state back. Targets are dropped when a load is done and when the fencing number changes, so that nothing loads an older version unasked. A command without an end is given up after 25 s. The test of the wait moved from the pure controller to a node on loopback.

--- a/crates/shallotroute_rollout/examples/idle.rs
+++ b/crates/shallotroute_rollout/examples/idle.rs
@@ -122,7 +122,7 @@
             base,
             time: 0.0,
             scheduler: Scheduler::new(base, Arc::clone(&configuration), node, Incarnation(1), seed),
-            controller: Controller::new(base, configuration),
+            controller: Controller::new(configuration),
             speeds,
             versions: (0..ENGINES).map(|_| models()).collect(),
             streams: BTreeMap::new(),
--- a/crates/shallotroute_rollout/src/configuration.rs
+++ b/crates/shallotroute_rollout/src/configuration.rs
@@ -6,7 +6,7 @@
 };
 
 use shallotroute_config::{
-    object::{Backend, Fencing, Order, Selection, ServerState, Trainer, VersionState},
+    object::{Backend, Order, Selection, ServerState, Trainer, VersionState},
     set::Set,
 };
 use shallotroute_types::{name::Name, place::Zone, revision::Revision, version::Version};
@@ -31,8 +31,6 @@
     /// The models and adapters that the engines serve, with the version that is loaded when no
     /// trainer has announced one.
     pub models: BTreeMap<Name, Version>,
-    /// What the engines do with commands that carry an old fencing number.
-    pub fencing: Fencing,
 }
 
 /// An engine of the pool.
@@ -83,8 +81,6 @@
             withdrawn: withdrawn.collect(),
             shared: set.routes.values().any(|route| route.pool == *pool),
             models: models(set, &object.models),
-            // Engines of which nothing is known are treated as the less careful kind.
-            fencing: object.fencing.unwrap_or(Fencing::Ignored),
         })
     }
 
--- a/crates/shallotroute_rollout/src/swap.rs
+++ b/crates/shallotroute_rollout/src/swap.rs
@@ -9,7 +9,7 @@
 };
 
 use serde_json::{Value, json};
-use shallotroute_config::object::{Fencing, Swap, Trainer};
+use shallotroute_config::object::{Swap, Trainer};
 use shallotroute_types::{fence::Fence, name::Name, version::Version};
 
 use crate::{configuration::Configuration, engine::Report, staleness::Policy};
@@ -17,6 +17,10 @@
 /// How long an engine may take to load a version; after that the command counts as lost.
 pub const COMMAND_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// How long the controller waits for the end of a command: an earlier one may have to time out first,
+/// and the engine's state is read in between.
+const GIVE_UP_TIME: Duration = Duration::from_secs(25);
+
 /// How often an engine's state is read by the controller.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -79,7 +83,7 @@
         /// The number of the poll.
         number: u64,
     },
-    /// Command an engine to load a version. The lease is checked once more before it is sent.
+    /// Command an engine to load a version, once the lease and earlier commands permit it.
     Load(Command),
 }
 
@@ -107,8 +111,6 @@
     announced: BTreeMap<Name, Version>,
     engines: BTreeMap<Name, Engine>,
     fence: Option<Fence>,
-    /// The earliest time of the first command under the present fencing number.
-    not_before: Instant,
     next: u64,
     actions: Vec<Action>,
 }
@@ -132,17 +134,17 @@
     model: Name,
     version: Version,
     source: Option<SocketAddr>,
+    since: Instant,
 }
 
 impl Controller {
     /// Makes a controller that does not hold the lease.
-    pub fn new(now: Instant, configuration: Arc<Configuration>) -> Self {
+    pub fn new(configuration: Arc<Configuration>) -> Self {
         let mut controller = Self {
             configuration: Arc::clone(&configuration),
             announced: BTreeMap::new(),
             engines: BTreeMap::new(),
             fence: None,
-            not_before: now,
             next: 0,
             actions: Vec::new(),
         };
@@ -154,13 +156,14 @@
     pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Action> {
         match event {
             Event::Configured(configuration) => self.configure(configuration),
-            Event::Held(fence) => self.hold(now, fence),
+            Event::Held(fence) => self.hold(fence),
             Event::Announced(trainer, version) => drop(self.announced.insert(trainer, version)),
             Event::Polled(server, number, report) => self.polled(&server, number, report),
             Event::Ended(server, outcome) => self.ended(now, &server, outcome),
             Event::Tick => {}
         }
         if self.fence.is_some() {
+            self.expire(now);
             self.poll(now);
             self.command(now);
         }
@@ -204,7 +207,7 @@
         self.configuration = configuration;
     }
 
-    fn hold(&mut self, now: Instant, fence: Option<Fence>) {
+    fn hold(&mut self, fence: Option<Fence>) {
         if self.fence == fence {
             return;
         }
@@ -214,12 +217,6 @@
             engine.loading = None;
             engine.confirming = None;
         }
-        // Commands of the previous holder may still reach engines that ignore fencing numbers, or
-        // be carried out by them, until they have timed out.
-        self.not_before = match self.configuration.fencing {
-            Fencing::Checked => now,
-            Fencing::Ignored => now + COMMAND_TIMEOUT,
-        };
     }
 
     fn polled(&mut self, server: &str, number: u64, report: Option<Report>) {
@@ -253,6 +250,19 @@
         }
     }
 
+    /// Gives up commands of which nothing was heard, so that they take no place in a wave.
+    fn expire(&mut self, now: Instant) {
+        let late = |engine: &Engine| {
+            let loading = engine.loading.as_ref();
+            loading.is_some_and(|loading| now >= loading.since + GIVE_UP_TIME)
+        };
+        let servers = self.engines.iter().filter(|(_, engine)| late(engine));
+        let servers: Vec<Name> = servers.map(|(name, _)| name.clone()).collect();
+        for server in servers {
+            self.ended(now, &server, Outcome::Failed);
+        }
+    }
+
     fn poll(&mut self, now: Instant) {
         for (name, engine) in &mut self.engines {
             let due = engine.polled.is_none_or(|at| now >= at + POLL_INTERVAL);
@@ -271,7 +281,7 @@
     }
 
     fn command(&mut self, now: Instant) {
-        let Some(fence) = self.fence.filter(|_| now >= self.not_before) else {
+        let Some(fence) = self.fence else {
             return;
         };
         let models: Vec<Name> = self.configuration.models.keys().cloned().collect();
@@ -285,6 +295,7 @@
                     model: model.clone(),
                     version: target,
                     source,
+                    since: now,
                 });
                 // A poll in flight does not tell what this command changes.
                 engine.poll = None;
--- a/crates/shallotroute_rollout/tests/swap.rs
+++ b/crates/shallotroute_rollout/tests/swap.rs
@@ -9,10 +9,10 @@
 };
 
 use googletest::prelude::*;
-use shallotroute_config::object::{Fencing, Swap, Trainer};
+use shallotroute_config::object::{Swap, Trainer};
 use shallotroute_rollout::{
     engine::Report,
-    swap::{Action, COMMAND_TIMEOUT, Command, Controller, Event, Outcome},
+    swap::{Action, Command, Controller, Event, Outcome},
 };
 use shallotroute_types::{fence::Fence, name::Name, version::Version};
 use support::{configuration, pool, trainer};
@@ -25,13 +25,12 @@
 }
 
 impl Bench {
-    fn new(engines: usize, trainer: Trainer, fencing: Fencing) -> Self {
+    fn new(engines: usize, trainer: Trainer) -> Self {
         let mut pool = pool(engines, 4);
-        pool.fencing = Some(fencing);
         pool.models.truncate(1);
         let now = Instant::now();
         let mut bench = Self {
-            controller: Controller::new(now, configuration(pool, vec![trainer])),
+            controller: Controller::new(configuration(pool, vec![trainer])),
             now,
             versions: (0..engines)
                 .map(|index| (format!("engine-{index}").into(), 5))
@@ -88,7 +87,7 @@
 #[gtest]
 fn waves_leave_samplers_and_use_engines_as_sources() {
     for (idle_weight, wave) in [(0.0, 2), (0.5, 3), (1.0, 4)] {
-        let mut bench = Bench::new(8, waves(idle_weight), Fencing::Checked);
+        let mut bench = Bench::new(8, waves(idle_weight));
         bench.event(Event::Announced("a".into(), Version(6)));
         expect_that!(bench.sources(), eq(&vec![None; wave.min(2)]));
         let mut commands = 0;
@@ -109,7 +108,7 @@
 /// Guards against a baseline that waits for a part of the samplers.
 #[gtest]
 fn all_at_once_takes_all() {
-    let mut bench = Bench::new(8, trainer("a"), Fencing::Checked);
+    let mut bench = Bench::new(8, trainer("a"));
     bench.event(Event::Announced("a".into(), Version(6)));
     let first = bench.loading.remove(0);
     bench.end(first, Outcome::Done);
@@ -132,7 +131,7 @@
 /// Guards against an engine that is left half loaded, and against commands on an assumed state.
 #[gtest]
 fn a_failed_command_is_repeated_after_the_state_is_read_back() {
-    let mut bench = Bench::new(1, waves(0.5), Fencing::Checked);
+    let mut bench = Bench::new(1, waves(0.5));
     bench.event(Event::Announced("a".into(), Version(6)));
     for loaded in [5, 6] {
         let command = bench.loading.pop().unwrap();
@@ -150,33 +149,41 @@
     }
 }
 
-/// Guards against commands without the lease, and too early ones to engines that ignore fencing
-/// numbers.
+/// Guards against commands without the lease, and after another node has acquired it.
 #[gtest]
 fn commands_need_the_lease() {
-    let mut bench = Bench::new(2, waves(0.5), Fencing::Ignored);
+    let mut bench = Bench::new(2, waves(0.5));
+    bench.event(Event::Held(None));
     bench.event(Event::Announced("a".into(), Version(6)));
     expect_that!(bench.loading.len(), eq(0));
-    bench.now += COMMAND_TIMEOUT;
-    bench.event(Event::Tick);
+    bench.event(Event::Held(Some(Fence(4))));
     expect_that!(bench.loading.len(), eq(1));
-    expect_that!(bench.loading[0].fence, eq(Fence(3)));
+    expect_that!(bench.loading[0].fence, eq(Fence(4)));
     let command = bench.loading.pop().unwrap();
     bench.end(command, Outcome::Fenced);
     bench.now += Duration::from_secs(60);
     bench.event(Event::Tick);
     expect_that!(bench.loading.len(), eq(0));
-    bench.event(Event::Held(Some(Fence(5))));
-    bench.now += COMMAND_TIMEOUT;
-    bench.event(Event::Tick);
+    bench.event(Event::Held(Some(Fence(6))));
     expect_that!(bench.loading.len(), eq(1));
 }
 
+/// Guards against a command whose end is never reported and that holds back all other engines.
+#[gtest]
+fn a_command_without_an_end_is_given_up() {
+    let mut bench = Bench::new(2, waves(0.5));
+    bench.event(Event::Announced("a".into(), Version(6)));
+    let first = bench.loading.pop().unwrap().server;
+    bench.now += Duration::from_secs(25);
+    bench.event(Event::Tick);
+    expect_that!(bench.loading[0].server, not(eq(&first)));
+}
+
 /// Guards against a new holder that knows of no announcement and loads the initial version over
 /// newer ones, and against engines that stay without a model.
 #[gtest]
 fn without_an_announcement_the_newest_loaded_version_counts() {
-    let mut bench = Bench::new(2, waves(0.5), Fencing::Checked);
+    let mut bench = Bench::new(2, waves(0.5));
     expect_that!(bench.loading.len(), eq(0));
     bench.versions.insert("engine-1".into(), 0);
     bench.now += Duration::from_secs(1);
--- a/crates/shallotroute_sampling/src/attempt.rs
+++ b/crates/shallotroute_sampling/src/attempt.rs
@@ -138,12 +138,29 @@
     outlet.send(Event::Polled(server, number, report)).await;
 }
 
-/// Reads an engine's state; none when that fails.
+/// Reads what a scheduler or controller needs of an engine's state; none when that fails.
 pub(crate) async fn state(
     engine: &dyn Engine,
     server: &Name,
     address: SocketAddr,
 ) -> Option<known::Report> {
+    let state = read(engine, server, address).await?;
+    Some(known::Report {
+        incarnation: state.incarnation,
+        models: state.models,
+        swapping: state.swapping,
+        load: state.running + state.waiting,
+        slots: state.slots,
+        leaving: state.leaving,
+    })
+}
+
+/// Reads an engine's state; none when that fails.
+pub(crate) async fn read(
+    engine: &dyn Engine,
+    server: &Name,
+    address: SocketAddr,
+) -> Option<engine::State> {
     let result = tokio::time::timeout(STATE_TIMEOUT, engine.state(address))
         .await
         .unwrap_or_else(|_| {
@@ -153,12 +170,5 @@
     if let Err(report) = &result {
         spdlog::debug!("state of engine {} could not be read: {}", server, report);
     }
-    result.ok().map(|state| known::Report {
-        incarnation: state.incarnation,
-        models: state.models,
-        swapping: state.swapping,
-        load: state.running + state.waiting,
-        slots: state.slots,
-        leaving: state.leaving,
-    })
+    result.ok()
 }
--- a/crates/shallotroute_sampling/src/controller.rs
+++ b/crates/shallotroute_sampling/src/controller.rs
@@ -2,17 +2,20 @@
 //! the commands of the pool's controller.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use serde_json::{Value, json};
 use shallotroute_lease::{
+    command,
+    engine::{Report, Target},
     lease::{self, Lease},
     record::Record,
 };
 use shallotroute_platform::{
-    engine::Load,
+    engine::{Load, State},
     error::{Error, Kind},
     store::Store,
 };
@@ -21,7 +24,7 @@
     scheduler,
     swap::{Action, COMMAND_TIMEOUT, Command, Controller, Event, Outcome},
 };
-use shallotroute_types::{name::Name, version::Version};
+use shallotroute_types::{fence::Fence, name::Name};
 use tokio::{
     sync::{mpsc, watch},
     time::MissedTickBehavior,
@@ -45,6 +48,9 @@
 /// What a challenger waits beyond the duration; 5% of clock drift and the precision of the tick.
 const LEASE_MARGIN: Duration = Duration::from_millis(250);
 
+/// How often an engine is read whose earlier commands may still take effect.
+const COMMAND_RETRY: Duration = Duration::from_millis(500);
+
 /// How long a call to the key-value service may take.
 const STORE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -60,6 +66,16 @@
 enum Message {
     Configured(Arc<Configuration>),
     Lease(lease::Event),
+    Read {
+        engine: Name,
+        serial: u64,
+        report: Option<State>,
+    },
+    Loaded {
+        engine: Name,
+        serial: u64,
+        result: Result<(), command::Failure>,
+    },
     Controller(Event),
 }
 
@@ -91,7 +107,16 @@
         let driver = Driver {
             key: Record::key(&config.role),
             lease: Lease::new(config, now),
-            controller: Controller::new(now, Arc::clone(&configuration)),
+            controller: Controller::new(Arc::clone(&configuration)),
+            commands: command::Controller::new(
+                command::Config {
+                    command_timeout: COMMAND_TIMEOUT,
+                    margin: LEASE_MARGIN,
+                    retry_every: COMMAND_RETRY,
+                },
+                now,
+            ),
+            fence: None,
             configuration,
             sampler: Arc::clone(sampler),
             sender: sender.clone(),
@@ -127,6 +152,11 @@
     key: String,
     lease: Lease,
     controller: Controller,
+    /// Decides when an engine may be commanded: not while commands of a former holder, or of this
+    /// one without an answer, may still take effect.
+    commands: command::Controller,
+    /// The fencing number under which `commands` was given its targets.
+    fence: Option<Fence>,
     configuration: Arc<Configuration>,
     sampler: Arc<Sampler>,
     sender: mpsc::Sender<Message>,
@@ -160,12 +190,38 @@
                 self.control(Event::Configured(configuration));
             }
             Message::Lease(event) => self.lease(event),
+            Message::Read {
+                engine,
+                serial,
+                report,
+            } => {
+                let result = report.map(read_back).ok_or(command::Failure::Lost);
+                self.command(command::Event::Read {
+                    engine,
+                    serial,
+                    result,
+                });
+            }
+            Message::Loaded {
+                engine,
+                serial,
+                result,
+            } => self.loaded(engine, serial, result),
+            Message::Controller(Event::Polled(engine, number, Some(report))) => {
+                let incarnation = report.incarnation;
+                self.command(command::Event::Reported {
+                    engine: engine.clone(),
+                    incarnation,
+                });
+                self.control(Event::Polled(engine, number, Some(report)));
+            }
             Message::Controller(event) => self.control(event),
         }
     }
 
     fn tick(&mut self) {
         self.lease(lease::Event::Tick);
+        self.command(command::Event::Tick);
         let trainers: Vec<Name> = self.configuration.trainers.keys().cloned().collect();
         for trainer in trainers {
             if let Some(announcement) = self.sampler.copies.announced(&trainer) {
@@ -210,7 +266,16 @@
                 lease::Action::Released => spdlog::info!("{} no longer held", self.key),
             }
         }
-        self.control(Event::Held(self.lease.held(self.now())));
+        let held = self.lease.held(self.now());
+        if held.is_some() && held != self.fence {
+            self.fence = held;
+            // Targets from before would be older than what another holder has loaded since.
+            let servers: Vec<Name> = self.configuration.servers.keys().cloned().collect();
+            for engine in servers {
+                self.command(command::Event::Removed { engine });
+            }
+        }
+        self.control(Event::Held(held));
     }
 
     fn read(&self) {
@@ -251,34 +316,105 @@
                         Message::Controller(Event::Polled(server, number, report))
                     });
                 }
-                Action::Load(command) => self.load(command),
+                Action::Load(command) => self.target(command),
+            }
+        }
+    }
+
+    /// Gives an engine the version that the controller wants it to load.
+    fn target(&mut self, wanted: Command) {
+        let engine = wanted.server;
+        // The controller has read another version than the one that the engine was left with.
+        if self.commands.version(&engine, &wanted.model) == Some(wanted.version) {
+            self.command(command::Event::Removed {
+                engine: engine.clone(),
+            });
+        }
+        self.command(command::Event::Target {
+            engine,
+            model: wanted.model,
+            target: Target {
+                version: wanted.version,
+                source: wanted.source,
+            },
+        });
+    }
+
+    fn command(&mut self, event: command::Event) {
+        let now = self.now();
+        let held = self.lease.held(now);
+        for action in self.commands.handle(event, held, now) {
+            match action {
+                command::Action::Read { engine, serial } => self.read_engine(engine, serial),
+                command::Action::Load(command) => self.load(command),
             }
         }
     }
 
-    fn load(&self, command: Command) {
+    fn read_engine(&self, engine: Name, serial: u64) {
+        let Some(server) = self.configuration.servers.get(&engine) else {
+            return;
+        };
+        let (edge, address) = (Arc::clone(&self.sampler.edges.engine), server.address);
+        self.report(async move {
+            let report = attempt::read(&*edge, &engine, address).await;
+            Message::Read {
+                engine,
+                serial,
+                report,
+            }
+        });
+    }
+
+    fn load(&self, command: command::Command) {
+        let Some(server) = self.configuration.servers.get(&command.engine) else {
+            return;
+        };
+        let address = server.address;
         let sampler = Arc::clone(&self.sampler);
         let pool = self.configuration.pool.clone();
-        let held = self.lease.held(self.now()) == Some(command.fence);
-        let deadline = self.lease.deadline().filter(|_| held);
+        let held = self.lease.held(self.now());
+        let permitted = self.commands.permits(&command, held);
+        let deadline = self.lease.deadline().filter(|_| permitted);
         self.report(async move {
-            let server = command.server.clone();
+            let (engine, serial) = (command.engine.clone(), command.serial);
             if let Some(handle) = sampler.pool(&pool) {
-                let (server, model) = (server.clone(), command.model.clone());
-                handle
-                    .tell(scheduler::Event::Commanded(server, model))
-                    .await;
+                let event = scheduler::Event::Commanded(engine.clone(), command.model.clone());
+                handle.tell(event).await;
             }
-            let outcome = send(&sampler, deadline, &command).await;
+            let result = send(&sampler, deadline, address, &command).await;
             if let Some(handle) = sampler.pool(&pool) {
-                handle
-                    .tell(scheduler::Event::CommandEnded(server.clone()))
-                    .await;
+                let event = scheduler::Event::CommandEnded(engine.clone());
+                handle.tell(event).await;
+            }
+            Message::Loaded {
+                engine,
+                serial,
+                result,
             }
-            Message::Controller(Event::Ended(server, outcome))
         });
     }
 
+    fn loaded(&mut self, engine: Name, serial: u64, result: Result<(), command::Failure>) {
+        let outcome = match &result {
+            Ok(()) => Outcome::Done,
+            Err(command::Failure::Fenced) => Outcome::Fenced,
+            Err(_) => Outcome::Failed,
+        };
+        self.command(command::Event::Loaded {
+            engine: engine.clone(),
+            serial,
+            result,
+        });
+        if outcome == Outcome::Done {
+            // The next command starts with a read, and nothing loads this version again unasked.
+            self.command(command::Event::Removed {
+                engine: engine.clone(),
+            });
+        }
+        self.control(Event::Ended(engine, outcome));
+    }
+
     fn report(&self, task: impl Future<Output = Message> + Send + 'static) {
         let sender = self.sender.clone();
         tokio::spawn(async move {
@@ -292,33 +428,44 @@
 }
 
 /// Sends a command unless the lease has expired in the meantime.
-async fn send(sampler: &Sampler, deadline: Option<Instant>, command: &Command) -> Outcome {
+async fn send(
+    sampler: &Sampler,
+    deadline: Option<Instant>,
+    address: SocketAddr,
+    command: &command::Command,
+) -> Result<(), command::Failure> {
     let load = Load {
         fence: command.fence,
         model: command.model.clone(),
-        version: command.version,
-        source: command.source,
+        version: command.target.version,
+        source: command.target.source,
     };
-    let engine = &sampler.edges.engine;
     if deadline.is_none_or(|deadline| sampler.context.clock.now() >= deadline) {
-        return Outcome::Failed;
+        return Err(command::Failure::NotRun);
     }
-    let call = engine.load(command.address, load, COMMAND_TIMEOUT);
+    let call = sampler.edges.engine.load(address, load, COMMAND_TIMEOUT);
     match tokio::time::timeout(COMMAND_TIMEOUT, call).await {
-        Ok(Ok(())) => Outcome::Done,
+        Ok(Ok(())) => Ok(()),
         Ok(Err(report)) => {
-            let Version(version) = command.version;
-            spdlog::warn!(
-                "engine {} did not load {version}: {}",
-                command.server,
-                report
-            );
-            match report.current_context().kind {
-                Kind::Fenced => Outcome::Fenced,
-                _ => Outcome::Failed,
-            }
+            spdlog::warn!("engine {} did not load: {}", command.engine, report);
+            Err(match report.current_context().kind {
+                Kind::Fenced => command::Failure::Fenced,
+                Kind::Unreachable | Kind::Throttled | Kind::Refused(_) | Kind::Conflict { .. } => {
+                    command::Failure::NotRun
+                }
+                Kind::Lost | Kind::Malformed(_) => command::Failure::Lost,
+            })
         }
-        Err(_) => Outcome::Failed,
+        Err(_) => Err(command::Failure::Lost),
+    }
+}
+
+fn read_back(state: State) -> Report {
+    Report {
+        incarnation: state.incarnation,
+        models: state.models,
+        swapping: state.swapping.is_some(),
+        fence: state.fence,
     }
 }
 
--- a/crates/shallotroute_sampling/tests/support/mod.rs
+++ b/crates/shallotroute_sampling/tests/support/mod.rs
@@ -34,6 +34,7 @@
 use shallotroute_sampling::{Edges, Sampler};
 use shallotroute_types::{
     clock::System,
+    fence::Fence,
     member::{self, Member, View},
     name::Name,
     node::Incarnation,
@@ -52,6 +53,8 @@
     pub(crate) loads: Mutex<Vec<(SocketAddr, Load)>>,
     pub(crate) values: Mutex<BTreeMap<String, Entry>>,
     pub(crate) down: Mutex<bool>,
+    /// Whether the engines ignore fencing numbers.
+    pub(crate) ignores_fences: Mutex<bool>,
     /// Cloned into each endless stream, so that its count tells how many are open.
     pub(crate) open: Arc<()>,
 }
@@ -93,11 +96,18 @@
     }
 
     fn state(&self, address: SocketAddr) -> BoxFuture<'_, Result<State>> {
+        let loads = self.loads.lock().unwrap();
+        let here = loads.iter().filter(|(engine, _)| *engine == address);
+        let fence = here.map(|(_, load)| load.fence).max().unwrap_or_default();
         let models = [(Name::from("model-a"), Version(self.version(address)))];
         let state = State {
             incarnation: 1,
             models: models.into(),
             slots: 4,
+            fence: match *self.ignores_fences.lock().unwrap() {
+                true => Fence(0),
+                false => fence,
+            },
             ..State::default()
         };
         async move { Ok(state) }.boxed()
@@ -255,6 +265,12 @@
         self.nodes.iter().position(holds).unwrap()
     }
 
+    /// All engines restart with another version.
+    pub(crate) fn reset_engines(&self, loaded: u64) {
+        let mut versions = self.platform.versions.lock().unwrap();
+        versions.values_mut().for_each(|version| *version = loaded);
+    }
+
     /// Stops a node and tells the others that it is dead.
     pub(crate) fn kill(&self, index: usize) {
         self.nodes[index].stop.cancel();
--- a/crates/shallotroute_sampling/tests/versions.rs
+++ b/crates/shallotroute_sampling/tests/versions.rs
@@ -52,13 +52,7 @@
     fleet.kill(holder);
     let node = (holder + 1) % 4;
     // Both engines restart with old weights.
-    fleet
-        .platform
-        .versions
-        .lock()
-        .unwrap()
-        .values_mut()
-        .for_each(|version| *version = 2);
+    fleet.reset_engines(2);
     fleet
         .wait("the engines load version 4 again", || all_have(&fleet, 4))
         .await;
@@ -93,3 +87,26 @@
         .wait("the engines load version 5", || all_have(&fleet, 5))
         .await;
 }
+
+/// Guards against commands of a new holder while those of the former one may still be carried out by
+/// engines that ignore fencing numbers.
+#[gtest]
+#[tokio::test]
+async fn a_new_holder_waits_for_commands_of_the_former_one() {
+    let fleet = Fleet::start(4, ONE_TRAINER).await;
+    *fleet.platform.ignores_fences.lock().unwrap() = true;
+    fleet.call(0, Method::PUT, "/versions/4", &json!({})).await;
+    fleet
+        .wait("the engines load version 4", || all_have(&fleet, 4))
+        .await;
+    let holder = fleet.holder();
+    fleet.kill(holder);
+    fleet.reset_engines(2);
+    fleet
+        .wait("another node holds the lease", || fleet.holder() != holder)
+        .await;
+    let loads = fleet.platform.loads.lock().unwrap().len();
+    // The timeout of a command is 10 s.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    expect_that!(fleet.platform.loads.lock().unwrap().len(), eq(loads));
+}
