--- a/crates/shallotroute/tests/process/support.rs
+++ b/crates/shallotroute/tests/process/support.rs
@@ -79,6 +79,12 @@
         Self::assemble(edit, store, &Layout::new("lk-west", &ZONES)).await
     }
 
+    /// Starts nine nodes, three in each availability zone.
+    pub(crate) async fn start_nine() -> Self {
+        let store = Arc::new(Store::start().await.expect("a free port"));
+        Self::assemble(|_| (), store, &Layout::new("lk-west", &ZONES.repeat(3))).await
+    }
+
     /// Starts with a proxy between the nodes and the key-value service.
     pub(crate) async fn start_behind_proxy() -> (Self, proxy::Tcp) {
         let store = Arc::new(Store::start().await.expect("a free port"));
