--- a/crates/shallotroute_config/src/adoption.rs
+++ b/crates/shallotroute_config/src/adoption.rs
@@ -34,9 +34,13 @@
 /// The time between a watcher's reads of the head, which find what a lost watch missed.
 const READ_INTERVAL: Duration = Duration::from_secs(2);
 
-/// The time between reads of the head by a node that is not established.
+/// The time between reads of the head by a node that is not established; doubled after each failure,
+/// so that a fleet that restarts in an outage does not hold the key-value service down.
 const START_READ_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The most doublings of [`START_READ_INTERVAL`].
+const MAX_DOUBLINGS: u32 = 3;
+
 /// The time between comparisons with a random member.
 const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -51,7 +55,15 @@
 /// before its restart.
 const SETTLE: Duration = Duration::from_secs(4);
 
-/// The pause after a failed watch or load.
+/// How long a starting node waits for heartbeats, five of them, before it takes the members that it
+/// knows for all there are.
+const FIRST_HEARTBEATS: Duration = Duration::from_secs(1);
+
+/// How long a starting node waits for listed hosts that it does not hear. The host list lags by up to
+/// 30 s, so such a host may be gone, or a backend server that no revision has yet.
+const UNHEARD_LIMIT: Duration = Duration::from_secs(30);
+
+/// The pause after a failed watch, load or fetch.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
 /// How many revisions that are not in force are kept. A burst of publications would starve a node
@@ -74,14 +86,16 @@
     floor: Revision,
     started: Instant,
     read_at: Option<Instant>,
+    read_failures: u32,
     watching: bool,
     reading: bool,
+    loading: bool,
     fetching: bool,
     next_watch: Instant,
     next_read: Instant,
+    next_load: Instant,
     next_fetch: Instant,
     next_compare: Instant,
-    load_failed: bool,
     rejected: u64,
 }
 
@@ -100,14 +114,16 @@
             floor: Revision::default(),
             started: now,
             read_at: None,
+            read_failures: 0,
             watching: false,
             reading: false,
+            loading: false,
             fetching: false,
             next_watch: now,
             next_read: now,
+            next_load: now,
             next_fetch: now,
             next_compare: now,
-            load_failed: false,
             rejected: 0,
         }
     }
@@ -126,11 +142,19 @@
             } => self.on_head(call, version, head, asked),
             Event::HeadFailed(call) => self.on_head_failed(call, now, rng),
             Event::Arrived { origin, bundle } => {
-                self.fetching = false;
+                match origin {
+                    Origin::Store => self.loading = false,
+                    Origin::Peer(_) | Origin::Publication => self.fetching = false,
+                }
                 if self.on_arrived(origin, bundle, now) {
                     self.compare(FANOUT, &mut actions, rng);
                 }
             }
+            Event::Published(bundle) => {
+                if self.on_arrived(Origin::Publication, Some(bundle), now) {
+                    self.compare(FANOUT, &mut actions, rng);
+                }
+            }
             Event::Reported(report) => drop(self.roster.report(report)),
             Event::Tick => {}
         }
@@ -215,6 +239,7 @@
     fn on_head(&mut self, call: Call, version: u64, head: Head, asked: Instant) {
         self.ended(call);
         self.read_at = self.read_at.max(Some(asked));
+        self.read_failures = 0;
         self.established = true;
         self.floor = self.floor.max(head.revision);
         // Two reads may end in the other order.
@@ -226,8 +251,9 @@
 
     fn on_head_failed(&mut self, call: Call, now: Instant, rng: &mut ChaCha8Rng) {
         self.ended(call);
-        if call == Call::Watch {
-            self.next_watch = now + jitter(RETRY_PAUSE, rng);
+        match call {
+            Call::Watch => self.next_watch = now + jitter(RETRY_PAUSE, rng),
+            Call::Read => self.read_failures += 1,
         }
     }
 
@@ -240,9 +266,9 @@
 
     /// Keeps a revision if it is whole and newer than all that the node holds.
     fn on_arrived(&mut self, origin: Origin, bundle: Option<Bundle>, now: Instant) -> bool {
-        self.load_failed = false;
         match bundle.map(|bundle| (bundle.open(), bundle)) {
             Some((Ok(snapshot), bundle)) if self.is_acceptable(&snapshot) => {
+                self.roster.set_servers(&snapshot.set);
                 self.pending.push_back(Held {
                     snapshot: Arc::new(snapshot),
                     bundle: Arc::new(bundle),
@@ -258,10 +284,13 @@
             Some(_) => self.rejected += 1,
             None => {}
         }
-        self.next_fetch = now + RETRY_PAUSE;
         match origin {
-            Origin::Store => self.load_failed = true,
-            Origin::Peer(peer) => self.roster.fail(&peer, now),
+            Origin::Store => self.next_load = now + RETRY_PAUSE,
+            Origin::Peer(peer) => {
+                self.next_fetch = now + RETRY_PAUSE;
+                self.roster.fail(&peer, now);
+            }
+            Origin::Publication => {}
         }
         false
     }
@@ -276,7 +305,7 @@
     }
 
     fn establish(&mut self, now: Instant) {
-        if self.established || now < self.started + SETTLE || !self.roster.majority() {
+        if self.established || now < self.started + SETTLE {
             return;
         }
         if let Some(newest) = self.roster.quorum() {
@@ -303,7 +332,7 @@
         }
         let interval = match self.established {
             true => READ_INTERVAL,
-            false => START_READ_INTERVAL,
+            false => START_READ_INTERVAL * (1 << self.read_failures.min(MAX_DOUBLINGS)),
         };
         if read_due {
             self.next_read = now + jitter(interval, rng);
@@ -315,27 +344,31 @@
         }
     }
 
+    /// Asks a node that holds a newer revision. The key-value service is asked as well by the nodes
+    /// that watch the head, since nobody may hold its revision yet, and by others if nobody does.
     fn ask_revision(&mut self, now: Instant, actions: &mut Vec<Action>, rng: &mut ChaCha8Rng) {
-        if self.fetching || now < self.next_fetch {
-            return;
-        }
         let known = self.known();
+        let source = self.roster.source(known, now, rng);
         let head = self.head.as_ref().filter(|head| head.revision > known);
-        let load = head.and_then(|head| head.record.clone());
-        let fetch = self.roster.source(known, now, rng);
-        let prefers_store = self.roster.is_watcher() && !self.load_failed;
-        let action = match (load, fetch) {
-            (Some(hash), None) => Action::Load(hash),
-            (Some(hash), Some(_)) if prefers_store => Action::Load(hash),
-            (_, Some((member, revision))) => Action::Fetch {
+        let load_due = !self.loading && now >= self.next_load;
+        if let Some(hash) = head.and_then(|head| head.record.clone())
+            && load_due
+            && (source.is_none() || self.roster.is_watcher())
+        {
+            self.loading = true;
+            actions.push(Action::Load(hash));
+        }
+        if let Some((member, revision)) = source
+            && !self.fetching
+            && now >= self.next_fetch
+        {
+            self.fetching = true;
+            actions.push(Action::Fetch {
                 peer: member.id.clone(),
                 address: member.address,
                 revision,
-            },
-            (None, None) => return,
-        };
-        self.fetching = true;
-        actions.push(action);
+            });
+        }
     }
 
     fn ask_peers(&mut self, now: Instant, actions: &mut Vec<Action>, rng: &mut ChaCha8Rng) {
@@ -356,9 +389,18 @@
         actions.extend(self.roster.sample(count, rng).into_iter().map(compare));
     }
 
+    /// Tells whether the members that the node knows are enough to count holders among. A node that
+    /// has just started or is cut off may know none of the others and must not count to 0.
+    fn knows_peers(&self, now: Instant) -> bool {
+        let age = now.saturating_duration_since(self.started);
+        self.roster.has_enough_peers()
+            || age >= FIRST_HEARTBEATS && self.roster.unheard() == 0
+            || age >= UNHEARD_LIMIT
+    }
+
     /// Puts the newest pending revision in force that enough other nodes hold.
     fn apply(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if !self.established {
+        if !self.established || !self.knows_peers(now) {
             return;
         }
         let ready = self.pending.iter().rposition(|held| {
