shallotroute: measure sends requests as a balancer does

Cause: in node-crash 146 of 1122 requests failed as unreachable, because callers chose the dead node for five seconds; no balancer does that. Change: callers choose among the nodes that were ready at the last check, every 500 ms; an error without a code is counted by its status.

--- a/crates/shallotroute/examples/measure/main.rs
+++ b/crates/shallotroute/examples/measure/main.rs
@@ -4,6 +4,7 @@
 // The example's output is its result.
 #![allow(clippy::print_stdout)]
 
+mod balancer;
 mod fault;
 mod load;
 mod observer;
--- a/crates/shallotroute/examples/measure/report.rs
+++ b/crates/shallotroute/examples/measure/report.rs
@@ -108,6 +108,9 @@
         .filter_map(|sent| sent.last().result.as_ref().err())
     {
         let name = match failure {
+            Failure::Refused(status, refusal) if refusal.code.is_empty() => {
+                format!("status_{}", status.as_u16())
+            }
             Failure::Refused(_, refusal) => refusal.code.clone(),
             Failure::Broken(refusal) => format!("broken_{}", refusal.code),
             Failure::Unreachable => "unreachable".to_owned(),
