--- a/crates/shallotroute_node/src/parts.rs
+++ b/crates/shallotroute_node/src/parts.rs
@@ -212,7 +212,7 @@
             ..throttle::Options::default()
         };
         let clock = Arc::clone(&context.clock);
-        let store = Throttle::new(Arc::new(store), clock, throttle_options, &mut registry);
+        let throttle = Throttle::new(Arc::new(store), clock, throttle_options, &mut registry);
         let hosts = Arc::new(Hosts::new(client.clone(), platform.hosts, PLATFORM_TIMEOUT));
         let engine = Arc::new(Engine::new(client.clone()));
         let options = Options {
@@ -235,7 +235,7 @@
         let edges = Edges {
             engine,
             scorer,
-            store: store.clone(),
+            store: throttle.clone(),
         };
         let sampler = Sampler::new(context.clone(), edges, &mut registry);
         let (dump, control_slot) = dump(&heartbeat, &gateway, &sampler);
@@ -243,7 +243,7 @@
         let control = Control::new(
             context.clone(),
             senders.outputs,
-            store,
+            throttle.clone(),
             hosts,
             operators,
             dump,
@@ -252,7 +252,7 @@
         // The slot is new, so that setting it can't fail.
         let _ = control_slot.set(Arc::clone(&control));
         Self {
-            throttle: store,
+            throttle,
             heartbeat,
             control,
             gateway,
