--- a/crates/shallotroute_membership/src/table/receive.rs
+++ b/crates/shallotroute_membership/src/table/receive.rs
@@ -1,22 +1,30 @@
 //! Datagrams of other nodes.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
 
 use shallotroute_types::{
     member::{Member, State},
     node::Incarnation,
 };
 
-use super::{Action, Table};
+use super::{Action, Table, is_live};
 use crate::{
-    datagram::{Age, Frame, News},
-    digest::{Groups, MAX_BITS},
+    datagram::{Frame, News},
+    digest::{hash, key},
     member::Entry,
 };
 
 /// The shortest time between two answers that tell a member about its own state.
 const TELL_EVERY: Duration = Duration::from_millis(500);
 
+/// How many datagrams carry the state of a newly learned member. Few, because a difference between two
+/// live sets is answered with what is missing, and because a fleet that starts at once would otherwise
+/// leave no room for ages for many minutes.
+const NEWCOMER_SPREAD: u32 = 2;
+
 impl Table {
     pub(super) fn receive(&mut self, frame: &Frame, now: Instant, actions: &mut Vec<Action>) {
         let sender = &frame.sender;
@@ -28,10 +36,14 @@
         if !self.report(frame, now, actions) {
             return;
         }
+        let incarnation = self.local.incarnation;
         for news in &frame.news {
             self.news(news, now, actions);
         }
-        self.apply_ages(frame, now);
+        if self.local.incarnation != incarnation {
+            self.refute(sender.address, now, actions);
+        }
+        self.apply_ages(frame, now, actions);
     }
 
     /// Takes the sender's report of itself; tells whether the rest of the frame may be used.
@@ -53,11 +65,11 @@
         // has to learn of it to raise its incarnation.
         if (behind || dead && change.is_some()) && due {
             entry.told = Some(now);
-            let news = News {
-                member: entry.member.clone(),
-                age: Age::UNKNOWN,
+            let seen = Member {
+                address: sender.address,
+                ..entry.member.clone()
             };
-            self.tell(sender.address, news, now, actions);
+            self.tell(seen, now, actions);
         }
         let Some(change) = change else {
             actions.push(Action::Replayed);
@@ -87,9 +99,8 @@
     }
 
     fn insert(&mut self, mut entry: Entry, actions: &mut Vec<Action>) {
-        entry.spread = self.spread();
+        entry.spread = NEWCOMER_SPREAD;
         self.entries.insert(entry.member.id.clone(), entry);
-        self.regroup = true;
         actions.push(Action::Changed);
     }
 
@@ -101,39 +112,56 @@
         if self.local.state != State::Dead && (doubted || seen.incarnation > self.local.incarnation)
         {
             self.local.incarnation = Incarnation(seen.incarnation.0.saturating_add(1));
-            self.regroup = true;
             self.urgent = true;
         }
     }
 
-    fn apply_ages(&mut self, frame: &Frame, now: Instant) {
-        if frame.ages.is_empty() || frame.bits > MAX_BITS {
+    fn apply_ages(&mut self, frame: &Frame, now: Instant, actions: &mut Vec<Action>) {
+        if frame.members == 0 {
             return;
         }
-        self.regroup_if_needed();
-        let other = (frame.bits != self.groups.bits).then(|| self.group(frame.bits));
-        let mut mismatched = Vec::new();
-        for bucket in &frame.ages {
-            let groups: &Groups = other.as_ref().unwrap_or(&self.groups);
-            let Some(group) = groups.buckets.get(usize::from(bucket.index)) else {
-                continue;
-            };
-            if group.check() != bucket.check || group.ids.len() != bucket.ages.len() {
-                mismatched.extend(group.ids.iter().cloned());
-                continue;
-            }
-            for (id, age) in group.ids.iter().zip(&bucket.ages) {
-                if let Some(entry) = self.entries.get_mut(id)
-                    && let Some(heard) = age.duration().and_then(|age| now.checked_sub(age))
-                {
-                    entry.heard = entry.heard.max(heard);
+        let mut found: HashMap<u16, Match> = HashMap::with_capacity(frame.ages.len());
+        let mut end: u16 = 0;
+        for seen in &frame.ages {
+            end = end.saturating_add(seen.gap);
+            let heard = seen.age.duration().and_then(|age| now.checked_sub(age));
+            let matched = found.entry(end).or_insert(Match { heard, count: 0 });
+            matched.heard = matched.heard.min(heard);
+        }
+        let offset = |hash: u64| key(hash, frame.salt).wrapping_sub(frame.start);
+        if let Some(matched) = found.get_mut(&offset(hash(&self.local.id))) {
+            matched.count += 1;
+        }
+        let mut missing = Vec::new();
+        for entry in self.entries.values().filter(|entry| is_live(&entry.member)) {
+            let offset = offset(entry.hash);
+            match found.get_mut(&offset) {
+                Some(matched) => matched.count += 1,
+                None if frame.whole || offset <= end => {
+                    missing.push(entry.member.id.clone());
                 }
+                None => {}
             }
         }
-        for id in mismatched {
-            if let Some(entry) = self.entries.get_mut(&id) {
-                entry.spread = entry.spread.max(1);
+        for entry in self.entries.values_mut() {
+            if let Some(Match {
+                heard: Some(heard),
+                count: 1,
+            }) = found.get(&offset(entry.hash))
+                && is_live(&entry.member)
+            {
+                entry.heard = entry.heard.max(*heard);
             }
         }
+        missing.retain(|id| *id != frame.sender.id);
+        if frame.members != self.live_set() {
+            self.complete(frame.sender.address, missing, now, actions);
+        }
     }
 }
+
+/// How a key of a datagram fits the members of the table.
+struct Match {
+    heard: Option<Instant>,
+    count: usize,
+}
--- a/crates/shallotroute_membership/src/table/send.rs
+++ b/crates/shallotroute_membership/src/table/send.rs
@@ -7,15 +7,12 @@
 };
 
 use rand::{RngExt, seq::SliceRandom};
-use shallotroute_types::{
-    member::{Member, State},
-    node::Id,
-};
+use shallotroute_types::{member::Member, node::Id};
 
-use super::{Action, Table};
+use super::{Action, Table, is_live};
 use crate::{
-    datagram::{Age, Bucket, Frame, MAX_BYTES, MAX_NEWS, News},
-    digest::{Groups, hash},
+    datagram::{Age, Frame, MAX_BYTES, MAX_NEWS, News, Seen},
+    digest::{self, hash, key},
     pace::{FANOUT, Pace},
 };
 
@@ -28,14 +25,16 @@
 /// States per datagram that are repeated though they did not change.
 const REPEATED_NEWS: usize = 2;
 
-/// An upper bound of a datagram's bytes without names, states and ages.
-const FIXED_BYTES: usize = 64;
-
-/// An upper bound of a member's bytes without its names: address, incarnation, state, revisions.
-const MEMBER_BYTES: usize = 60;
+/// An upper bound of a datagram's bytes without members and ages.
+const FIXED_BYTES: usize = 56;
 
-/// An upper bound of a bucket's bytes without its ages.
-const BUCKET_BYTES: usize = 8;
+/// The ages of the members in a range of keys.
+#[derive(Default)]
+struct Range {
+    start: u16,
+    whole: bool,
+    ages: Vec<Seen>,
+}
 
 impl Table {
     pub(super) fn send_due(&mut self, now: Instant, actions: &mut Vec<Action>) {
@@ -51,7 +50,7 @@
     fn round(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let to = self.choose_targets();
         let (frame, bytes) = self.frame(true, now);
-        self.pace = Pace::new(self.live_count() + 1, bytes);
+        self.pace = self.choose_pace(bytes);
         // The jitter keeps nodes that started together from sending together.
         let jitter = self.random.random_range(0.9..1.1);
         self.next_round = now + self.pace.interval.mul_f64(jitter);
@@ -62,6 +61,21 @@
         }
     }
 
+    /// Calculates the time limits from the length that a datagram with news of all members would have.
+    /// The actual length does not suffice: a node that heard nothing for a while sends short datagrams,
+    /// and would conclude that news travels fast.
+    fn choose_pace(&self, bytes: usize) -> Pace {
+        let members = self.live_count() + 1;
+        let local = member_bytes(&self.local) + 1;
+        let room = MAX_BYTES - FIXED_BYTES - local;
+        let room = room - (local * REPEATED_NEWS).min(room / 2);
+        let base = MAX_BYTES - room;
+        let gap = u64::from(u16::MAX) / members as u64;
+        let all = (members - 1) * (varint_bytes(gap) + 1);
+        let coverage = room as f64 / all.max(room) as f64;
+        Pace::new(members, bytes.max(base + all.min(room)), coverage)
+    }
+
     /// Returns the next targets of a pass over all live members in random order.
     fn choose_targets(&mut self) -> Vec<SocketAddr> {
         let wanted = FANOUT.min(self.live_count());
@@ -133,16 +147,54 @@
         });
     }
 
-    /// Tells a member what is known of it.
-    pub(super) fn tell(
+    /// Answers a member with states of members that it does not seem to know.
+    pub(super) fn complete(
         &mut self,
         to: SocketAddr,
-        news: News,
+        mut missing: Vec<Id>,
         now: Instant,
         actions: &mut Vec<Action>,
     ) {
+        if missing.is_empty() || now < self.next_answer {
+            return;
+        }
+        self.next_answer = now + self.pace.interval / FANOUT as u32;
+        missing.shuffle(&mut self.random);
+        missing.truncate(MAX_NEWS);
+        let (mut frame, bytes) = self.frame(false, now);
+        let mut room = MAX_BYTES - bytes;
+        frame.news.clear();
+        for entry in missing.iter().filter_map(|id| self.entries.get(id)) {
+            let bytes = member_bytes(&entry.member) + 1;
+            if bytes <= room {
+                room -= bytes;
+                frame.news.push(News {
+                    member: entry.member.clone(),
+                    age: Age::new(entry.silence(now)),
+                });
+            }
+        }
+        actions.push(Action::Send {
+            to: vec![to],
+            frame,
+        });
+    }
+
+    /// Tells a member how it is seen, so that it can refute.
+    pub(super) fn tell(&mut self, member: Member, now: Instant, actions: &mut Vec<Action>) {
         let (mut frame, _) = self.frame(false, now);
-        frame.news = vec![news];
+        let to = vec![member.address];
+        frame.news = vec![News {
+            member,
+            age: Age::UNKNOWN,
+        }];
+        actions.push(Action::Send { to, frame });
+    }
+
+    /// Refutes a suspicion towards the node that reported it.
+    pub(super) fn refute(&mut self, to: SocketAddr, now: Instant, actions: &mut Vec<Action>) {
+        let (mut frame, _) = self.frame(false, now);
+        frame.news.clear();
         actions.push(Action::Send {
             to: vec![to],
             frame,
@@ -164,12 +216,17 @@
     fn frame(&mut self, with_ages: bool, now: Instant) -> (Box<Frame>, usize) {
         self.sequence += 1;
         let mut room = MAX_BYTES - FIXED_BYTES - member_bytes(&self.local);
-        let news = self.choose_news(&mut room, now);
-        let ages = if with_ages {
-            self.choose_ages(&mut room, now)
-        } else {
-            Vec::new()
+        // Half of the room is for ages, which long names would otherwise leave no room for.
+        let mut half = room / 2;
+        room -= half;
+        let news = self.choose_news(&mut half, now);
+        room += half;
+        let salt = self.random.random();
+        let range = match with_ages {
+            true => self.choose_ages(salt, &mut room, now),
+            false => Range::default(),
         };
+        let members = if with_ages { self.live_set() } else { 0 };
         let confirmed = self
             .confirmed
             .map(|at| now.saturating_duration_since(at).as_millis());
@@ -181,8 +238,11 @@
                 .unwrap_or(u32::MAX),
             load: self.load,
             news,
-            bits: self.groups.bits,
-            ages,
+            members,
+            salt,
+            start: range.start,
+            whole: range.whole,
+            ages: range.ages,
         };
         (Box::new(frame), MAX_BYTES - room)
     }
@@ -240,75 +300,75 @@
         next
     }
 
-    /// Takes as many buckets as there is room for, in turn.
-    fn choose_ages(&mut self, room: &mut usize, now: Instant) -> Vec<Bucket> {
-        self.regroup_if_needed();
-        let count = self.groups.buckets.len();
+    /// Takes the members in a range of keys that starts at random and is as long as there is room for.
+    /// The salt makes each range a random choice of members, and a range needs one byte for most keys.
+    fn choose_ages(&mut self, salt: u16, room: &mut usize, now: Instant) -> Range {
+        let start: u16 = self.random.random();
+        let limit = self.pace.suspect_after;
+        let mut recent: Vec<(u16, Duration)> = self
+            .entries
+            .values()
+            .filter(|entry| is_live(&entry.member))
+            .map(|entry| {
+                (
+                    key(entry.hash, salt).wrapping_sub(start),
+                    entry.silence(now),
+                )
+            })
+            .filter(|(_, silence)| *silence < limit)
+            .collect();
+        recent.sort_unstable_by_key(|(offset, _)| *offset);
         let mut ages = Vec::new();
-        for _ in 0..count {
-            self.bucket = (self.bucket + 1) % count;
-            let group = &self.groups.buckets[self.bucket];
-            let bytes = BUCKET_BYTES + group.ids.len();
+        let mut last = 0;
+        let mut whole = true;
+        for (offset, silence) in recent {
+            let gap = offset - last;
+            let bytes = varint_bytes(gap.into()) + 1;
             if bytes > *room {
-                self.bucket = (self.bucket + count - 1) % count;
+                whole = false;
                 break;
             }
-            if group.ids.is_empty() {
-                continue;
-            }
             *room -= bytes;
-            let age = |id: &Id| match self.entries.get(id) {
-                Some(entry) => Age::new(entry.silence(now)),
-                None => Age(0),
-            };
-            ages.push(Bucket {
-                index: self.bucket as u8,
-                check: group.check(),
-                ages: group.ids.iter().map(age).collect(),
+            last = offset;
+            ages.push(Seen {
+                gap,
+                age: Age::new(silence),
             });
         }
-        ages
+        Range { start, whole, ages }
     }
 
-    pub(super) fn regroup_if_needed(&mut self) {
-        if self.regroup {
-            self.regroup = false;
-            self.groups = self.group(Groups::bits_for(self.live_count() + 1));
-        }
+    /// Returns a hash of the live members and the local node.
+    pub(super) fn live_set(&self) -> u32 {
+        let entries = self.entries.values().filter(|entry| is_live(&entry.member));
+        let local = std::iter::once(hash(&self.local.id));
+        digest::set(entries.map(|entry| entry.hash).chain(local))
     }
 
-    /// Groups the live members and the local node by the leading bits of their hashes.
-    pub(super) fn group(&self, bits: u8) -> Groups {
-        let local = &self.local;
-        let mut members: Vec<_> = self
-            .entries
-            .values()
-            .filter(|entry| is_live(&entry.member))
-            .map(|entry| (&entry.member, entry.hash))
-            .collect();
-        let position = members.partition_point(|(member, _)| member.id < local.id);
-        members.insert(position, (local, hash(&local.id)));
-        let members = members
-            .into_iter()
-            .map(|(member, hash)| (&member.id, hash, member.incarnation, member.state));
-        Groups::new(bits, members)
-    }
-
-    fn live(&self) -> impl Iterator<Item = &Member> {
+    pub(super) fn live(&self) -> impl Iterator<Item = &Member> {
         let members = self.entries.values().map(|entry| &entry.member);
         members.filter(|member| is_live(member))
     }
 
-    fn live_count(&self) -> usize {
+    pub(super) fn live_count(&self) -> usize {
         self.live().count()
     }
 }
 
-/// Tells whether a member takes part in gossip; a leaving one does.
-fn is_live(member: &Member) -> bool {
-    member.state != State::Dead
+/// Returns the bytes of a member in a datagram.
+fn member_bytes(member: &Member) -> usize {
+    let names = [&member.id, &member.region, &member.zone];
+    let names: usize = names.into_iter().map(|name| name.len() + 2).sum();
+    let numbers = [member.incarnation.0, member.known.0, member.in_force.0];
+    let numbers: usize = numbers.into_iter().map(varint_bytes).sum();
+    let ip = if member.address.is_ipv4() { 4 } else { 16 };
+    let port = 3;
+    let tags = 2;
+    names + numbers + ip + port + tags
 }
 
-fn member_bytes(member: &Member) -> usize {
-    MEMBER_BYTES + member.id.len() + member.region.len() + member.zone.len()
+/// Returns the bytes of a number in the variable-length encoding of `postcard`.
+fn varint_bytes(number: u64) -> usize {
+    let bits = u64::BITS - number.leading_zeros();
+    bits.div_ceil(7).max(1) as usize
 }
