config: all missing fields of an object are reported at once

Cause: only the first missing field of an object was reported. Change: a missing field is filled with a value that fits, and the rest is read again. Conclusion: the check reports all faults of an object in one run.

--- a/crates/shallotroute_config/src/document.rs
+++ b/crates/shallotroute_config/src/document.rs
@@ -200,7 +200,8 @@
 }
 
 /// Reads fields and collects all their faults. serde stops at the first fault, so the field that
-/// causes it is removed and the rest is read again.
+/// causes it is removed, or filled with a value that fits if it is missing, and the rest is read
+/// again.
 fn read_fields<T: DeserializeOwned>(
     mut mapping: Mapping,
     prefix: &str,
@@ -211,8 +212,13 @@
             Ok(value) => return Some(value),
             Err(message) => message,
         };
+        if let Some(field) = missing(&message) {
+            push_missing(&format!("{prefix}{field}"), &message, faults);
+            mapping.insert(Value::from(field), stand_in::<T>(&mapping, field)?);
+            continue;
+        }
         let Some(key) = cause::<T>(&mapping, &message) else {
-            push_general(message, prefix, faults);
+            faults.push((prefix.trim_end_matches('.').to_owned(), message));
             return None;
         };
         let name = key.as_str().unwrap_or("").to_owned();
@@ -226,9 +232,6 @@
 
 /// Returns the field without which the fault does not appear.
 fn cause<T: DeserializeOwned>(mapping: &Mapping, message: &str) -> Option<Value> {
-    if message.starts_with("missing field") {
-        return None;
-    }
     let causes = |key: &&Value| {
         let mut rest = mapping.clone();
         rest.remove(*key);
@@ -244,18 +247,37 @@
     serde_yaml_ng::from_value(Value::Mapping(mapping.clone())).map_err(|error| error.to_string())
 }
 
-/// Adds a fault that no present field causes, unless it only follows from a removed field.
-fn push_general(message: String, prefix: &str, faults: &mut Vec<(String, String)>) {
-    let missing = message
+/// Returns the name of the field that a message says is missing.
+fn missing(message: &str) -> Option<&str> {
+    message
         .strip_prefix("missing field `")
-        .and_then(|rest| rest.strip_suffix('`'));
-    match missing {
-        Some(field) => {
-            let path = format!("{prefix}{field}");
-            if !faults.iter().any(|(other, _)| *other == path) {
-                faults.push((path, message));
-            }
-        }
-        None => faults.push((prefix.trim_end_matches('.').to_owned(), message)),
+        .and_then(|rest| rest.strip_suffix('`'))
+}
+
+/// Adds the fault of a missing field, unless it was removed because of a fault of its own.
+fn push_missing(path: &str, message: &str, faults: &mut Vec<(String, String)>) {
+    if !faults.iter().any(|(other, _)| other == path) {
+        faults.push((path.to_owned(), message.to_owned()));
     }
 }
+
+/// Returns a value that fits a missing field, so that the faults after it are found, too.
+fn stand_in<T: DeserializeOwned>(mapping: &Mapping, field: &str) -> Option<Value> {
+    let values = [
+        Value::from("x"),
+        Value::from(1),
+        Value::Sequence(Vec::new()),
+        Value::from("127.0.0.1:1"),
+        Value::from("interactive"),
+        Value::from("engine"),
+    ];
+    let key = Value::from(field);
+    values.into_iter().find(|value| {
+        let mut whole = mapping.clone();
+        whole.insert(key.clone(), value.clone());
+        match parse::<T>(&whole) {
+            Ok(_) => true,
+            Err(message) => missing(&message).is_some_and(|other| other != field),
+        }
+    })
+}
