ctl: the program's exit codes are tested

Cause: only the library's results were tested. Change: one test starts the program. Conclusion: exit codes 0, 1 and 2 as documented.

--- a/crates/shallotroute_ctl/tests/command.rs
+++ b/crates/shallotroute_ctl/tests/command.rs
@@ -361,3 +361,20 @@
         contains_substring(format!("{file}:4: error: limit/members"))
     )
 }
+
+#[gtest]
+fn the_program_ends_with_the_documented_codes() -> Result<()> {
+    // Guards against a program whose exit code is not that of the command.
+    for (arguments, code) in [
+        (&["check", "no-such.yaml"][..], 1),
+        (&[], 2),
+        (&["--help"], 0),
+    ] {
+        let program = env!("CARGO_BIN_EXE_shallotctl");
+        let status = std::process::Command::new(program)
+            .args(arguments)
+            .output()?;
+        verify_that!(status.status.code(), some(eq(code)))?;
+    }
+    Ok(())
+}
