shallotroute_membership: only young news where a datagram can't carry all

Cause: in a trial with 1,700 nodes suspects were told at up to 40 datagrams a second and node, which brought the bytes to 11.7 KB/s, and ages above the useful took room. Change: at most two suspects are told between two rounds; where one datagram does not cover all members, ages above half of the suspicion time are left out.

--- a/crates/shallotroute_membership/src/pace.rs
+++ b/crates/shallotroute_membership/src/pace.rs
@@ -34,7 +34,7 @@
 const SPARE_ROUNDS: f64 = 2.0;
 
 /// The time limits for a number of members and a length of datagrams.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Pace {
     /// The time between two rounds.
     pub interval: Duration,
@@ -42,6 +42,8 @@
     pub suspect_after: Duration,
     /// Silence after which a member is declared dead.
     pub dead_after: Duration,
+    /// The share of the members of which one datagram can carry news.
+    pub coverage: f64,
 }
 
 impl Pace {
@@ -62,6 +64,7 @@
             interval,
             suspect_after,
             dead_after: DEAD_AFTER.max(suspect_after * 2),
+            coverage,
         }
     }
 }
--- a/crates/shallotroute_membership/src/table.rs
+++ b/crates/shallotroute_membership/src/table.rs
@@ -23,7 +23,8 @@
 mod receive;
 mod send;
 
-/// Suspects that are told in one tick; when many are silent, the fault is likely on this side.
+/// Suspects that are told between two rounds. When many are silent, the fault is likely on this side,
+/// and with 1,700 nodes more would exceed the budget of bytes.
 const MAX_TOLD: usize = 2;
 
 /// A gap between two ticks after which the node counts as having been paused.
@@ -107,6 +108,8 @@
     next_probe: Instant,
     last_round: Instant,
     next_answer: Instant,
+    /// How many more suspects may be told before the next round.
+    may_tell: usize,
     ticked: Instant,
     resumed: Instant,
     /// Whether the next round does not wait for its interval.
@@ -133,6 +136,7 @@
             next_probe: now,
             last_round: now,
             next_answer: now,
+            may_tell: MAX_TOLD,
             ticked: now,
             resumed: now,
             urgent: false,
@@ -229,7 +233,8 @@
                 suspects.push(entry.member.clone());
             }
         }
-        suspects.truncate(MAX_TOLD);
+        suspects.truncate(self.may_tell);
+        self.may_tell -= suspects.len();
         for member in suspects {
             self.tell(member, now, actions);
         }
--- a/crates/shallotroute_membership/src/table/send.rs
+++ b/crates/shallotroute_membership/src/table/send.rs
@@ -9,7 +9,7 @@
 use rand::{RngExt, seq::SliceRandom};
 use shallotroute_types::{member::Member, node::Id};
 
-use super::{Action, Table, is_live};
+use super::{Action, MAX_TOLD, Table, is_live};
 use crate::{
     datagram::{Age, Frame, MAX_BYTES, MAX_NEWS, News, Seen},
     digest::{self, hash, key},
@@ -56,6 +56,7 @@
         self.next_round = now + self.pace.interval.mul_f64(jitter);
         self.last_round = now;
         self.urgent = false;
+        self.may_tell = MAX_TOLD;
         if !to.is_empty() {
             actions.push(Action::Send { to, frame });
         }
@@ -304,7 +305,12 @@
     /// The salt makes each range a random choice of members, and a range needs one byte for most keys.
     fn choose_ages(&mut self, salt: u16, room: &mut usize, now: Instant) -> Range {
         let start: u16 = self.random.random();
-        let limit = self.pace.suspect_after;
+        // News that not all members can be told of goes out only while it is young: older news is
+        // likely known, and would take the room of younger.
+        let limit = match self.pace.coverage < 1.0 {
+            true => self.pace.suspect_after / 2,
+            false => self.pace.suspect_after,
+        };
         let mut recent: Vec<(u16, Duration)> = self
             .entries
             .values()
