rollout, sampling: shorter functions

The example `capacity` no longer sets `fencing` in the scheduler's configuration, which went with the wait of a new holder.

Conclusion: none beyond style.

--- a/crates/shallotroute/examples/capacity/sampling.rs
+++ b/crates/shallotroute/examples/capacity/sampling.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use shallotroute_config::object::{Fencing, Order, Selection, Swap, Tail, Trainer};
+use shallotroute_config::object::{Order, Selection, Swap, Tail, Trainer};
 use shallotroute_rollout::{
     configuration::{Configuration, Server},
     engine::Report,
@@ -252,7 +252,6 @@
         withdrawn: BTreeSet::new(),
         shared: false,
         models: BTreeMap::from([(Name::from("model"), Version(1))]),
-        fencing: Fencing::Ignored,
     }
 }
 
--- a/crates/shallotroute_rollout/src/counters.rs
+++ b/crates/shallotroute_rollout/src/counters.rs
@@ -46,3 +46,11 @@
     /// How long answered pulls waited.
     pub waits: Vec<Duration>,
 }
+
+impl Counters {
+    /// Counts an attempt, which may replace a doomed one.
+    pub fn start(&mut self, replaced: bool) {
+        self.started += 1;
+        self.replaced += u64::from(replaced);
+    }
+}
--- a/crates/shallotroute_rollout/src/scheduler.rs
+++ b/crates/shallotroute_rollout/src/scheduler.rs
@@ -193,6 +193,27 @@
     }
 
     fn configure(&mut self, now: Instant, configuration: Arc<Configuration>) {
+        self.configure_engines(&configuration);
+        self.configuration = configuration;
+        let removed: Vec<Key> = self
+            .steps
+            .keys()
+            .filter(|key| !self.configuration.trainers.contains_key(&key.trainer))
+            .cloned()
+            .collect();
+        for key in removed {
+            self.delete(now, &key, Refusal::Moved);
+        }
+        let trainers: Vec<Name> = self.configuration.trainers.keys().cloned().collect();
+        for trainer in &trainers {
+            self.stop_doomed(trainer);
+        }
+        self.discard_for_pulls();
+        self.poll(now);
+        self.place(now);
+    }
+
+    fn configure_engines(&mut self, configuration: &Configuration) {
         let servers = &configuration.servers;
         let gone: Vec<Attempt> = self
             .engines
@@ -219,23 +240,6 @@
             engine.leaving = server.leaving;
             self.engines.insert(name.clone(), engine);
         }
-        self.configuration = configuration;
-        let removed: Vec<Key> = self
-            .steps
-            .keys()
-            .filter(|key| !self.configuration.trainers.contains_key(&key.trainer))
-            .cloned()
-            .collect();
-        for key in removed {
-            self.delete(now, &key, Refusal::Moved);
-        }
-        let trainers: Vec<Name> = self.configuration.trainers.keys().cloned().collect();
-        for trainer in &trainers {
-            self.stop_doomed(trainer);
-        }
-        self.discard_for_pulls();
-        self.poll(now);
-        self.place(now);
     }
 
     fn submit(&mut self, now: Instant, key: Key, specification: Arc<Specification>) {
--- a/crates/shallotroute_rollout/src/scheduler/attempts.rs
+++ b/crates/shallotroute_rollout/src/scheduler/attempts.rs
@@ -8,7 +8,7 @@
 
 use super::{Action, Running, Scheduler, Score};
 use crate::{
-    provenance::Chunk,
+    provenance::{Chunk, Product},
     staleness::oldest,
     step::{self, Attempt, Key, Progress, Scoring},
 };
@@ -57,6 +57,11 @@
             return;
         };
         self.observe(now, &running, product.tokens);
+        self.finish(now, attempt, running, product);
+    }
+
+    /// Takes the answer of an attempt; other attempts at the sample are cancelled.
+    fn finish(&mut self, now: Instant, attempt: Attempt, running: Running, product: Product) {
         let key = running.key;
         let Some(step) = self.steps.get_mut(&key) else {
             return;
--- a/crates/shallotroute_rollout/src/scheduler/dump.rs
+++ b/crates/shallotroute_rollout/src/scheduler/dump.rs
@@ -10,24 +10,6 @@
     /// Returns the steps with their progress and the engines with their versions, and for each
     /// engine and trainer why the engine gets no sample of it.
     pub fn dump(&self, now: Instant) -> Value {
-        let steps: Vec<Value> = self
-            .steps
-            .iter()
-            .map(|(key, step)| {
-                json!({
-                    "trainer": key.trainer,
-                    "step": key.step,
-                    "groups": step.specification.groups(),
-                    "waiting": step.waiting.len(),
-                    "running": step.running.len(),
-                    "scoring": step.scoring.len(),
-                    "ready_groups": step.ready.len(),
-                    "answered_groups": step.offered.count(),
-                    "acknowledged_groups": step.receipt.count(),
-                    "age_s": now.saturating_duration_since(step.submitted).as_secs_f64(),
-                })
-            })
-            .collect();
         let trainers: Vec<Value> = self
             .trainers
             .iter()
@@ -45,12 +27,32 @@
             "revision": self.configuration.revision,
             "order": self.configuration.order(),
             "selection": self.configuration.selection,
-            "steps": steps,
+            "steps": self.dump_steps(now),
             "trainers": trainers,
             "engines": self.dump_engines(now),
         })
     }
 
+    fn dump_steps(&self, now: Instant) -> Vec<Value> {
+        self.steps
+            .iter()
+            .map(|(key, step)| {
+                json!({
+                    "trainer": key.trainer,
+                    "step": key.step,
+                    "groups": step.specification.groups(),
+                    "waiting": step.waiting.len(),
+                    "running": step.running.len(),
+                    "scoring": step.scoring.len(),
+                    "ready_groups": step.ready.len(),
+                    "answered_groups": step.offered.count(),
+                    "acknowledged_groups": step.receipt.count(),
+                    "age_s": now.saturating_duration_since(step.submitted).as_secs_f64(),
+                })
+            })
+            .collect()
+    }
+
     fn dump_engines(&self, now: Instant) -> Vec<Value> {
         self.engines
             .iter()
--- a/crates/shallotroute_rollout/src/scheduler/placement.rs
+++ b/crates/shallotroute_rollout/src/scheduler/placement.rs
@@ -4,7 +4,7 @@
 
 use rand_chacha::rand_core::Rng;
 use shallotroute_config::object::Selection;
-use shallotroute_types::{name::Name, sample::Identity};
+use shallotroute_types::name::Name;
 
 use super::{Action, Running, Scheduler, Start};
 use crate::{
@@ -230,6 +230,22 @@
         })
     }
 
+    fn running(&self, now: Instant, key: &Key, position: u32, start: &Start) -> Running {
+        Running {
+            key: key.clone(),
+            position,
+            origin: Origin {
+                server: start.server.clone(),
+                revision: self.configuration.revision,
+                node: self.node.clone(),
+                pool: self.configuration.pool.clone(),
+            },
+            recorder: Recorder::new(start.identity.clone()),
+            started: now,
+            last: now,
+        }
+    }
+
     pub(super) fn start(
         &mut self,
         now: Instant,
@@ -240,62 +256,29 @@
     ) {
         let attempt = Attempt(self.number());
         let priority = self.priority(key, ahead);
-        let (Some(step), Some(engine), Some(object)) = (
-            self.steps.get_mut(key),
-            self.engines.get_mut(server),
-            self.configuration.trainers.get(&key.trainer),
-        ) else {
+        let object = self.configuration.trainers.get(&key.trainer);
+        let (step, engine) = (self.steps.get_mut(key), self.engines.get_mut(server));
+        let (Some(step), Some(engine), Some(object)) = (step, engine, object) else {
             return;
         };
-        let (group, index) = step.place(position);
-        let sample = Identity {
-            trainer: key.trainer.clone(),
-            step: key.step,
-            group,
-            index,
-        };
+        let sample = step.identity(key, position);
         let identity = format!("{sample}/{}.{}.{attempt}", self.node, self.incarnation);
-        let prompt = Arc::clone(step.prompt(position));
-        let max_tokens = step.specification.max_tokens;
-        let entry = &mut step.samples[position as usize];
-        entry.attempts += 1;
-        let replaced = std::mem::take(&mut entry.doomed);
-        match &mut entry.progress {
-            Progress::Running(attempts) => attempts.push(attempt),
-            _ => drop(step.set(position, Progress::Running(vec![attempt]))),
-        }
+        let replaced = step.begin(position, attempt);
         engine.attempts.insert(attempt);
         let start = Start {
             attempt,
             sample,
-            identity: identity.clone(),
+            identity,
             server: server.clone(),
             address: engine.address,
             model: object.model.clone(),
-            prompt,
-            max_tokens,
+            prompt: Arc::clone(step.prompt(position)),
+            max_tokens: step.specification.max_tokens,
             priority,
         };
-        let origin = Origin {
-            server: server.clone(),
-            revision: self.configuration.revision,
-            node: self.node.clone(),
-            pool: self.configuration.pool.clone(),
-        };
-        self.attempts.insert(
-            attempt,
-            Running {
-                key: key.clone(),
-                position,
-                origin,
-                recorder: Recorder::new(identity),
-                started: now,
-                last: now,
-            },
-        );
-        let counters = self.counters.of(&key.trainer);
-        counters.started += 1;
-        counters.replaced += u64::from(replaced);
+        let running = self.running(now, key, position, &start);
+        self.attempts.insert(attempt, running);
+        self.counters.of(&key.trainer).start(replaced);
         self.actions.push(Action::Start(Box::new(start)));
     }
 }
--- a/crates/shallotroute_rollout/src/step.rs
+++ b/crates/shallotroute_rollout/src/step.rs
@@ -4,7 +4,7 @@
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
-use shallotroute_types::name::Name;
+use shallotroute_types::{name::Name, sample::Identity};
 
 use crate::{delivery::Sample as Delivered, provenance::Product, receipt::Receipt};
 
@@ -198,6 +198,29 @@
         }
     }
 
+    /// Notes a new attempt at a sample and tells whether it replaces a doomed one.
+    pub fn begin(&mut self, position: u32, attempt: Attempt) -> bool {
+        let sample = &mut self.samples[position as usize];
+        sample.attempts += 1;
+        let replaced = std::mem::take(&mut sample.doomed);
+        match &mut sample.progress {
+            Progress::Running(attempts) => attempts.push(attempt),
+            _ => drop(self.set(position, Progress::Running(vec![attempt]))),
+        }
+        replaced
+    }
+
+    /// Returns the identity of a sample of this step, whose key is `key`.
+    pub fn identity(&self, key: &Key, position: u32) -> Identity {
+        let (group, index) = self.place(position);
+        Identity {
+            trainer: key.trainer.clone(),
+            step: key.step,
+            group,
+            index,
+        }
+    }
+
     /// Applies a trainer's receipt: groups in it need no more work; groups that an earlier receipt
     /// had and this one lacks, as after a restart from a checkpoint, are generated again. Returns
     /// the attempts that no longer count.
--- a/crates/shallotroute_sampling/src/attempt.rs
+++ b/crates/shallotroute_sampling/src/attempt.rs
@@ -13,6 +13,7 @@
     engine as known,
     provenance::Chunk,
     scheduler::{Event, Score, Start},
+    step::Attempt,
 };
 use shallotroute_types::{name::Name, outcome::Outcome};
 use tokio::sync::mpsc;
@@ -49,39 +50,44 @@
         Err(report) => return outlet.send(failed(attempt, &report)).await,
     };
     while let Some(event) = events.next().await {
-        match event {
-            Ok(engine::Event::Tokens {
-                request_id,
+        let event = match event {
+            Ok(event) => translate(attempt, event),
+            Err(report) => return outlet.send(failed(attempt, &report)).await,
+        };
+        let ended = matches!(&event, Event::Ended(_, of, _) if *of == identity);
+        outlet.send(event).await;
+        if ended {
+            return;
+        }
+    }
+    // The stream closed without an end marker: the answer is cut.
+    outlet.send(Event::Failed(attempt, Outcome::Unknown)).await;
+}
+
+fn translate(attempt: Attempt, event: engine::Event) -> Event {
+    match event {
+        engine::Event::Tokens {
+            request_id,
+            start,
+            count,
+            text,
+            version,
+        } => {
+            let chunk = Chunk {
                 start,
                 count,
                 text,
                 version,
-            }) => {
-                let chunk = Chunk {
-                    start,
-                    count,
-                    text,
-                    version,
-                };
-                outlet.send(Event::Tokens(attempt, request_id, chunk)).await;
-            }
-            Ok(engine::Event::End {
-                request_id, tokens, ..
-            }) => {
-                let own = request_id == identity;
-                outlet.send(Event::Ended(attempt, request_id, tokens)).await;
-                if own {
-                    return;
-                }
-            }
-            Err(report) => return outlet.send(failed(attempt, &report)).await,
+            };
+            Event::Tokens(attempt, request_id, chunk)
         }
+        engine::Event::End {
+            request_id, tokens, ..
+        } => Event::Ended(attempt, request_id, tokens),
     }
-    // The stream closed without an end marker: the answer is cut.
-    outlet.send(Event::Failed(attempt, Outcome::Unknown)).await;
 }
 
-fn failed(attempt: shallotroute_rollout::step::Attempt, report: &Report<Error>) -> Event {
+fn failed(attempt: Attempt, report: &Report<Error>) -> Event {
     spdlog::debug!("attempt {} failed: {}", attempt, report);
     Event::Failed(attempt, report.current_context().outcome())
 }
--- a/crates/shallotroute_sampling/src/controller.rs
+++ b/crates/shallotroute_sampling/src/controller.rs
@@ -48,6 +48,13 @@
 /// What a challenger waits beyond the duration; 5% of clock drift and the precision of the tick.
 const LEASE_MARGIN: Duration = Duration::from_millis(250);
 
+/// The settings of the commands, the same on all nodes.
+const COMMANDS: command::Config = command::Config {
+    command_timeout: COMMAND_TIMEOUT,
+    margin: LEASE_MARGIN,
+    retry_every: COMMAND_RETRY,
+};
+
 /// How often an engine is read whose earlier commands may still take effect.
 const COMMAND_RETRY: Duration = Duration::from_millis(500);
 
@@ -108,14 +115,7 @@
             key: Record::key(&config.role),
             lease: Lease::new(config, now),
             controller: Controller::new(Arc::clone(&configuration)),
-            commands: command::Controller::new(
-                command::Config {
-                    command_timeout: COMMAND_TIMEOUT,
-                    margin: LEASE_MARGIN,
-                    retry_every: COMMAND_RETRY,
-                },
-                now,
-            ),
+            commands: command::Controller::new(COMMANDS, now),
             fence: None,
             configuration,
             sampler: Arc::clone(sampler),
--- a/crates/shallotroute_sampling/src/endpoint.rs
+++ b/crates/shallotroute_sampling/src/endpoint.rs
@@ -104,15 +104,9 @@
                 Ok(body::json(StatusCode::OK, &json!({ "version": version })))
             }
             Operation::Submit(step) => {
-                let specification: Specification = read(request).await?;
-                if !specification.is_valid() {
-                    return Err(Failure::Invalid(
-                        "the step has no or too many samples".to_owned(),
-                    ));
-                }
-                let groups = specification.groups();
-                let key = Key { trainer, step };
-                self.submit(&pool, key, Arc::new(specification)).await?;
+                let groups = self
+                    .take_step(&pool, Key { trainer, step }, request)
+                    .await?;
                 Ok(body::json(StatusCode::OK, &json!({ "groups": groups })))
             }
             Operation::Pull(step) => {
@@ -127,6 +121,17 @@
         }
     }
 
+    async fn take_step(&self, pool: &Name, key: Key, request: Request<Incoming>) -> Result<u32> {
+        let specification: Specification = read(request).await?;
+        if !specification.is_valid() {
+            let reason = "the step has no or too many samples";
+            return Err(Failure::Invalid(reason.to_owned()));
+        }
+        let groups = specification.groups();
+        self.submit(pool, key, Arc::new(specification)).await?;
+        Ok(groups)
+    }
+
     fn wall_ms(&self) -> u64 {
         let wall = self.context.clock.wall();
         let since = wall.duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/shallotroute_sampling/src/metric.rs
+++ b/crates/shallotroute_sampling/src/metric.rs
@@ -54,7 +54,15 @@
     }
 
     fn register(&self, registry: &mut Registry) {
-        let counters = [
+        for (name, help, family) in self.counters() {
+            registry.register(name, help, family.clone());
+        }
+        self.register_others(registry);
+    }
+
+    /// Returns the counters with their names and descriptions.
+    fn counters(&self) -> [(&'static str, &'static str, &Family<Label, Counter>); 9] {
+        [
             (
                 "attempts_started",
                 "Attempts started, second ones included",
@@ -67,7 +75,7 @@
             ),
             (
                 "samples_doomed",
-                "Samples stopped or discarded as too stale",
+                "Samples given up as too stale",
                 &self.doomed,
             ),
             (
@@ -75,28 +83,16 @@
                 "New attempts at doomed samples",
                 &self.replaced,
             ),
-            (
-                "attempts_hedged",
-                "Second attempts at the tail of a step",
-                &self.hedged,
-            ),
+            ("attempts_hedged", "Second attempts", &self.hedged),
             ("attempts_cancelled", "Attempts cancelled", &self.cancelled),
             ("attempts_failed", "Attempts that failed", &self.failed),
-            (
-                "events_foreign",
-                "Engines' events of another attempt, dropped",
-                &self.foreign,
-            ),
+            ("events_foreign", "Events of another attempt", &self.foreign),
             (
                 "answers_malformed",
-                "Engines' answers with missing or repeated tokens",
+                "Answers with missing or repeated tokens",
                 &self.malformed,
             ),
-        ];
-        for (name, help, family) in counters {
-            registry.register(name, help, family.clone());
-        }
-        self.register_others(registry);
+        ]
     }
 
     fn register_others(&self, registry: &mut Registry) {
--- a/crates/shallotroute_sampling/src/pool.rs
+++ b/crates/shallotroute_sampling/src/pool.rs
@@ -12,7 +12,7 @@
 use shallotroute_rollout::{
     configuration::Configuration,
     delivery::{Answer, Refusal},
-    scheduler::{Action, Event, Pull, Scheduler},
+    scheduler::{Action, Event, Pull, Scheduler, Start},
     step::{Attempt, Key, Specification},
 };
 use shallotroute_types::version::Version;
@@ -249,13 +249,7 @@
 
     fn perform(&mut self, action: Action) {
         match action {
-            Action::Start(start) => {
-                let attempt = start.attempt;
-                let task =
-                    attempt::generate(Arc::clone(&self.edges.engine), self.outlet.clone(), *start);
-                self.attempts
-                    .insert(attempt, tokio::spawn(task).abort_handle());
-            }
+            Action::Start(start) => self.start(*start),
             // Dropping the task drops the engine's stream, which closes the connection.
             Action::Cancel(attempt) => {
                 if let Some(handle) = self.attempts.remove(&attempt) {
@@ -291,6 +285,14 @@
         }
     }
 
+    fn start(&mut self, start: Start) {
+        let attempt = start.attempt;
+        let engine = Arc::clone(&self.edges.engine);
+        let task = attempt::generate(engine, self.outlet.clone(), start);
+        let handle = tokio::spawn(task).abort_handle();
+        self.attempts.insert(attempt, handle);
+    }
+
     fn scorer(&self, name: &str) -> Option<attempt::Target> {
         let snapshot: Option<Arc<Snapshot>> = self.context.configuration.borrow().clone();
         let object = snapshot?.set.scorers.get(name).cloned()?;
