shallotroute: measure's two-trainers and stragglers leave room for a policy

Cause: two-trainers needed about 92 % of the slots (3,040 samples of 99 tokens on 32 slots in 12 s, and the quotes), so that trainers waited for capacity, which no order of steps can shorten; in stragglers a sample could take 2 s while the trainer trained for 0.5 s. Change: six samplers and longer training in two-trainers; samples of at most 1,000 tokens and training of 1 s in stragglers.

--- a/crates/shallotroute/examples/capacity/configuration.rs
+++ b/crates/shallotroute/examples/capacity/configuration.rs
@@ -40,7 +40,7 @@
             copies.iter().all(Result::is_ok),
             "a revision should be readable"
         );
-        let bytes: usize = bundle.parts.iter().map(Vec::len).sum();
+        let bytes: usize = bundle.parts.iter().map(|part| part.len()).sum();
         println!(
             "| {size} | {bytes} | {} | {:.2} | {:.2} | {} |",
             bundle.parts.len(),
--- a/crates/shallotroute/examples/measure/scenario.rs
+++ b/crates/shallotroute/examples/measure/scenario.rs
@@ -161,12 +161,15 @@
 
     fn two_trainers() -> Self {
         let mut large = Trainer::new("pricing", 0.8);
-        large.groups = 64;
-        large.train_time = millis(1_200);
+        large.groups = 48;
+        large.train_time = millis(1_500);
         let mut small = Trainer::new("dosing", 0.8);
-        small.groups = 16;
-        small.train_time = millis(400);
+        small.groups = 8;
+        small.train_time = millis(600);
         Self {
+            // About 80 % of the slots are needed when no trainer waits. With fewer samplers the wait
+            // is a lack of capacity, which no order of the steps can shorten.
+            samplers: 6,
             trainers: vec![large, small],
             ..Self::small("two-trainers")
         }
@@ -176,6 +179,8 @@
         let mut scenario = Self::small("stragglers");
         scenario.engine.sigma = 1.6;
         scenario.engine.median_tokens = 30.0;
+        // As long as the longest sample takes on an ordinary sampler.
+        scenario.trainers[0].train_time = seconds(1);
         // One slow engine makes stragglers out of samples of ordinary length.
         scenario.faults.push((seconds(0), Fault::SlowEngine(4.0)));
         scenario
--- a/crates/shallotroute/examples/measure/world.rs
+++ b/crates/shallotroute/examples/measure/world.rs
@@ -267,7 +267,7 @@
                 steps: u64::MAX,
                 groups: plan.groups,
                 group_size: plan.group_size,
-                max_tokens: 2_000,
+                max_tokens: 1_000,
                 train_time: plan.train_time,
                 ahead: plan.ahead,
                 pull_wait: Duration::from_millis(500),
