--- a/crates/shallotroute/examples/measure/policy.rs
+++ b/crates/shallotroute/examples/measure/policy.rs
@@ -8,6 +8,8 @@
 pub(crate) enum Policy {
     /// Nothing.
     Default,
+    /// All baselines together, with the fewest requests in progress for selection.
+    Baseline,
     /// Backend servers one after the other.
     RoundRobin,
     /// The backend server with the fewest requests in progress.
@@ -27,8 +29,9 @@
 }
 
 impl Policy {
-    pub(crate) const ALL: [Self; 9] = [
+    pub(crate) const ALL: [Self; 10] = [
         Self::Default,
+        Self::Baseline,
         Self::RoundRobin,
         Self::LeastLoaded,
         Self::NoTail,
@@ -46,6 +49,7 @@
     pub(crate) const fn name(self) -> &'static str {
         match self {
             Self::Default => "default",
+            Self::Baseline => "baseline",
             Self::RoundRobin => "round_robin",
             Self::LeastLoaded => "least_loaded",
             Self::NoTail => "no_tail",
@@ -61,22 +65,25 @@
     pub(crate) const fn selection(self) -> &'static str {
         match self {
             Self::RoundRobin => "round_robin",
-            Self::LeastLoaded => "least_loaded",
+            Self::LeastLoaded | Self::Baseline => "least_loaded",
             _ => "adaptive",
         }
     }
 
     /// Sets the policy in a trainer object.
     pub(crate) fn apply(self, configuration: &mut Configuration, trainer: &str) {
-        let (field, value) = match self {
-            Self::Default | Self::RoundRobin | Self::LeastLoaded => return,
-            Self::NoTail => ("tail", "none"),
-            Self::TailPriority => ("tail", "priority"),
-            Self::AllAtOnce => ("swap", "all_at_once"),
-            Self::Fcfs => ("order", "fcfs"),
-            Self::Fair => ("order", "fair"),
-            Self::Joint => ("order", "joint"),
+        let fields: &[(&str, &str)] = match self {
+            Self::Default | Self::RoundRobin | Self::LeastLoaded => &[],
+            Self::Baseline => &[("tail", "none"), ("swap", "all_at_once"), ("order", "fcfs")],
+            Self::NoTail => &[("tail", "none")],
+            Self::TailPriority => &[("tail", "priority")],
+            Self::AllAtOnce => &[("swap", "all_at_once")],
+            Self::Fcfs => &[("order", "fcfs")],
+            Self::Fair => &[("order", "fair")],
+            Self::Joint => &[("order", "joint")],
         };
-        configuration.set("trainer", trainer, field, &json!(value));
+        for (field, value) in fields {
+            configuration.set("trainer", trainer, field, &json!(value));
+        }
     }
 }
