gateway: split functions of more than 40 lines

Cause: five functions were longer than the style rule allows. Change: choosing a server, reading a body, the malformed request and the counters have functions of their own. No behaviour changes.

--- a/crates/shallotroute_gateway/src/attempt.rs
+++ b/crates/shallotroute_gateway/src/attempt.rs
@@ -128,15 +128,7 @@
 ) -> Result<std::result::Result<Response<Body>, Broken>> {
     let identity = format!("{}.{number}", call.id);
     let request = forward::request(call, sent.choice.address, &identity, clock.now());
-    let request = request.map_err(|error| {
-        let message = error.to_string();
-        Failure::not_run(
-            StatusCode::BAD_REQUEST,
-            "malformed_request",
-            Step::Dispatch,
-            message,
-        )
-    })?;
+    let request = request.map_err(|error| malformed(&error))?;
     let (peer, at) = (sent.choice.name.clone(), sent.at);
     let deadline = Instant::from_std(call.deadline);
     let exchange = async {
@@ -161,6 +153,12 @@
     Ok(result.map_err(|evidence| Broken::new(evidence, &peer)))
 }
 
+fn malformed(error: &http::Error) -> Box<Failure> {
+    let status = StatusCode::BAD_REQUEST;
+    let message = error.to_string();
+    Failure::not_run(status, "malformed_request", Step::Dispatch, message)
+}
+
 async fn accept(
     response: Response<Incoming>,
     call: &Call,
--- a/crates/shallotroute_gateway/src/dispatch.rs
+++ b/crates/shallotroute_gateway/src/dispatch.rs
@@ -9,7 +9,7 @@
     pool::Query,
     retry::{self, Attempt},
 };
-use shallotroute_types::outcome::Outcome;
+use shallotroute_types::{name::Name, outcome::Outcome};
 
 use crate::{
     Gateway,
@@ -30,29 +30,17 @@
     let mut outcome = Outcome::NotRun;
     let mut last = None;
     loop {
-        let query = Query {
-            zone: &gateway.context.local.zone,
-            prefix: call.head.as_ref().and_then(|head| head.prefix),
-            tried: &tried,
-        };
-        let hosts = &gateway.context.hosts;
-        let Some(choice) = call.pool.choose(&query, hosts, clock.now()) else {
+        let Some(sent) = choose(gateway, call, &permit, &mut tried) else {
             let failure = last.unwrap_or_else(|| no_server(call));
             return Err(failure.with_outcome(outcome));
         };
-        tried.push(choice.name.clone());
-        permit.progress.attempt(&choice);
-        if tried.len() > 1 {
-            gateway.journal.metrics.retries.inc();
-        }
-        let sent = Sent::new(&call.pool, choice, clock.now(), Arc::clone(&permit));
+        let server = sent.choice.name.clone();
         let result = attempt::run(&gateway.client, clock, call, tried.len(), sent).await?;
         let broken = match result {
             Ok(response) => return Ok(response),
             Err(broken) => broken,
         };
         permit.progress.fail(broken.evidence);
-        let server = tried.last().map_or("", |name| name.as_str());
         spdlog::debug!("request {} at {}: {}", call.id, server, broken.evidence);
         outcome = outcome::combine(outcome, broken.evidence.outcome());
         let attempt = Attempt {
@@ -68,6 +56,28 @@
     }
 }
 
+/// Chooses a server that is not in `tried`, immediately before the request is sent to it.
+fn choose(
+    gateway: &Gateway,
+    call: &Call,
+    permit: &Arc<Permit>,
+    tried: &mut Vec<Name>,
+) -> Option<Sent> {
+    let now = gateway.context.clock.now();
+    let query = Query {
+        zone: &gateway.context.local.zone,
+        prefix: call.head.as_ref().and_then(|head| head.prefix),
+        tried,
+    };
+    let choice = call.pool.choose(&query, &gateway.context.hosts, now)?;
+    if !tried.is_empty() {
+        gateway.journal.metrics.retries.inc();
+    }
+    tried.push(choice.name.clone());
+    permit.progress.attempt(&choice);
+    Some(Sent::new(&call.pool, choice, now, Arc::clone(permit)))
+}
+
 fn no_server(call: &Call) -> Box<Failure> {
     let message = format!(
         "no backend server of the pool `{}` takes work",
--- a/crates/shallotroute_gateway/src/entry.rs
+++ b/crates/shallotroute_gateway/src/entry.rs
@@ -208,30 +208,7 @@
     received: Instant,
 ) -> Result<Call> {
     let (parts, incoming) = request.into_parts();
-    let reading = body::read(incoming, MAX_BODY_BYTES);
-    let body = timeout(BODY_TIMEOUT, reading).await.map_err(|_| {
-        let message = "the body did not arrive in time";
-        Failure::not_run(
-            StatusCode::REQUEST_TIMEOUT,
-            "body_late",
-            Step::Entry,
-            message,
-        )
-    })?;
-    let body = body.map_err(
-        |error| match error.is::<http_body_util::LengthLimitError>() {
-            true => Failure::not_run(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "body_too_large",
-                Step::Entry,
-                format!("the body is longer than {MAX_BODY_BYTES} bytes"),
-            ),
-            false => {
-                let message = "the body could not be read to its end";
-                Failure::not_run(StatusCode::BAD_REQUEST, "body_cut", Step::Entry, message)
-            }
-        },
-    )?;
+    let body = read_body(incoming).await?;
     let head = head(&parts.method, parts.uri.path(), &body)?;
     let model = head.as_ref().map(|head| head.model.as_str());
     let route = runtime.table.route(parts.uri.path(), model);
@@ -255,6 +232,26 @@
     })
 }
 
+async fn read_body(incoming: Incoming) -> Result<Bytes> {
+    let refused =
+        |status, code, message: String| Err(Failure::not_run(status, code, Step::Entry, message));
+    match timeout(BODY_TIMEOUT, body::read(incoming, MAX_BODY_BYTES)).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            let message = format!("the body is longer than {MAX_BODY_BYTES} bytes");
+            refused(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", message)
+        }
+        Ok(Err(_)) => {
+            let message = "the body could not be read to its end".into();
+            refused(StatusCode::BAD_REQUEST, "body_cut", message)
+        }
+        Err(_) => {
+            let message = "the body did not arrive in time".into();
+            refused(StatusCode::REQUEST_TIMEOUT, "body_late", message)
+        }
+    }
+}
+
 fn head(method: &Method, path: &str, body: &Bytes) -> Result<Option<Head>> {
     if method != Method::POST || !matches!(path, "/v1/completions" | "/v1/chat/completions") {
         return Ok(None);
--- a/crates/shallotroute_gateway/src/metrics.rs
+++ b/crates/shallotroute_gateway/src/metrics.rs
@@ -65,23 +65,15 @@
         registry.register("cut", "Responses that broke off", cut.clone());
         registry.register("replays", "Stored responses sent again", replays.clone());
         let classes = Class::ALL.map(|class| {
-            let class = class.to_string();
-            let counter = |outcome: Outcome| {
-                let labels = ByOutcome {
-                    class: class.clone(),
-                    outcome: outcome.to_string(),
-                };
-                finished.get_or_create(&labels).clone()
-            };
             let labels = ByClass {
-                class: class.clone(),
+                class: class.to_string(),
             };
             PerClass {
                 in_progress: in_progress.get_or_create(&labels).clone(),
                 seconds: seconds.get_or_create(&labels).clone(),
-                ran: counter(Outcome::Ran),
-                not_run: counter(Outcome::NotRun),
-                unknown: counter(Outcome::Unknown),
+                ran: counter(&finished, class, Outcome::Ran),
+                not_run: counter(&finished, class, Outcome::NotRun),
+                unknown: counter(&finished, class, Outcome::Unknown),
             }
         });
         Self {
@@ -120,3 +112,11 @@
         }
     }
 }
+
+fn counter(family: &Family<ByOutcome, Counter>, class: Class, outcome: Outcome) -> Counter {
+    let labels = ByOutcome {
+        class: class.to_string(),
+        outcome: outcome.to_string(),
+    };
+    family.get_or_create(&labels).clone()
+}
--- a/crates/shallotroute_routing/src/pool.rs
+++ b/crates/shallotroute_routing/src/pool.rs
@@ -147,17 +147,15 @@
         now: Instant,
         random: &mut R,
     ) -> Option<Choice> {
-        let mut usable = self.usable(query.tried, Availability::Open, now);
-        if usable.is_empty() {
-            usable = self.usable(query.tried, Availability::Failing, now);
-        }
+        let usable = match self.usable(query.tried, Availability::Open, now) {
+            open if !open.is_empty() => open,
+            _ => self.usable(query.tried, Availability::Failing, now),
+        };
         self.refresh(now);
         let preference = Preference {
             zone: query.zone,
             prefix: query.prefix,
-            holder: query
-                .prefix
-                .and_then(|prefix| self.estimate.holder(prefix, now)),
+            holder: query.prefix.and_then(|it| self.estimate.holder(it, now)),
             latency: self.latency,
         };
         let (servers, turn) = (&self.servers, self.turn);
