--- a/crates/shallotroute_ctl/src/arguments.rs
+++ b/crates/shallotroute_ctl/src/arguments.rs
@@ -47,6 +47,7 @@
     Show(Show),
     Audit(Audit),
     Dump(Dump),
+    HashKey(HashKey),
 }
 
 /// Checks a set of objects without publishing it; without --node on this host alone.
@@ -135,6 +136,11 @@
 #[argh(subcommand, name = "dump")]
 pub(crate) struct Dump {}
 
+/// Prints the hash of the key that is given, for a node's settings or a caller object.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "hash-key")]
+pub(crate) struct HashKey {}
+
 /// What a command line asks for.
 pub(crate) enum Parsed {
     Run(Box<Arguments>),
--- a/crates/shallotroute_ctl/src/command.rs
+++ b/crates/shallotroute_ctl/src/command.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 use shallotroute_config::{
     api::{self, Files, Outcome, Publication, Submission, Verdict},
-    check, finding,
+    bundle, check, finding,
     snapshot::Changes,
 };
 use shallotroute_types::{member::State, revision::Revision};
@@ -25,9 +25,12 @@
 pub(crate) async fn execute(arguments: Arguments) -> Result<Report> {
     let key = arguments.key();
     let key = key.change_context_lazy(|| Error::File("the key file".into()))?;
-    let node = arguments.node.map(|address| Node::new(address, key));
+    let node = arguments
+        .node
+        .map(|address| Node::new(address, key.clone()));
     let node = match (node, &arguments.command) {
         (None, Command::Check(check)) => return check_here(check),
+        (None, Command::HashKey(_)) => return hash(key.as_deref()),
         (None, _) => return Err(Trace::new(Error::Usage("--node ADDRESS is missing".into()))),
         (Some(node), _) => node,
     };
@@ -38,6 +41,7 @@
         Command::History(history) => history_of(&node, &history).await,
         Command::Show(show) => show_at(&node, &show).await,
         Command::Audit(audit) => audit_of(&node, &audit).await,
+        Command::HashKey(_) => hash(key.as_deref()),
         Command::Dump(_) => {
             let value: Value = node.get("/admin/v1/dump").await?;
             Ok(Report::new(output::pretty(&value), &value))
@@ -45,6 +49,18 @@
     }
 }
 
+fn hash(key: Option<&str>) -> Result<Report> {
+    match key {
+        Some(key) => {
+            let hash = bundle::hash(key.as_bytes());
+            Ok(Report::new(hash.clone(), &json!({ "key_hash": hash })))
+        }
+        None => Err(Trace::new(Error::Usage(
+            "the key to hash is missing".into(),
+        ))),
+    }
+}
+
 fn check_here(check: &Check) -> Result<Report> {
     let checked = check::files(&input::read(&check.files)?);
     Ok(verdict(&Verdict {
--- a/crates/shallotroute_ctl/tests/command.rs
+++ b/crates/shallotroute_ctl/tests/command.rs
@@ -378,3 +378,16 @@
     }
     Ok(())
 }
+
+/// Guards against a hash that differs from the one that nodes compare keys with.
+#[gtest]
+#[tokio::test]
+async fn the_hash_of_a_key_is_the_one_that_nodes_expect() -> Result<()> {
+    let hash = plain(&["hash-key", "--key", KEY]).await;
+    expect_that!(
+        hash.out.trim(),
+        eq(blake3::hash(KEY.as_bytes()).to_hex().as_str())
+    );
+    expect_that!(plain(&["hash-key"]).await.exit.code(), eq(2));
+    Ok(())
+}
