capacity: bytes of a change

Cause: what a node receives for one change decides the bytes of control at full size. Change: the example prints the bytes that one changed backend server adds.

--- a/crates/shallotroute/examples/capacity/configuration.rs
+++ b/crates/shallotroute/examples/capacity/configuration.rs
@@ -24,13 +24,14 @@
 
 pub(crate) fn print() {
     println!("\n### A revision\n");
-    println!("| backend servers | bytes | parts | make, ms | verify and read, ms | memory, KB |");
+    println!("One change is one backend server of one pool.\n");
+    println!(
+        "| backend servers | bytes | parts | bytes of a change | verify and read, ms | memory, KB |"
+    );
     println!("| --- | --- | --- | --- | --- | --- |");
     for size in SIZES {
         let set = set(size);
-        let start = Instant::now();
         let bundle = Bundle::new(None, &set, header()).expect("no object is too large");
-        let make = start.elapsed();
         let before = memory::allocated();
         let start = Instant::now();
         let copies: Vec<_> = (0..COPIES).map(|_| bundle.open()).collect();
@@ -42,15 +43,32 @@
         );
         let bytes: usize = bundle.parts.iter().map(|part| part.len()).sum();
         println!(
-            "| {size} | {bytes} | {} | {:.2} | {:.2} | {} |",
+            "| {size} | {bytes} | {} | {} | {:.2} | {} |",
             bundle.parts.len(),
-            make.as_secs_f64() * 1e3,
+            change(&bundle, set),
             read.as_secs_f64() * 1e3,
             kept / 1024,
         );
     }
 }
 
+/// Returns the bytes that a node needs when one backend server starts to leave.
+fn change(bundle: &Bundle, mut set: Set) -> usize {
+    let parent = bundle.open().expect("a revision should be readable");
+    let pool = set
+        .pools
+        .values_mut()
+        .next()
+        .expect("there should be a pool");
+    pool.servers[0].state = ServerState::Leaving;
+    let next = Bundle::new(Some(&parent), &set, header()).expect("no object is too large");
+    let new = next
+        .parts
+        .iter()
+        .filter(|part| !bundle.parts.contains(part));
+    next.record.len() + new.map(|part| part.len()).sum::<usize>()
+}
+
 fn header() -> Header {
     Header {
         publication: "measurement".to_owned(),
