control: a publication is prepared again after a failed read

Cause: nine_nodes_apply_each_change_in_time failed once under load: the read of the parent's record was lost, and only the reads before it were repeated. Change: the whole preparation is repeated up to 4 times, since nothing is written yet; the record of the revision in force is not read again. Conclusion: one lost read no longer ends a publication.

--- a/crates/shallotroute_control/src/publisher.rs
+++ b/crates/shallotroute_control/src/publisher.rs
@@ -32,6 +32,9 @@
 /// the operator and of both nodes, the time limit, and a margin.
 const SETTLED_AGE: Duration = Duration::from_secs(300);
 
+/// How often a publication is prepared before it is given up. An answer in ten may be lost.
+const PREPARATIONS: u32 = 4;
+
 /// How many results are kept.
 const MAX_RESULTS: usize = 1024;
 
@@ -178,7 +181,7 @@
         let identity = submission.publication.clone();
         let deadline = self.clock.now() + LIMIT;
         let unreadable = "the key-value service could not be read; nothing was written";
-        match timeout(LIMIT, self.prepare(author, submission)).await {
+        match timeout(LIMIT, self.prepare_again(author, submission)).await {
             Ok(Ok(Preparation::Ready(prepared))) => {
                 self.publish(&identity, *prepared, deadline, sender).await;
             }
@@ -191,6 +194,20 @@
         }
     }
 
+    /// Prepares a publication, again after a failed read; nothing is written yet.
+    async fn prepare_again(&self, author: Name, submission: Submission) -> Result<Preparation> {
+        let mut attempt = 1;
+        loop {
+            match self.prepare(author.clone(), submission.clone()).await {
+                Err(report) if attempt < PREPARATIONS => {
+                    spdlog::debug!("preparation {} failed: {:?}", attempt, report);
+                    attempt += 1;
+                }
+                result => return result,
+            }
+        }
+    }
+
     /// Records the result of a publication.
     fn end(&self, sender: &watch::Sender<State>, publication: api::Publication) {
         let result = match &publication.result {
--- a/crates/shallotroute_control/src/publisher/preparation.rs
+++ b/crates/shallotroute_control/src/publisher/preparation.rs
@@ -22,9 +22,6 @@
 /// How long reading the difference to the winner of a race may take.
 const DIFFERENCE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// How often the head and what it names are read before a publication is given up.
-const READ_ATTEMPTS: u32 = 3;
-
 /// What a submission leads to before anything is written.
 pub(super) enum Preparation {
     /// It may be written.
@@ -123,17 +120,6 @@
     }
 
     async fn newest(&self) -> Result<Newest> {
-        let mut attempt = 1;
-        loop {
-            match self.read_newest().await {
-                Ok(newest) => return Ok(newest),
-                Err(report) if attempt == READ_ATTEMPTS => return Err(report),
-                Err(_) => attempt += 1,
-            }
-        }
-    }
-
-    async fn read_newest(&self) -> Result<Newest> {
         let (version, head) = self.repository.head().await?;
         let snapshot = self.repository.snapshot(&head).await?;
         Ok(Newest {
--- a/crates/shallotroute_control/src/repository.rs
+++ b/crates/shallotroute_control/src/repository.rs
@@ -185,6 +185,8 @@
 
     /// Keeps a revision that came into force.
     pub(crate) fn remember(&self, snapshot: Arc<Snapshot>) {
+        let (hash, record) = (snapshot.hash.clone(), snapshot.record.clone());
+        self.lock().insert(hash, record);
         *self.newest() = Some(snapshot);
     }
 
