gateway: metrics have their prefix once

Cause: the node's registry adds the prefix shallotroute, and the gateway added it again, so that its metrics were named shallotroute_shallotroute_requests_*. The test used a registry without the node's prefix. Change: the gateway's part of the name is requests; the test's registry has the node's prefix. The metrics of shallotroute_peer, shallotroute_platform and shallotroute_sampling still have the prefix twice.

--- a/crates/shallotroute_gateway/src/metrics.rs
+++ b/crates/shallotroute_gateway/src/metrics.rs
@@ -50,7 +50,7 @@
 
 impl Metrics {
     pub(crate) fn new(registry: &mut Registry) -> Self {
-        let registry = registry.sub_registry_with_prefix("shallotroute_requests");
+        let registry = registry.sub_registry_with_prefix("requests");
         let finished = Family::<ByOutcome, Counter>::default();
         let in_progress = Family::<ByClass, Gauge>::default();
         let seconds =
--- a/crates/shallotroute_gateway/tests/support/mod.rs
+++ b/crates/shallotroute_gateway/tests/support/mod.rs
@@ -240,7 +240,7 @@
             stop: CancellationToken::new(),
         };
         let engines = Arc::new(Engines::default());
-        let mut registry = Registry::default();
+        let mut registry = Registry::with_prefix("shallotroute");
         let random = ChaCha8Rng::seed_from_u64(7);
         let engine = Arc::clone(&engines);
         let gateway = Gateway::with_random(context.clone(), engine, &mut registry, random);
