routing, gateway: divide a caller's limit by need over all nodes

Cause: each node enforced the limit divided by the live members, so that a caller whose requests arrive at one node of nine got a ninth of its limit. Change: the member ranked first for a caller divides its limit. Nodes with requests of the caller report their demand over the new call divide of the Requests service, once an interval, and get a grant that ends by itself; grants that may still be in use count, so that the parts never exceed the limit together. 5% is kept for nodes without a grant; without any answer for 10 s a node takes an equal share. Meter::enter takes the node's share instead of the number of members; its tests pass the same shares. The dump shows them. Conclusion: the parts stay within the limit and follow the caller within a few seconds; a caller that moves faster gets less than its limit. The bytes on the wire are calculated, not measured. With a burst or a concurrency below the number of nodes the least of one request for each node still exceeds the limit.

--- a/crates/shallotroute_gateway/src/admission.rs
+++ b/crates/shallotroute_gateway/src/admission.rs
@@ -1,15 +1,12 @@
 //! Admission of requests: callers' limits and the queues of the pools.
 
 use std::{
-    sync::{Arc, PoisonError},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
 use http::StatusCode;
-use shallotroute_routing::{
-    admission::{self, Decision},
-    limit::Meter,
-};
+use shallotroute_routing::admission::{self, Decision};
 use shallotroute_types::{class::Class, clock::Clock, name::Name};
 use tokio::sync::oneshot;
 
@@ -62,11 +59,7 @@
 
 impl Drop for Metered {
     fn drop(&mut self) {
-        let meters = &self.gateway.meters;
-        let mut meters = meters.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(meter) = meters.get_mut(&self.caller) {
-            meter.leave();
-        }
+        self.gateway.quotas.leave(&self.caller);
     }
 }
 
@@ -183,14 +176,7 @@
     let now = gateway.context.clock.now();
     let members = gateway.context.members.borrow().live().count();
     let caller = &call.client.caller.name;
-    let mut meters = gateway
-        .meters
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner);
-    let meter = meters
-        .entry(caller.clone())
-        .or_insert_with(|| Meter::new(now));
-    match meter.enter(limit, members, now) {
+    match gateway.quotas.enter(caller, limit, members, now) {
         Ok(()) => Ok(Some(Metered {
             gateway: Arc::clone(gateway),
             caller: caller.clone(),
--- a/crates/shallotroute_gateway/src/dump.rs
+++ b/crates/shallotroute_gateway/src/dump.rs
@@ -13,6 +13,8 @@
     revision: Option<Revision>,
     pools: BTreeMap<Name, Pool>,
     records: Records,
+    /// The part of its limit that each caller has at this node, 0.0 to 1.0.
+    limit_shares: BTreeMap<Name, f64>,
     recent: Vec<Line>,
 }
 
@@ -49,11 +51,18 @@
             recovering,
             vouch_from: format!("{:?} ago", elapsed(gateway, vouch_from)),
         },
+        limit_shares: limit_shares(gateway),
         recent: gateway.journal.lines(),
     };
     serde_json::to_value(dump).unwrap_or_default()
 }
 
+fn limit_shares(gateway: &Gateway) -> BTreeMap<Name, f64> {
+    let members = gateway.context.members.borrow().live().count();
+    let now = gateway.context.clock.now();
+    gateway.quotas.shares(members, now).into_iter().collect()
+}
+
 fn elapsed(gateway: &Gateway, since: std::time::SystemTime) -> std::time::Duration {
     let now = gateway.context.clock.wall();
     now.duration_since(since).unwrap_or_default()
--- a/crates/shallotroute_gateway/src/lib.rs
+++ b/crates/shallotroute_gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod metrics;
 mod peer;
 mod poll;
+mod quota;
 mod records;
 mod recovery;
 mod replay;
@@ -18,7 +19,6 @@
 mod stream;
 
 use std::{
-    collections::HashMap,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
@@ -34,8 +34,6 @@
 use shallotroute_http::{body::Body, client::Client, server::Handler};
 use shallotroute_peer::stream::Service;
 use shallotroute_platform::engine::Engine;
-use shallotroute_routing::limit::Meter;
-use shallotroute_types::name::Name;
 use uuid::Uuid;
 
 /// How long a backend server may take to accept a connection.
@@ -48,7 +46,7 @@
     engine: Arc<dyn Engine>,
     random: Mutex<ChaCha8Rng>,
     runtime: runtime::Holder,
-    meters: Mutex<HashMap<Name, Meter>>,
+    quotas: quota::Quotas,
     records: Arc<records::Records>,
     journal: Arc<journal::Journal>,
     node_header: HeaderValue,
@@ -78,7 +76,7 @@
             engine,
             random: Mutex::new(random),
             runtime: runtime::Holder::default(),
-            meters: Mutex::default(),
+            quotas: quota::Quotas::default(),
             records: records::Records::new(context.clone()),
             journal: journal::Journal::new(
                 metrics::Metrics::new(registry),
@@ -89,7 +87,8 @@
         })
     }
 
-    /// Returns the service that other nodes call for records of non-idempotent requests.
+    /// Returns the service that other nodes call for records of non-idempotent requests
+    /// and for parts of callers' limits.
     pub fn service(self: &Arc<Self>) -> Option<Arc<dyn Service>> {
         Some(Arc::new(self.records.local.clone()))
     }
@@ -97,7 +96,7 @@
     /// Does the upkeep until the node stops.
     pub async fn run(self: Arc<Self>) {
         let recovery = recovery::run(Arc::clone(&self.records));
-        tokio::join!(poll::run(self), recovery);
+        tokio::join!(poll::run(Arc::clone(&self)), quota::run(self), recovery);
     }
 
     /// Returns the state for the dump.
--- a/crates/shallotroute_gateway/src/peer.rs
+++ b/crates/shallotroute_gateway/src/peer.rs
@@ -1,4 +1,5 @@
-//! The service by which nodes keep records of non-idempotent requests for each other.
+//! The service by which nodes keep records of non-idempotent requests for each other and divide callers'
+//! limits.
 
 use std::{
     collections::HashMap,
@@ -14,21 +15,26 @@
     service::Kind,
     stream::{self, Service},
 };
-use shallotroute_routing::identity::{Begin, Export, Finish, Reply, Store};
-use shallotroute_types::clock::Clock;
+use shallotroute_routing::{
+    identity::{Begin, Export, Finish, Reply, Store},
+    quota::{Ask, Ledger},
+};
+use shallotroute_types::{clock::Clock, member::View, node::Id};
 use tarpc::{
     client::RpcError,
     context::Context,
     server::{BaseChannel, Channel},
 };
-use tokio::net::TcpStream;
+use tokio::{net::TcpStream, sync::watch};
+
+use crate::quota::MAX_ASKS;
 
 /// The result of a call to another node.
 pub(crate) type Result<T> = std::result::Result<T, Report<Error>>;
 
 /// A call to another node failed.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
-#[display("the records of node {_0} can't be reached")]
+#[display("the request service of node {_0} can't be reached")]
 pub(crate) struct Error(SocketAddr);
 
 impl std::error::Error for Error {}
@@ -42,12 +48,16 @@
     async fn finish(finish: Finish);
     /// Returns all records without their responses.
     async fn records() -> Export;
+    /// Returns the node's parts of the limits of callers that it asks for.
+    async fn divide(node: Id, asks: Vec<Ask>) -> Vec<f32>;
 }
 
 /// The local records as other nodes reach them.
 #[derive(Clone)]
 pub(crate) struct Local {
     pub(crate) store: Arc<Mutex<Store>>,
+    pub(crate) ledger: Arc<Mutex<Ledger>>,
+    pub(crate) members: watch::Receiver<Arc<View>>,
     pub(crate) clock: Arc<dyn Clock>,
 }
 
@@ -55,6 +65,22 @@
     pub(crate) fn with<T>(&self, action: impl FnOnce(&mut Store) -> T) -> T {
         action(&mut self.store.lock().unwrap_or_else(PoisonError::into_inner))
     }
+
+    /// Divides callers' limits.
+    pub(crate) fn grant(&self, node: &Id, asks: &[Ask]) -> Vec<f32> {
+        let members = self.members.borrow().live().count();
+        let now = self.clock.now();
+        let mut ledger = self.ledger.lock().unwrap_or_else(PoisonError::into_inner);
+        let asks = asks.iter().take(MAX_ASKS);
+        asks.map(|ask| ledger.grant(node, ask, members, now))
+            .collect()
+    }
+
+    /// Takes note that the live members have changed.
+    pub(crate) fn change(&self, now: Instant) {
+        let mut ledger = self.ledger.lock().unwrap_or_else(PoisonError::into_inner);
+        ledger.change(now);
+    }
 }
 
 impl Requests for Local {
@@ -71,6 +97,10 @@
     async fn records(self, _: Context) -> Export {
         self.with(|store| store.export())
     }
+
+    async fn divide(self, _: Context, node: Id, asks: Vec<Ask>) -> Vec<f32> {
+        self.grant(&node, &asks)
+    }
 }
 
 impl Service for Local {
@@ -118,6 +148,18 @@
         self.check(address, result)
     }
 
+    pub(crate) async fn divide(
+        &self,
+        address: SocketAddr,
+        node: Id,
+        asks: Vec<Ask>,
+        timeout: Duration,
+    ) -> Result<Vec<f32>> {
+        let client = self.client(address).await?;
+        let result = client.divide(context(timeout), node, asks).await;
+        self.check(address, result)
+    }
+
     async fn client(&self, address: SocketAddr) -> Result<RequestsClient> {
         let known = self.clients().get(&address).cloned();
         if let Some(client) = known {
--- a/crates/shallotroute_gateway/src/records.rs
+++ b/crates/shallotroute_gateway/src/records.rs
@@ -10,6 +10,7 @@
 use shallotroute_routing::{
     identity::{BEGIN_TIMEOUT, Begin, Finish, Identity, Reply, Response, Store},
     quorum::{Decision, REPLICAS, Refusal, Round},
+    quota::Ledger,
 };
 use shallotroute_types::outcome::Outcome;
 use tokio::{sync::mpsc, time::timeout};
@@ -46,6 +47,8 @@
         Arc::new(Self {
             local: Local {
                 store: Arc::new(Mutex::new(store)),
+                ledger: Arc::new(Mutex::new(Ledger::new(context.clock.now()))),
+                members: context.members.clone(),
                 clock: Arc::clone(&context.clock),
             },
             peers: Peers::default(),
--- a/crates/shallotroute_gateway/tests/identity.rs
+++ b/crates/shallotroute_gateway/tests/identity.rs
@@ -12,13 +12,7 @@
 use hyper::body::Incoming;
 use shallotroute_config::{object::Server, set::Set};
 use shallotroute_http::body;
-use shallotroute_types::{
-    clock::Clock,
-    member::{Member, State, View},
-    name::Name,
-    node::Incarnation,
-    revision::Revision,
-};
+use shallotroute_types::clock::Clock;
 use support::{Backend, Node};
 
 /// The calendar is set forward after the start, so that new keys are clearly younger.
@@ -143,30 +137,12 @@
     assert_that!(response.status(), eq(StatusCode::CREATED));
 }
 
-fn view(nodes: &[&Node]) -> View {
-    let member = |node: &&Node| Member {
-        id: node.context.local.id.clone(),
-        region: Name::from("lk-west"),
-        zone: Name::from(format!("zone-{}", node.context.local.id)),
-        address: node.context.local.address,
-        incarnation: Incarnation(1),
-        state: State::Alive,
-        known: Revision(1),
-        in_force: Revision(1),
-    };
-    View {
-        local: None,
-        members: nodes.iter().map(member).collect(),
-        majority: true,
-    }
-}
-
 async fn fleet(backend: &Backend) -> Vec<Node> {
     let mut nodes = Vec::new();
     for id in ["node-1", "node-2", "node-3", "node-4"] {
         nodes.push(start(id, backend, Duration::ZERO).await);
     }
-    let shared = Arc::new(view(&nodes.iter().collect::<Vec<_>>()));
+    let shared = Arc::new(support::view(&nodes.iter().collect::<Vec<_>>()));
     for node in &nodes {
         node.members.send_replace(Arc::clone(&shared));
         node.clock.set(SHIFT);
@@ -241,7 +217,7 @@
     for index in 0..nodes.len() {
         let id = nodes[index].context.local.id.clone();
         nodes[index] = start(&id, &backend, SHIFT).await;
-        let shared = Arc::new(view(&nodes.iter().collect::<Vec<_>>()));
+        let shared = Arc::new(support::view(&nodes.iter().collect::<Vec<_>>()));
         for node in &nodes {
             node.members.send_replace(Arc::clone(&shared));
         }
@@ -277,7 +253,7 @@
 async fn a_node_without_a_majority_refuses_keys() {
     let backend = service(10).await;
     let nodes = fleet(&backend).await;
-    let mut alone = view(&nodes.iter().collect::<Vec<_>>());
+    let mut alone = support::view(&nodes.iter().collect::<Vec<_>>());
     alone.majority = false;
     nodes[0].members.send_replace(Arc::new(alone));
     let response = order(&nodes[0], &key(&nodes[0])).await;
--- a/crates/shallotroute_gateway/tests/support/mod.rs
+++ b/crates/shallotroute_gateway/tests/support/mod.rs
@@ -44,7 +44,13 @@
     error::{self, Result},
     host::Host,
 };
-use shallotroute_types::{clock::Clock, member::View, name::Name, node::Incarnation};
+use shallotroute_types::{
+    clock::Clock,
+    member::{self, Member, View},
+    name::Name,
+    node::Incarnation,
+    revision::Revision,
+};
 use tokio::{net::TcpListener, sync::watch};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
@@ -381,6 +387,25 @@
     response
 }
 
+/// Returns the view in which all nodes live, each in an availability zone of its own.
+pub fn view(nodes: &[&Node]) -> View {
+    let member = |node: &&Node| Member {
+        id: node.context.local.id.clone(),
+        region: node.context.local.region.clone(),
+        zone: Name::from(format!("zone-{}", node.context.local.id)),
+        address: node.context.local.address,
+        incarnation: Incarnation(1),
+        state: member::State::Alive,
+        known: Revision(1),
+        in_force: Revision(1),
+    };
+    View {
+        local: None,
+        members: nodes.iter().map(member).collect(),
+        majority: true,
+    }
+}
+
 /// Makes a refusal.
 pub fn refusal(state: &str) -> Response<Body> {
     let mut response = Response::new(body::empty());
--- a/crates/shallotroute_routing/src/lib.rs
+++ b/crates/shallotroute_routing/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod outcome;
 pub mod pool;
 pub mod quorum;
+pub mod quota;
 pub mod retry;
 pub mod selection;
 pub mod server;
--- a/crates/shallotroute_routing/src/limit.rs
+++ b/crates/shallotroute_routing/src/limit.rs
@@ -31,23 +31,21 @@
         }
     }
 
-    /// Counts a request that the limit allows. The node's share is the limit divided by `members`,
-    /// the number of live members.
+    /// Counts a request that the node's `share` of the limit, 0.0 to 1.0, allows.
     ///
     /// # Errors
     ///
     /// The limit is reached; the request may come again after the time given.
-    pub fn enter(&mut self, limit: &Limit, members: usize, now: Instant) -> Result<(), Duration> {
-        let members = members.max(1) as f64;
-        let rate = limit.requests_per_second / members;
+    pub fn enter(&mut self, limit: &Limit, share: f64, now: Instant) -> Result<(), Duration> {
+        let rate = limit.requests_per_second * share;
         // A share below one request would refuse everything.
-        let burst = (f64::from(limit.burst) / members).max(1.0);
+        let burst = (f64::from(limit.burst) * share).max(1.0);
         let elapsed = now.saturating_duration_since(self.at).as_secs_f64();
         self.tokens = (self.tokens + elapsed * rate).min(burst);
         self.at = now;
         let concurrency = limit
             .concurrency
-            .map(|most| (f64::from(most) / members).max(1.0));
+            .map(|most| (f64::from(most) * share).max(1.0));
         if concurrency.is_some_and(|most| f64::from(self.in_progress) + 1.0 > most) {
             return Err(CONCURRENCY_RETRY);
         }
@@ -60,6 +58,11 @@
         Ok(())
     }
 
+    /// Returns how many requests are in progress.
+    pub fn in_progress(&self) -> u32 {
+        self.in_progress
+    }
+
     /// Counts a request as ended.
     pub fn leave(&mut self) {
         self.in_progress = self.in_progress.saturating_sub(1);
--- a/crates/shallotroute_routing/tests/admission.rs
+++ b/crates/shallotroute_routing/tests/admission.rs
@@ -114,15 +114,15 @@
     let mut meter = Meter::new(now);
     let mut allowed = 0;
     for _ in 0..10_000 {
-        allowed += u32::from(meter.enter(&limit, 3, now).is_ok());
+        allowed += u32::from(meter.enter(&limit, 1.0 / 3.0, now).is_ok());
         now += Duration::from_millis(1);
     }
     // 10 at once and 30 a second over 10 s.
     assert_that!(allowed, all!(ge(309), le(311)));
-    while meter.enter(&limit, 3, now).is_ok() {}
-    let wait = meter.enter(&limit, 3, now).unwrap_err();
+    while meter.enter(&limit, 1.0 / 3.0, now).is_ok() {}
+    let wait = meter.enter(&limit, 1.0 / 3.0, now).unwrap_err();
     assert_that!(wait, le(Duration::from_millis(34)));
-    assert_that!(meter.enter(&limit, 3, now + wait), ok(anything()));
+    assert_that!(meter.enter(&limit, 1.0 / 3.0, now + wait), ok(anything()));
 }
 
 /// Guards against a caller with more requests in progress than allowed.
@@ -131,9 +131,9 @@
     let now = Instant::now();
     let limit = limit(1_000.0, 100, Some(2));
     let mut meter = Meter::new(now);
-    assert_that!(meter.enter(&limit, 1, now), ok(anything()));
-    assert_that!(meter.enter(&limit, 1, now), ok(anything()));
-    assert_that!(meter.enter(&limit, 1, now), err(anything()));
+    assert_that!(meter.enter(&limit, 1.0, now), ok(anything()));
+    assert_that!(meter.enter(&limit, 1.0, now), ok(anything()));
+    assert_that!(meter.enter(&limit, 1.0, now), err(anything()));
     meter.leave();
-    assert_that!(meter.enter(&limit, 1, now), ok(anything()));
+    assert_that!(meter.enter(&limit, 1.0, now), ok(anything()));
 }
