control, peer, sampling, platform: audit reads long ledgers; metrics have one prefix

Cause: the ledger of a long step goes on at KEY/1, KEY/2, which the audit of a sample did not read; three crates registered their metrics with a second shallotroute_ prefix below the node's own. Change: the audit reads the parts in order; the crates register heartbeat, rollout and store.

--- a/crates/shallotroute_control/src/api/reading.rs
+++ b/crates/shallotroute_control/src/api/reading.rs
@@ -156,18 +156,7 @@
         ));
     };
     let key = format!("ledger/{trainer}/{step}");
-    let value = control.repository.get(&key).await;
-    let value = value
-        .map_err(|report| failed(&report))?
-        .ok_or_else(not_found)?;
-    let Ok(ledger) = serde_json::from_slice::<Value>(&value) else {
-        return Err(refuse(
-            StatusCode::BAD_GATEWAY,
-            "ledger",
-            "the ledger is not JSON",
-        ));
-    };
-    let sample = ledger::sample(&ledger, group, index).ok_or_else(not_found)?;
+    let sample = recorded(control, &key, group, index).await?;
     let revision = sample.get("revision").and_then(Value::as_u64);
     let record = match revision {
         Some(revision) => record(control, Revision(revision)).await,
@@ -177,6 +166,33 @@
     ok(&json!({"identity": identity, "sample": sample, "configuration": record}))
 }
 
+/// Finds a sample in a step's ledger, which goes on at `KEY/1`, `KEY/2` and so on when it is long.
+async fn recorded(
+    control: &Arc<Control>,
+    key: &str,
+    group: u64,
+    index: u64,
+) -> Result<Value, Refused> {
+    for part in 0_u32.. {
+        let name = match part {
+            0 => key.to_owned(),
+            _ => format!("{key}/{part}"),
+        };
+        let value = control.repository.get(&name).await;
+        let value = value
+            .map_err(|report| failed(&report))?
+            .ok_or_else(not_found)?;
+        let Ok(ledger) = serde_json::from_slice::<Value>(&value) else {
+            let message = "the ledger is not JSON";
+            return Err(refuse(StatusCode::BAD_GATEWAY, "ledger", message));
+        };
+        if let Some(sample) = ledger::sample(&ledger, group, index) {
+            return Ok(sample);
+        }
+    }
+    Err(not_found())
+}
+
 async fn record(control: &Arc<Control>, revision: Revision) -> Option<Entry> {
     let (_, head) = control.repository.head().await.ok()?;
     let hash = control.repository.find(&head, revision).await.ok()??;
--- a/crates/shallotroute_ctl/tests/command.rs
+++ b/crates/shallotroute_ctl/tests/command.rs
@@ -271,6 +271,10 @@
         audit["configuration"]["record"]["author"].as_str(),
         some(eq("ona"))
     )?;
+    let second = r#"{"groups": [{"group": 4, "samples": [{"index": 0, "score": 0.25}]}]}"#;
+    fleet.store.put("ledger/spring/12/1", second);
+    let audit = json(&fleet, &["audit", "spring/12/4/0"]).await;
+    verify_that!(audit["sample"]["score"].as_f64(), some(eq(0.25)))?;
     let missing = ctl(&fleet, &["audit", "spring/12/9/1"]).await;
     verify_that!(missing.exit, eq(Exit::Refused))
 }
--- a/crates/shallotroute_peer/src/metrics.rs
+++ b/crates/shallotroute_peer/src/metrics.rs
@@ -34,7 +34,7 @@
 impl Metrics {
     pub(crate) fn register(registry: &mut Registry) -> Self {
         let metrics = Self::default();
-        let registry = registry.sub_registry_with_prefix("shallotroute_heartbeat");
+        let registry = registry.sub_registry_with_prefix("heartbeat");
         for (name, help, counter) in [
             (
                 "received_datagrams",
--- a/crates/shallotroute_platform/src/throttle/metrics.rs
+++ b/crates/shallotroute_platform/src/throttle/metrics.rs
@@ -26,7 +26,7 @@
 impl Metrics {
     pub(super) fn register(registry: &mut Registry) -> Self {
         let metrics = Self::default();
-        registry.sub_registry_with_prefix("shallotroute_store").register(
+        registry.sub_registry_with_prefix("store").register(
             "calls",
             "Calls to the key-value service by kind, by the first segment of the key and by outcome",
             metrics.calls.clone(),
--- a/crates/shallotroute_sampling/src/metric.rs
+++ b/crates/shallotroute_sampling/src/metric.rs
@@ -49,7 +49,7 @@
             ledger_waiting: Gauge::default(),
             ledger_dropped: Gauge::default(),
         };
-        metrics.register(registry.sub_registry_with_prefix("shallotroute_rollout"));
+        metrics.register(registry.sub_registry_with_prefix("rollout"));
         metrics
     }
 
