routing, gateway: heed the weights that engines report

Cause: requests went to engines that were replacing the weights of the requested model, and to engines with a version that operators had withdrawn. Change: the poll keeps each engine's versions and swap. An engine that replaces the weights of the model or of the model below the adapter is left out while another open one has a free slot; one that reports a withdrawn version gets no request at all. The dump shows the weights. A pool whose engines all have a withdrawn version answers no_server.

--- a/crates/shallotroute_gateway/src/dispatch.rs
+++ b/crates/shallotroute_gateway/src/dispatch.rs
@@ -64,9 +64,13 @@
     tried: &mut Vec<Name>,
 ) -> Option<Sent> {
     let now = gateway.context.clock.now();
+    let model = call.head.as_ref().map(|head| head.model.as_str());
+    let base = call.base.as_ref().map(|base| base.as_str());
+    let models = [model, base].map(Option::unwrap_or_default);
     let query = Query {
         zone: &gateway.context.local.zone,
         prefix: call.head.as_ref().and_then(|head| head.prefix),
+        models: &models,
         tried,
     };
     let choice = call.pool.choose(&query, &gateway.context.hosts, now)?;
--- a/crates/shallotroute_gateway/src/entry.rs
+++ b/crates/shallotroute_gateway/src/entry.rs
@@ -17,7 +17,7 @@
     inference::Head,
     table::{self, Client},
 };
-use shallotroute_types::outcome::Outcome;
+use shallotroute_types::{name::Name, outcome::Outcome};
 use tokio::time::timeout;
 
 use crate::{
@@ -55,6 +55,8 @@
     pub(crate) pool: Arc<Cell>,
     /// What the body says, for inference requests.
     pub(crate) head: Option<Head>,
+    /// The model below the adapter that the body names.
+    pub(crate) base: Option<Name>,
     /// Whether it may run twice.
     pub(crate) idempotent: bool,
     pub(crate) deadline: Instant,
@@ -226,6 +228,7 @@
         client,
         route,
         pool,
+        base: model.and_then(|model| runtime.table.base(model)).cloned(),
         head,
         deadline: received + limit,
         progress: Arc::clone(progress),
--- a/crates/shallotroute_gateway/src/poll.rs
+++ b/crates/shallotroute_gateway/src/poll.rs
@@ -4,7 +4,7 @@
 
 use shallotroute_config::object::Backend;
 use shallotroute_platform::error::Kind;
-use shallotroute_routing::server::{Mark, Report};
+use shallotroute_routing::server::{Mark, Report, Weights};
 use shallotroute_types::name::Name;
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
@@ -58,10 +58,17 @@
 
 async fn ask(gateway: Arc<Gateway>, cell: Arc<Cell>, name: Name, address: SocketAddr, mark: Mark) {
     let report = match timeout(TIMEOUT, gateway.engine.state(address)).await {
-        Ok(Ok(state)) => Some(Report {
-            load: state.running.saturating_add(state.waiting),
-            leaving: state.leaving,
-        }),
+        Ok(Ok(state)) => {
+            let weights = Weights {
+                versions: state.models,
+                swapping: state.swapping,
+            };
+            cell.state().pool.weights(&name, mark, weights);
+            Some(Report {
+                load: state.running.saturating_add(state.waiting),
+                leaving: state.leaving,
+            })
+        }
         Ok(Err(error)) if error.current_context().kind == Kind::Unreachable => None,
         // A late or unreadable report says nothing about the engine's requests.
         Ok(Err(_)) | Err(_) => return,
--- a/crates/shallotroute_gateway/src/runtime.rs
+++ b/crates/shallotroute_gateway/src/runtime.rs
@@ -5,7 +5,7 @@
 )]
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeSet, HashMap, HashSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
     time::Instant,
 };
@@ -19,7 +19,7 @@
     pool::{Choice, Pool, Query},
     table::Table,
 };
-use shallotroute_types::{name::Name, revision::Revision};
+use shallotroute_types::{name::Name, revision::Revision, version::Version};
 use tokio::sync::watch;
 
 use crate::admission::Ticket;
@@ -127,9 +127,12 @@
         before: Option<&Self>,
         random: impl Fn() -> ChaCha8Rng,
     ) -> Self {
+        let withdrawn = withdrawn(snapshot);
         let pools = snapshot.set.pools.iter().map(|(name, object)| {
             let known = before.and_then(|runtime| runtime.pools.get(name));
-            (name.clone(), cell(object, known, &random))
+            let cell = cell(object, known, &random);
+            cell.state().pool.withdraw(withdrawn.clone());
+            (name.clone(), cell)
         });
         Self {
             table: Table::new(&snapshot.set),
@@ -140,6 +143,15 @@
     }
 }
 
+/// Returns the versions that get no new work.
+fn withdrawn(snapshot: &Snapshot) -> BTreeSet<(Name, Version)> {
+    let versions = snapshot.set.model_versions.values();
+    versions
+        .filter(|it| it.state == object::VersionState::Withdrawn)
+        .map(|it| (it.model.clone(), it.version))
+        .collect()
+}
+
 fn cell(
     object: &object::Pool,
     known: Option<&Arc<Cell>>,
--- a/crates/shallotroute_gateway/tests/leaving.rs
+++ b/crates/shallotroute_gateway/tests/leaving.rs
@@ -12,6 +12,7 @@
 
 use googletest::prelude::*;
 use http::StatusCode;
+use serde_json::json;
 use shallotroute_config::{
     object::{Object, ServerState},
     set::Set,
@@ -20,7 +21,7 @@
     engine::State,
     host::{self, Host},
 };
-use shallotroute_types::name::Name;
+use shallotroute_types::{name::Name, version::Version};
 use support::{Backend, Node};
 
 /// The bound of R7.
@@ -143,6 +144,45 @@
     fixture.check().await;
 }
 
+/// Guards against new work for an engine that reports a withdrawn version of the model.
+#[tokio::test]
+async fn by_a_withdrawn_version() {
+    let mut fixture = fixture().await;
+    let state = State {
+        models: [(Name::from(support::MODEL), Version(7))].into(),
+        ..State::default()
+    };
+    let states = &fixture.node.engines.states;
+    states
+        .lock()
+        .unwrap()
+        .insert(fixture.leaving.address, state);
+    let version = json!({"kind": "model_version", "name": "seventh", "model": support::MODEL,
+        "version": 7, "state": "withdrawn"});
+    let version = serde_json::from_value(version).unwrap();
+    fixture.objects.push(version);
+    let set = Set::new(fixture.objects.clone());
+    let snapshot = Some(support::snapshot(2, &set));
+    fixture.node.configuration.send_replace(snapshot);
+    fixture.check().await;
+}
+
+/// Guards against new work for an engine that replaces the weights while another one is free.
+#[tokio::test]
+async fn by_a_swap() {
+    let fixture = fixture().await;
+    let state = State {
+        swapping: Some(Name::from(support::MODEL)),
+        ..State::default()
+    };
+    let states = &fixture.node.engines.states;
+    states
+        .lock()
+        .unwrap()
+        .insert(fixture.leaving.address, state);
+    fixture.check().await;
+}
+
 /// Guards against a leaving server that each new request tries again.
 #[tokio::test]
 async fn by_its_refusals() {
--- a/crates/shallotroute_routing/src/pool.rs
+++ b/crates/shallotroute_routing/src/pool.rs
@@ -1,20 +1,21 @@
 //! The backend servers of a pool in a node's view.
 
 use std::{
+    collections::BTreeSet,
     net::SocketAddr,
     time::{Duration, Instant},
 };
 
 use rand::Rng;
 use shallotroute_config::object;
-use shallotroute_types::{name::Name, place::Zone};
+use shallotroute_types::{name::Name, place::Zone, version::Version};
 
 use crate::{
     affinity::Estimate,
     outcome::Evidence,
     retry::Budget,
     selection::{self, Preference, Reason},
-    server::{Availability, Mark, Report, Server},
+    server::{Availability, Mark, Report, Server, Weights},
 };
 
 /// How often the typical latency and the capacity of the servers are calculated anew.
@@ -31,6 +32,7 @@
     latency_at: Option<Instant>,
     capacity: Option<(u32, Instant)>,
     estimate: Estimate,
+    withdrawn: BTreeSet<(Name, Version)>,
 }
 
 /// What a request asks of the choice.
@@ -40,6 +42,8 @@
     pub zone: &'a Zone,
     /// The hash of the start of the prompt.
     pub prefix: Option<u64>,
+    /// The model or adapter of the request, and the model below an adapter.
+    pub models: &'a [&'a str],
     /// The servers that had an attempt at the request.
     pub tried: &'a [Name],
 }
@@ -71,6 +75,7 @@
             latency_at: None,
             capacity: None,
             estimate: Estimate::default(),
+            withdrawn: BTreeSet::new(),
         };
         pool.update(object);
         pool
@@ -97,6 +102,11 @@
         }
     }
 
+    /// Takes over the versions of models that get no new work.
+    pub fn withdraw(&mut self, versions: BTreeSet<(Name, Version)>) {
+        self.withdrawn = versions;
+    }
+
     /// Takes over the host list; `leaving` tells whether it names a server as leaving.
     pub fn list(&mut self, leaving: impl Fn(&Name) -> bool) {
         for server in &mut self.servers {
@@ -147,9 +157,9 @@
         now: Instant,
         random: &mut R,
     ) -> Option<Choice> {
-        let usable = match self.usable(query.tried, Availability::Open, now) {
+        let usable = match self.usable(query, Availability::Open, now) {
             open if !open.is_empty() => open,
-            _ => self.usable(query.tried, Availability::Failing, now),
+            _ => self.usable(query, Availability::Failing, now),
         };
         self.refresh(now);
         let preference = Preference {
@@ -220,6 +230,13 @@
         }
     }
 
+    /// Takes over the weights of a server's report that was asked for at `mark`.
+    pub fn weights(&mut self, name: &Name, mark: Mark, weights: Weights) {
+        if let Some(server) = self.server(name) {
+            server.weights(mark, weights);
+        }
+    }
+
     /// Returns the retry budget of the pool's requests.
     pub fn budget(&mut self) -> &mut Budget {
         &mut self.budget
@@ -230,13 +247,25 @@
         &self.servers
     }
 
-    fn usable(&self, tried: &[Name], availability: Availability, now: Instant) -> Vec<usize> {
+    /// Returns the servers that may get the request; those that replace the weights of its model
+    /// only while no other one has a free slot.
+    fn usable(&self, query: &Query<'_>, availability: Availability, now: Instant) -> Vec<usize> {
         let servers = self.servers.iter().enumerate();
-        servers
-            .filter(|(_, server)| !tried.contains(&server.object.name))
+        let mut usable: Vec<usize> = servers
+            .filter(|(_, server)| !query.tried.contains(&server.object.name))
             .filter(|(_, server)| server.availability(now) == availability)
+            .filter(|(_, server)| !server.is_withdrawn(query.models, &self.withdrawn))
             .map(|(index, _)| index)
-            .collect()
+            .collect();
+        let is_swapping = |index: usize| self.servers[index].is_swapping(query.models, now);
+        let is_free = |index: usize| {
+            let server = &self.servers[index];
+            !is_swapping(index) && server.load(now) < server.object.slots
+        };
+        if usable.iter().any(|it| is_swapping(*it)) && usable.iter().any(|it| is_free(*it)) {
+            usable.retain(|it| !is_swapping(*it));
+        }
+        usable
     }
 
     fn refresh(&mut self, now: Instant) {
--- a/crates/shallotroute_routing/src/server.rs
+++ b/crates/shallotroute_routing/src/server.rs
@@ -1,11 +1,14 @@
 //! What a node knows of one backend server.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
 
 use derive_more::Display;
 use serde::Serialize;
 use shallotroute_config::object;
-use shallotroute_types::name::Name;
+use shallotroute_types::{name::Name, version::Version};
 
 use crate::outcome::{Evidence, Refusal};
 
@@ -45,6 +48,8 @@
     failures: u32,
     failed: Option<Instant>,
     report: Option<Reported>,
+    weights: Weights,
+    weights_at: Option<Instant>,
     sent: u64,
     finished: u64,
     latency: Option<Latency>,
@@ -77,6 +82,15 @@
     pub leaving: bool,
 }
 
+/// The weights that an engine says it has.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Weights {
+    /// The version of each model that is loaded whole.
+    pub versions: BTreeMap<Name, Version>,
+    /// A model whose weights are being replaced.
+    pub swapping: Option<Name>,
+}
+
 /// The state of a server, for people.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Summary {
@@ -96,6 +110,8 @@
     pub latency_ms: Option<f64>,
     /// Requests that this node has sent.
     pub sent: u64,
+    /// The weights by the last report.
+    pub weights: Weights,
 }
 
 /// The counters at the time when a report was asked for.
@@ -132,6 +148,8 @@
             failures: 0,
             failed: None,
             report: None,
+            weights: Weights::default(),
+            weights_at: None,
             sent: 0,
             finished: 0,
             latency: None,
@@ -196,6 +214,32 @@
             load: self.load(now),
             latency_ms: self.latency(now).map(|seconds| seconds * 1_000.0),
             sent: self.sent,
+            weights: self.weights.clone(),
+        }
+    }
+
+    /// Tells whether the weights of one of `models` are being replaced.
+    pub fn is_swapping(&self, models: &[&str], now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) <= MAX_REPORT_AGE;
+        let swapping = self.weights.swapping.as_ref();
+        swapping.is_some_and(|it| models.contains(&it.as_str()))
+            && self.weights_at.is_some_and(is_recent)
+    }
+
+    /// Tells whether the last reported version of one of `models` is withdrawn. It holds until a
+    /// newer report, however old it is.
+    pub fn is_withdrawn(&self, models: &[&str], withdrawn: &BTreeSet<(Name, Version)>) -> bool {
+        withdrawn.iter().any(|(model, version)| {
+            models.contains(&model.as_str()) && self.weights.versions.get(model) == Some(version)
+        })
+    }
+
+    /// Takes over the weights of a report that was asked for at `mark`, unless a later one has
+    /// overtaken it.
+    pub fn weights(&mut self, mark: Mark, weights: Weights) {
+        if self.weights_at.is_none_or(|at| at <= mark.at) {
+            self.weights = weights;
+            self.weights_at = Some(mark.at);
         }
     }
 
--- a/crates/shallotroute_routing/src/table.rs
+++ b/crates/shallotroute_routing/src/table.rs
@@ -1,6 +1,6 @@
 //! Callers and routes of one revision, indexed for requests.
 
-use std::{cmp::Reverse, sync::Arc};
+use std::{cmp::Reverse, collections::BTreeMap, sync::Arc};
 
 use shallotroute_config::{
     object::{Caller, Limit, Pool, Route},
@@ -14,6 +14,8 @@
     callers: Vec<(blake3::Hash, Arc<Client>)>,
     routes: Vec<Arc<Route>>,
     models: Vec<Name>,
+    /// The model below each adapter.
+    adapters: BTreeMap<Name, Name>,
 }
 
 /// A caller with the limit that applies to it.
@@ -54,6 +56,11 @@
             callers: callers.collect(),
             routes,
             models,
+            adapters: set
+                .adapters
+                .iter()
+                .map(|(name, adapter)| (name.clone(), adapter.model.clone()))
+                .collect(),
         }
     }
 
@@ -81,6 +88,11 @@
         })
     }
 
+    /// Returns the model below an adapter.
+    pub fn base(&self, adapter: &str) -> Option<&Name> {
+        self.adapters.get(adapter)
+    }
+
     /// Returns the models and adapters that have a route, sorted.
     pub fn models(&self) -> &[Name] {
         &self.models
--- a/crates/shallotroute_routing/tests/selection.rs
+++ b/crates/shallotroute_routing/tests/selection.rs
@@ -13,9 +13,9 @@
     outcome::{Evidence, Refusal},
     pool::{Choice, Pool, Query},
     selection::Reason,
-    server::Report,
+    server::{Report, Weights},
 };
-use shallotroute_types::name::Name;
+use shallotroute_types::{name::Name, version::Version};
 
 struct Fixture {
     pool: Pool,
@@ -55,6 +55,7 @@
         let query = Query {
             zone: &self.zone,
             prefix,
+            models: &["model"],
             tried: &[],
         };
         self.pool.choose(&query, self.now, &mut self.random)
@@ -84,6 +85,55 @@
         let report = Some(Report { load, leaving });
         self.pool.report(&name, mark, report, self.now);
     }
+
+    fn weights(&mut self, name: &str, version: u64, swapping: Option<&str>) {
+        let marks = self.pool.marks(self.now);
+        let (name, _, mark) = marks.into_iter().find(|it| it.0.as_str() == name).unwrap();
+        let weights = Weights {
+            versions: [(Name::from("model"), Version(version))].into(),
+            swapping: swapping.map(Name::from),
+        };
+        self.pool.weights(&name, mark, weights);
+    }
+}
+
+/// Guards against a request that waits for a swap while another engine is free, and against one that
+/// fails when none is.
+#[test]
+fn an_engine_that_replaces_weights_is_the_last_resort() {
+    for selection in [
+        Selection::RoundRobin,
+        Selection::LeastLoaded,
+        Selection::Adaptive,
+    ] {
+        let mut fixture = Fixture::new(selection, 3);
+        fixture.weights("s0", 1, Some("model"));
+        fixture.weights("s1", 1, Some("another"));
+        assert_that!(fixture.share(30).contains_key("s0"), eq(false));
+        for name in ["s1", "s2"] {
+            fixture.report(name, fixture.object.servers[0].slots, false);
+        }
+        assert_that!(fixture.share(30).contains_key("s0"), eq(true));
+        // A report that is too old says nothing about a swap.
+        fixture.now += Duration::from_secs(6);
+        assert_that!(fixture.share(30).len(), gt(1));
+    }
+}
+
+/// Guards against new work for a withdrawn version, also when no other engine is left.
+#[test]
+fn a_withdrawn_version_gets_no_request() {
+    let mut fixture = Fixture::new(Selection::Adaptive, 2);
+    fixture.weights("s0", 1, None);
+    fixture.weights("s1", 2, None);
+    let withdrawn = |version| (Name::from("model"), Version(version));
+    fixture.pool.withdraw([withdrawn(1)].into());
+    fixture.now += Duration::from_secs(60);
+    assert_that!(fixture.share(30).contains_key("s0"), eq(false));
+    fixture.pool.withdraw([withdrawn(1), withdrawn(2)].into());
+    assert_that!(fixture.choose(None), none());
+    fixture.weights("s0", 3, None);
+    assert_that!(fixture.run(None), eq("s0"));
 }
 
 /// Guards against a baseline that skips servers or ignores the load.
