rollout: the scheduler compares all engines of its pool

Cause: the adaptive selection drew two random engines, as the gateway does against herding, although one scheduler places all samples of a pool. Change: the engine with the least expected time, ties by chance, affinity as before.

--- a/crates/shallotroute_rollout/src/scheduler/placement.rs
+++ b/crates/shallotroute_rollout/src/scheduler/placement.rs
@@ -146,6 +146,7 @@
         position: u32,
         except: &[Name],
     ) -> Option<Name> {
+        let draw = self.random.next_u64();
         let usable: Vec<&Name> = self
             .engines
             .iter()
@@ -164,42 +165,40 @@
                 .iter()
                 .copied()
                 .min_by(|left, right| self.fill(left).total_cmp(&self.fill(right))),
-            Selection::Adaptive if usable.is_empty() => None,
-            Selection::Adaptive => {
-                let count = usable.len() as u64;
-                let mut draw = || usable[(self.random.next_u64() % count) as usize];
-                let (first, second) = (draw(), draw());
-                Some(self.better(key, position, &usable, first, second))
-            }
+            Selection::Adaptive => self.cheapest(key, position, &usable, draw),
         };
         let chosen = chosen.cloned();
         self.cursor.clone_from(&chosen);
         chosen
     }
 
-    /// Returns the better of two engines, or the engine of a sample of the same group, whose cache
-    /// holds the prompt, if it is not much fuller.
-    fn better<'a>(
+    /// Returns the engine with the least cost, or the engine of a sample of the same group, whose
+    /// cache holds the prompt, if it does not cost much more.
+    ///
+    /// One scheduler places all samples of a pool, so that a random choice of two candidates, which
+    /// keeps many deciders from choosing the same engine, would only lose the better ones.
+    fn cheapest<'a>(
         &self,
         key: &Key,
         position: u32,
         usable: &[&'a Name],
-        first: &'a Name,
-        second: &'a Name,
-    ) -> &'a Name {
-        let best = match self.cost(first).total_cmp(&self.cost(second)) {
-            std::cmp::Ordering::Greater => second,
-            _ => first,
-        };
+        draw: u64,
+    ) -> Option<&'a Name> {
+        let count = usable.len();
+        if count == 0 {
+            return None;
+        }
+        // Equal engines take turns by chance; by name the first ones would get all short steps.
+        let offset = (draw % count as u64) as usize;
+        let turned = usable[offset..].iter().chain(&usable[..offset]).copied();
+        let best = turned.min_by(|left, right| self.cost(left).total_cmp(&self.cost(right)))?;
+        let limit = self.cost(best) * AFFINITY_COST;
         let sibling = self.sibling(key, position);
-        match usable
+        let near = usable
             .iter()
             .copied()
-            .find(|name| Some(*name) == sibling.as_ref())
-        {
-            Some(name) if self.cost(name) <= self.cost(best) * AFFINITY_COST => name,
-            _ => best,
-        }
+            .find(|name| Some(*name) == sibling.as_ref());
+        near.filter(|name| self.cost(name) <= limit).or(Some(best))
     }
 
     fn sibling(&self, key: &Key, position: u32) -> Option<Name> {
