routing: test that a lost reply does not free a grant

Change: a test in which the node with the whole limit gets no more replies while the others start. Conclusion: the test guards the rule that keeps the parts within the limit.

--- a/crates/shallotroute_routing/tests/quota.rs
+++ b/crates/shallotroute_routing/tests/quota.rs
@@ -28,6 +28,8 @@
     admitted: Vec<usize>,
     /// The share of replies that are lost.
     loss: f64,
+    /// A node that gets no replies.
+    cut: Option<usize>,
 }
 
 impl Fleet {
@@ -40,6 +42,7 @@
             now,
             admitted: Vec::new(),
             loss,
+            cut: None,
         }
     }
 
@@ -68,7 +71,7 @@
                     let ask = quota.ask(7, &limit, self.now);
                     let node = Name::from(format!("node-{index}"));
                     let grant = self.ledger.grant(&node, &ask, NODES, self.now);
-                    if !self.random.random_bool(self.loss) {
+                    if !self.random.random_bool(self.loss) && self.cut != Some(index) {
                         quota.grant(grant, NODES, self.now);
                     }
                 }
@@ -122,6 +125,17 @@
     }
 }
 
+/// Guards against a grant that is given away while a node that missed its end still uses it.
+#[gtest]
+fn a_lost_reply_does_not_free_a_grant() {
+    let mut fleet = Fleet::new(0.0);
+    fleet.run(15, 0..1);
+    fleet.cut = Some(0);
+    // Enough for the first node alone to use the whole limit.
+    fleet.offer(NODES * RATE / SECOND, 20, 0..NODES);
+    expect_that!(fleet.windows(), each(le(&MOST)));
+}
+
 /// Guards against a caller that is cut down for good when the dividing member can't be reached.
 #[gtest]
 fn without_grants_each_node_takes_an_equal_share() {
