gateway, routing: the hint to come back fits the key; idle example and measure's list

Cause: a request refused as identity_unvouched always got Retry-After 2 s, although a key without a time is refused for 10 minutes after a fleet start and a UUID made before the start for ever. Conclusion: the hint is this node's estimate; another replica may vouch later.

--- a/crates/shallotroute/examples/measure/main.rs
+++ b/crates/shallotroute/examples/measure/main.rs
@@ -79,11 +79,14 @@
 }
 
 fn list() {
-    for name in Scenario::NAMES {
-        println!("scenario {name}");
+    for (name, description) in Scenario::LIST {
+        println!("scenario {name}: {description}");
     }
-    println!("scenario {}", throughput::NAME);
+    println!(
+        "scenario {}: one node's rate and added latency",
+        throughput::NAME
+    );
     for policy in Policy::ALL {
-        println!("policy {}", policy.name());
+        println!("policy {}: {}", policy.name(), policy.description());
     }
 }
--- a/crates/shallotroute/examples/measure/policy.rs
+++ b/crates/shallotroute/examples/measure/policy.rs
@@ -61,6 +61,22 @@
         }
     }
 
+    /// Returns what the policy changes.
+    pub(crate) const fn description(self) -> &'static str {
+        match self {
+            Self::Default => "the product's defaults",
+            Self::Baseline => "all baselines together: round_robin, no_tail, all_at_once, fcfs",
+            Self::RoundRobin => "engines one after the other",
+            Self::LeastLoaded => "the engine with the fewest requests",
+            Self::NoTail => "no second attempts at the tail of a step",
+            Self::TailPriority => "a higher priority at the tail of a step",
+            Self::AllAtOnce => "all samplers change to a new version at the same time",
+            Self::Fcfs => "trainers' steps first come, first served",
+            Self::Fair => "weighted fair shares between trainers' steps",
+            Self::Joint => "trainers' steps by middle finish time",
+        }
+    }
+
     /// Returns the field `selection` of a pool.
     pub(crate) const fn selection(self) -> &'static str {
         match self {
--- a/crates/shallotroute/examples/measure/scenario.rs
+++ b/crates/shallotroute/examples/measure/scenario.rs
@@ -69,19 +69,40 @@
 }
 
 impl Scenario {
-    pub(crate) const NAMES: [&str; 12] = [
-        "association",
-        "puhasvoog",
-        "two-trainers",
-        "stragglers",
-        "weight-swaps",
-        "kv-outage",
-        "paused-holder",
-        "node-crash",
-        "engine-crash",
-        "leaving-server",
-        "operators-race",
-        "everything",
+    pub(crate) const LIST: [(&str, &str); 12] = [
+        (
+            "association",
+            "9 nodes in the Association's zones, 8 samplers of one trainer, 3 of the quote desk",
+        ),
+        (
+            "puhasvoog",
+            "9 nodes in Puhasvoog's zones, 8 samplers of one trainer, 4 of the refill stations",
+        ),
+        ("two-trainers", "two trainers share the engines of one pool"),
+        (
+            "stragglers",
+            "a few samples of each step run far longer than the rest",
+        ),
+        ("weight-swaps", "swaps of weights fail partway"),
+        (
+            "kv-outage",
+            "the key-value service is down, slow, and loses answers after the write",
+        ),
+        (
+            "paused-holder",
+            "the node that commands the engines is paused past its lease",
+        ),
+        ("node-crash", "a node is killed in the middle of a step"),
+        (
+            "engine-crash",
+            "engines crash and start again with old weights",
+        ),
+        (
+            "leaving-server",
+            "backend servers leave, shown by the list, the operator or themselves",
+        ),
+        ("operators-race", "operators publish at the same moment"),
+        ("everything", "all of these faults together and twice"),
     ];
 
     pub(crate) fn new(name: &str) -> Option<Self> {
--- a/crates/shallotroute_gateway/src/records.rs
+++ b/crates/shallotroute_gateway/src/records.rs
@@ -90,6 +90,12 @@
         }
     }
 
+    /// Returns when a caller whose key is not vouched for should come back; none if that won't help.
+    pub(crate) fn vouches_in(&self, identity: &Identity) -> Option<Duration> {
+        let now = self.context.clock.wall();
+        self.local.with(|store| store.vouches_in(identity, now))
+    }
+
     /// Returns the replicas of an identity; none while this node is cut off from the majority, where
     /// another part of the fleet may accept the same request.
     fn replicas(&self, identity: &Identity) -> Option<Vec<Replica>> {
--- a/crates/shallotroute_gateway/src/replay.rs
+++ b/crates/shallotroute_gateway/src/replay.rs
@@ -55,8 +55,15 @@
             gateway.journal.metrics.replays.inc();
             return Ok(stored(response));
         }
+        Err(Decision::Refuse(Refusal::Unvouched) | Decision::Send) => {
+            let failure = refused(Refusal::Unvouched);
+            // A hint to come back would be wrong for a key that no node will ever vouch for.
+            return Err(match gateway.records.vouches_in(&identity) {
+                Some(wait) => failure.with_retry_after(wait),
+                None => failure,
+            });
+        }
         Err(Decision::Refuse(refusal)) => return Err(refused(refusal)),
-        Err(Decision::Send) => return Err(refused(Refusal::Unvouched)),
     };
     match dispatch::run(gateway, call, Arc::clone(&permit)).await {
         Ok(response) => Ok(record(response, entry, permit)),
@@ -86,11 +93,7 @@
         ),
     };
     let failure = Failure::not_run(status, code, Step::Identity, message);
-    let failure = failure.with_outcome(refusal.outcome());
-    match refusal {
-        Refusal::Unvouched => failure.with_retry_after(identity::SETTLE_TIME),
-        Refusal::Ran | Refusal::Unknown => failure,
-    }
+    failure.with_outcome(refusal.outcome())
 }
 
 fn stored(stored: identity::Response) -> Response<Body> {
--- a/crates/shallotroute_rollout/examples/idle.rs
+++ b/crates/shallotroute_rollout/examples/idle/model.rs
@@ -1,9 +1,4 @@
-//! Drives the scheduler and the controller against modelled engines in virtual time and prints the
-//! idle time of two trainers by order and tail policy.
-//!
-//! `cargo run --release -p shallotroute_rollout --example idle [-- sample|attempt]`; lengths belong to
-//! the sample (default) or are drawn anew for each attempt.
-#![allow(clippy::print_stdout, reason = "the table is the result")]
+//! Engines and trainers in virtual time around one scheduler and its controller.
 
 use std::{
     cmp::Reverse,
@@ -12,10 +7,7 @@
     time::{Duration, Instant},
 };
 
-use rand_chacha::{
-    ChaCha8Rng,
-    rand_core::{Rng, SeedableRng},
-};
+use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
 use shallotroute_config::{
     object::{
         Backend, Fencing, Object, Order, Pool, Selection, Server, ServerState, Swap, Tail, Trainer,
@@ -33,32 +25,20 @@
     swap::{self, Controller},
 };
 use shallotroute_types::{
-    fence::Fence, name::Name, node::Incarnation, revision::Revision, sample::Identity,
-    version::Version,
+    fence::Fence, name::Name, node::Incarnation, revision::Revision, version::Version,
 };
 
-const ENGINES: usize = 8;
-const SLOTS: u32 = 8;
-const STEPS: u64 = 12;
-const GROUP_SIZE: u32 = 8;
-const MAX_TOKENS: u32 = 4096;
-/// Groups in a step and seconds of training after it, by trainer.
-const TRAINERS: [(&str, u32, f64); 2] = [("association", 32, 20.0), ("puhasvoog", 12, 12.0)];
-/// Lengths are log-normal: median 200 tokens, and one in a hundred above 2,000.
-const MEDIAN_TOKENS: f64 = 200.0;
-const SIGMA: f64 = 1.0;
-/// Seconds for a token on an engine of factor 1.
-const TOKEN_SECONDS: f64 = 0.02;
-const LOAD_SECONDS: f64 = 2.0;
-const TICK: f64 = 0.25;
-const SEEDS: u64 = 5;
+use crate::load::{
+    ENGINES, GROUP_SIZE, LOAD_SECONDS, MAX_TOKENS, SLOTS, STEPS, TICK, TOKEN_SECONDS, TRAINERS,
+    length, uniform,
+};
 
 #[derive(Clone, Copy)]
-struct Policy {
-    order: Order,
-    tail: Tail,
-    swap: Swap,
-    selection: Selection,
+pub(crate) struct Policy {
+    pub(crate) order: Order,
+    pub(crate) tail: Tail,
+    pub(crate) swap: Swap,
+    pub(crate) selection: Selection,
 }
 
 struct Stream {
@@ -70,32 +50,32 @@
 }
 
 #[derive(Default)]
-struct Learner {
+pub(crate) struct Learner {
     step: u64,
     version: u64,
     receipt: Receipt,
     waiting: Option<f64>,
-    idle: f64,
-    staleness: Vec<u64>,
+    pub(crate) idle: f64,
+    pub(crate) staleness: Vec<u64>,
     done: bool,
 }
 
-struct Model {
+pub(crate) struct Model {
     seed: u64,
     by_attempt: bool,
     base: Instant,
     time: f64,
     scheduler: Scheduler,
     controller: Controller,
-    speeds: Vec<f64>,
+    pub(crate) speeds: Vec<f64>,
     versions: Vec<BTreeMap<Name, u64>>,
     streams: BTreeMap<Attempt, Stream>,
     inbox: VecDeque<Event>,
     queue: BinaryHeap<Reverse<(u64, u64, Due)>>,
-    learners: Vec<Learner>,
+    pub(crate) learners: Vec<Learner>,
     number: u64,
-    doomed: u64,
-    hedged: u64,
+    pub(crate) doomed: u64,
+    pub(crate) hedged: u64,
 }
 
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -107,7 +87,7 @@
 }
 
 impl Model {
-    fn new(seed: u64, policy: Policy, by_attempt: bool) -> Self {
+    pub(crate) fn new(seed: u64, policy: Policy, by_attempt: bool) -> Self {
         let configuration = configuration(policy);
         let base = Instant::now();
         let mut random = ChaCha8Rng::seed_from_u64(seed);
@@ -135,7 +115,7 @@
         }
     }
 
-    fn run(&mut self) {
+    pub(crate) fn run(&mut self) {
         self.control(swap::Event::Held(Some(Fence(1))));
         self.push(0.0, Due::Tick);
         (0..TRAINERS.len()).for_each(|trainer| self.begin(trainer));
@@ -424,214 +404,3 @@
         .parse()
         .expect("engines are numbered")
 }
-
-fn uniform(random: &mut ChaCha8Rng) -> f64 {
-    (random.next_u64() >> 11) as f64 / (1_u64 << 53) as f64
-}
-
-/// Draws a length; the same for the same sample and salt.
-fn length(seed: u64, sample: &Identity, salt: u64) -> u32 {
-    let trainer = sample.trainer.bytes().map(u64::from).sum::<u64>();
-    let place = sample.step << 32 | u64::from(sample.group) << 8 | u64::from(sample.index);
-    let mut random = ChaCha8Rng::seed_from_u64(
-        seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ place ^ trainer << 48 ^ salt.rotate_left(40),
-    );
-    // Box and Muller's method for a normal deviate.
-    let radius = (-2.0 * (1.0 - uniform(&mut random)).ln()).sqrt();
-    let normal = radius * (std::f64::consts::TAU * uniform(&mut random)).cos();
-    ((MEDIAN_TOKENS * (SIGMA * normal).exp()) as u32).clamp(1, MAX_TOKENS)
-}
-
-/// Returns a lower bound for the idle seconds of both trainers together, the greater of two.
-///
-/// Longest sample: with a bound of 1, no sample of a step can start before the trainer has learned
-/// from the step two before it, and the longest one takes its time on the fastest engine. Total work:
-/// the last trainer's last step is not whole before all work has run on all slots.
-fn lower_bound(seed: u64) -> f64 {
-    let model = Model::new(seed, POLICIES[0].1, false);
-    let fastest = model.speeds.iter().copied().fold(f64::MAX, f64::min);
-    let slots = model.speeds.iter();
-    let rate: f64 = slots
-        .map(|speed| f64::from(SLOTS) / speed / TOKEN_SECONDS)
-        .sum();
-    let mut chains = 0.0;
-    let mut work = 0.0;
-    for (name, groups, seconds) in TRAINERS {
-        let mut learned = vec![0.0_f64];
-        for step in 0..STEPS {
-            let samples = (0..groups).flat_map(|g| (0..GROUP_SIZE).map(move |i| (g, i)));
-            let lengths = samples.map(|(group, index)| {
-                let sample = Identity {
-                    trainer: name.into(),
-                    step,
-                    group,
-                    index,
-                };
-                length(seed, &sample, 0)
-            });
-            let lengths: Vec<u32> = lengths.collect();
-            work += lengths.iter().copied().map(f64::from).sum::<f64>();
-            let longest = f64::from(lengths.into_iter().max().unwrap_or(0));
-            let start = learned[(step as usize).saturating_sub(1)];
-            let whole = learned[step as usize].max(start + longest * TOKEN_SECONDS * fastest);
-            learned.push(whole + seconds);
-        }
-        chains += learned[STEPS as usize] - STEPS as f64 * seconds;
-    }
-    let spans = TRAINERS.map(|(.., seconds)| work / rate - (STEPS - 1) as f64 * seconds);
-    chains.max(spans.into_iter().fold(f64::MAX, f64::min))
-}
-
-const BASE: Policy = Policy {
-    order: Order::Fcfs,
-    tail: Tail::None,
-    swap: Swap::AllAtOnce,
-    selection: Selection::RoundRobin,
-};
-
-const POLICIES: [(&str, Policy); 12] = {
-    let chosen = Policy {
-        selection: Selection::Adaptive,
-        swap: Swap::Waves,
-        ..BASE
-    };
-    [
-        ("baselines", BASE),
-        (
-            "least_loaded",
-            Policy {
-                selection: Selection::LeastLoaded,
-                ..BASE
-            },
-        ),
-        (
-            "adaptive",
-            Policy {
-                selection: Selection::Adaptive,
-                ..BASE
-            },
-        ),
-        ("adaptive waves fcfs none", chosen),
-        (
-            "adaptive waves fair none",
-            Policy {
-                order: Order::Fair,
-                ..chosen
-            },
-        ),
-        (
-            "adaptive waves least_remaining none",
-            Policy {
-                order: Order::LeastRemaining,
-                ..chosen
-            },
-        ),
-        (
-            "adaptive waves joint none",
-            Policy {
-                order: Order::Joint,
-                ..chosen
-            },
-        ),
-        (
-            "adaptive waves fcfs hedge",
-            Policy {
-                tail: Tail::Hedge,
-                ..chosen
-            },
-        ),
-        (
-            "adaptive waves fair hedge",
-            Policy {
-                order: Order::Fair,
-                tail: Tail::Hedge,
-                ..chosen
-            },
-        ),
-        (
-            "adaptive waves least_remaining hedge",
-            Policy {
-                order: Order::LeastRemaining,
-                tail: Tail::Hedge,
-                ..chosen
-            },
-        ),
-        (
-            "adaptive waves least_remaining priority",
-            Policy {
-                order: Order::LeastRemaining,
-                tail: Tail::Priority,
-                ..chosen
-            },
-        ),
-        (
-            "adaptive waves joint hedge",
-            Policy {
-                order: Order::Joint,
-                tail: Tail::Hedge,
-                ..chosen
-            },
-        ),
-    ]
-};
-
-fn main() {
-    let by_attempt = std::env::args().nth(1).as_deref() == Some("attempt");
-    println!(
-        "lengths belong to the {}",
-        if by_attempt { "attempt" } else { "sample" }
-    );
-    println!(
-        "{:40} {:>32} {:>7} {:>7} {:>9} {:>7} {:>7}",
-        "policy", "idle seconds by seed", "mean", "idle %", "stale avg", "doomed", "hedged"
-    );
-    for (name, policy) in POLICIES {
-        let mut idle = Vec::new();
-        let (mut total, mut ages, mut doomed, mut hedged) = (0.0, Vec::new(), 0, 0);
-        for seed in 1..=SEEDS {
-            let mut model = Model::new(seed, policy, by_attempt);
-            model.run();
-            idle.push(
-                model
-                    .learners
-                    .iter()
-                    .map(|learner| learner.idle)
-                    .sum::<f64>(),
-            );
-            let train: f64 = TRAINERS
-                .iter()
-                .map(|(.., seconds)| seconds * STEPS as f64)
-                .sum();
-            total += train + idle[idle.len() - 1];
-            ages.extend(
-                model
-                    .learners
-                    .iter()
-                    .flat_map(|learner| learner.staleness.clone()),
-            );
-            doomed += model.doomed;
-            hedged += model.hedged;
-        }
-        let sum: f64 = idle.iter().sum();
-        let age = ages.iter().sum::<u64>() as f64 / ages.len() as f64;
-        let by_seed: Vec<String> = idle.iter().map(|idle| format!("{idle:.0}")).collect();
-        println!(
-            "{name:40} {:>32} {:7.0} {:7.1} {age:9.2} {doomed:7} {hedged:7}",
-            by_seed.join(" "),
-            sum / SEEDS as f64,
-            100.0 * sum / total,
-        );
-        assert!(
-            ages.iter().all(|age| *age <= 1),
-            "a sample is beyond the bound"
-        );
-    }
-    if by_attempt {
-        // A second attempt may be shorter, so that the longest sample bounds nothing.
-        return;
-    }
-    let bounds: Vec<f64> = (1..=SEEDS).map(lower_bound).collect();
-    let by_seed: Vec<String> = bounds.iter().map(|bound| format!("{bound:.0}")).collect();
-    let mean = bounds.iter().sum::<f64>() / SEEDS as f64;
-    println!("{:40} {:>32} {mean:7.0}", "lower bound", by_seed.join(" "));
-}
--- a/crates/shallotroute_routing/src/identity.rs
+++ b/crates/shallotroute_routing/src/identity.rs
@@ -283,6 +283,20 @@
         }
     }
 
+    /// Returns how long a caller has to wait until this member vouches for an identity; none if it
+    /// never will, because the identity was made before the member knew of all requests.
+    pub fn vouches_in(&self, identity: &Identity, now: SystemTime) -> Option<Duration> {
+        let oldest = now - RETENTION;
+        match identity.created {
+            Some(created) if created < self.vouch_from.max(oldest) + CLOCK_MARGIN => None,
+            Some(_) => Some(SETTLE_TIME),
+            None => {
+                let left = self.vouch_from.duration_since(oldest).unwrap_or_default();
+                Some(left.max(SETTLE_TIME))
+            }
+        }
+    }
+
     /// Tells whether the records that this member lost in its restart have not been fetched yet.
     pub fn is_recovering(&self) -> bool {
         self.recoverable
--- a/crates/shallotroute_routing/tests/identity.rs
+++ b/crates/shallotroute_routing/tests/identity.rs
@@ -112,6 +112,18 @@
     assert_that!(store.vouches(&identity(later - SECOND), later), eq(false));
 }
 
+/// Guards against a hint to come back at a time when the request is refused again.
+#[test]
+fn says_when_it_will_vouch() {
+    let store = Store::new(start());
+    let now = start() + 10 * SECOND;
+    let undated = Identity::new(&Name::from("desk"), b"order-1");
+    let wait = store.vouches_in(&undated, now).expect("it vouches later");
+    assert_that!(store.vouches(&undated, now + wait - SECOND), eq(false));
+    assert_that!(store.vouches(&undated, now + wait), eq(true));
+    assert_that!(store.vouches_in(&identity(start() - SECOND), now), none());
+}
+
 /// Guards against a restarted member that forgets what others know, and against vouching after more
 /// losses than a record has spare copies.
 #[test]
