routing, gateway: requests avoid engines that lost the model

Ruled out: the rule for engines that report a swap; the swap has ended when the model is gone. Change: an engine whose recent report lacks the model is left out while another one has it; an engine's 404 for an inference request counts as a refusal that ran nothing, so that another engine is tried. Conclusion: an engine's 404 is taken as not run, because the route to the pool is known and only the model can be missing.

--- a/crates/shallotroute_gateway/src/attempt.rs
+++ b/crates/shallotroute_gateway/src/attempt.rs
@@ -100,6 +100,9 @@
             Evidence::Refused(Refusal::Overloaded) => {
                 (StatusCode::SERVICE_UNAVAILABLE, "server_overloaded")
             }
+            Evidence::Refused(Refusal::NotLoaded) => {
+                (StatusCode::SERVICE_UNAVAILABLE, "model_not_loaded")
+            }
             Evidence::NoResponse => (StatusCode::BAD_GATEWAY, "connection_lost"),
             Evidence::TimedOut => (StatusCode::GATEWAY_TIMEOUT, "deadline_exceeded"),
             Evidence::Foreign => (StatusCode::BAD_GATEWAY, "foreign_response"),
@@ -172,6 +175,10 @@
     if let Some(refusal) = Refusal::parse(status, state.map(HeaderValue::as_bytes)) {
         return Err(Evidence::Refused(refusal));
     }
+    // The route is known, so that an engine's 404 concerns the model: a swap failed partway.
+    if parts.status == StatusCode::NOT_FOUND && is_inference(call) {
+        return Err(Evidence::Refused(Refusal::NotLoaded));
+    }
     let backend = HeaderValue::from_str(&sent.choice.name);
     let checked = call.pool.backend == Backend::Engine && parts.status.is_success();
     let inference = call.head.as_ref().filter(|_| checked);
@@ -204,6 +211,10 @@
     Ok(response)
 }
 
+fn is_inference(call: &Call) -> bool {
+    call.pool.backend == Backend::Engine && call.head.is_some()
+}
+
 fn is_short(incoming: &Incoming) -> bool {
     let size = incoming.size_hint().exact();
     size.is_some_and(|size| size <= MAX_WHOLE_BYTES)
--- a/crates/shallotroute_gateway/tests/outcome.rs
+++ b/crates/shallotroute_gateway/tests/outcome.rs
@@ -107,6 +107,17 @@
     assert_that!(response.headers()["x-shallotroute-backend"], eq("server-1"));
 }
 
+/// Guards against a caller that gets an engine's 404 after a swap of weights failed partway there.
+#[tokio::test]
+async fn repeats_at_another_engine_what_one_without_the_model_refused() {
+    let good = whole().await;
+    let missing = raw("HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n").await;
+    let node = node(&[missing, good.address]).await;
+    let response = node.completion(false).await;
+    assert_that!(response.status(), eq(StatusCode::OK));
+    assert_that!(response.headers()["x-shallotroute-backend"], eq("server-1"));
+}
+
 /// Guards against "not run" when an earlier attempt of the same request may have run.
 #[tokio::test]
 async fn an_earlier_attempt_that_may_have_run_counts() {
--- a/crates/shallotroute_routing/src/outcome.rs
+++ b/crates/shallotroute_routing/src/outcome.rs
@@ -12,6 +12,9 @@
     /// It has no place for the request.
     #[display("overloaded")]
     Overloaded,
+    /// It is an engine that has not loaded the model.
+    #[display("model not loaded")]
+    NotLoaded,
 }
 
 impl Refusal {
--- a/crates/shallotroute_routing/src/pool.rs
+++ b/crates/shallotroute_routing/src/pool.rs
@@ -247,8 +247,8 @@
         &self.servers
     }
 
-    /// Returns the servers that may get the request; those that replace the weights of its model
-    /// only while no other one has a free slot.
+    /// Returns the servers that may get the request: those without its model only when no other one
+    /// reports it, and those that replace its weights only while no other one has a free slot.
     fn usable(&self, query: &Query<'_>, availability: Availability, now: Instant) -> Vec<usize> {
         let servers = self.servers.iter().enumerate();
         let mut usable: Vec<usize> = servers
@@ -257,6 +257,10 @@
             .filter(|(_, server)| !server.is_withdrawn(query.models, &self.withdrawn))
             .map(|(index, _)| index)
             .collect();
+        let is_missing = |index: usize| self.servers[index].is_missing(query.models, now);
+        if usable.iter().any(|it| !is_missing(*it)) {
+            usable.retain(|it| !is_missing(*it));
+        }
         let is_swapping = |index: usize| self.servers[index].is_swapping(query.models, now);
         let is_free = |index: usize| {
             let server = &self.servers[index];
--- a/crates/shallotroute_routing/src/server.rs
+++ b/crates/shallotroute_routing/src/server.rs
@@ -220,10 +220,21 @@
 
     /// Tells whether the weights of one of `models` are being replaced.
     pub fn is_swapping(&self, models: &[&str], now: Instant) -> bool {
-        let is_recent = |at: Instant| now.saturating_duration_since(at) <= MAX_REPORT_AGE;
         let swapping = self.weights.swapping.as_ref();
-        swapping.is_some_and(|it| models.contains(&it.as_str()))
-            && self.weights_at.is_some_and(is_recent)
+        swapping.is_some_and(|it| models.contains(&it.as_str())) && self.has_recent_weights(now)
+    }
+
+    /// Tells whether none of `models` is loaded, as after a swap that failed partway.
+    pub fn is_missing(&self, models: &[&str], now: Instant) -> bool {
+        let versions = &self.weights.versions;
+        !models.is_empty()
+            && !versions.keys().any(|it| models.contains(&it.as_str()))
+            && self.has_recent_weights(now)
+    }
+
+    fn has_recent_weights(&self, now: Instant) -> bool {
+        self.weights_at
+            .is_some_and(|at| now.saturating_duration_since(at) <= MAX_REPORT_AGE)
     }
 
     /// Tells whether the last reported version of one of `models` is withdrawn. It holds until a
@@ -286,7 +297,10 @@
     pub fn observe(&mut self, evidence: Evidence, elapsed: Duration, now: Instant) {
         match evidence {
             Evidence::Refused(Refusal::Leaving) => self.refused_leaving = Some(now),
-            Evidence::Refused(Refusal::Overloaded) => self.overloaded = Some(now),
+            // An engine without the model is held back until the next report says more.
+            Evidence::Refused(Refusal::Overloaded | Refusal::NotLoaded) => {
+                self.overloaded = Some(now);
+            }
             Evidence::NotSent | Evidence::NoResponse => self.fail(now),
             Evidence::TimedOut => self.measure(elapsed, now),
             Evidence::Foreign | Evidence::Cut => {}
--- a/crates/shallotroute_routing/tests/selection.rs
+++ b/crates/shallotroute_routing/tests/selection.rs
@@ -97,6 +97,17 @@
     }
 }
 
+/// Guards against a request to an engine that lost the model in a swap, while another one has it.
+#[test]
+fn an_engine_without_the_model_is_left_out() {
+    let mut fixture = Fixture::new(Selection::Adaptive, 2);
+    fixture.weights("s1", 1, None);
+    let marks = fixture.pool.marks(fixture.now);
+    let (name, _, mark) = marks.into_iter().next().unwrap();
+    fixture.pool.weights(&name, mark, Weights::default());
+    assert_that!(fixture.share(30).contains_key(name.as_str()), eq(false));
+}
+
 /// Guards against a request that waits for a swap while another engine is free, and against one that
 /// fails when none is.
 #[test]
