types: one declaration of counters

Change: a crate-private macro declares them; the types, their conversions and their serialised form stay.

--- a/crates/shallotroute_types/src/lib.rs
+++ b/crates/shallotroute_types/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod member;
 pub mod name;
 pub mod node;
+mod number;
 pub mod outcome;
 pub mod place;
 pub mod provenance;
