settings, http, peer: what a node on the platform needs of the shared crates

Cause: a node on the users' platform has other settings than one with the product's own interface, its listeners follow the limits of the configuration, and it keeps connections to other nodes. Change: settings::site reads the section `site`; a handler names the options of its connections; peer::client keeps one client per node. Conclusion: no behaviour changes for existing nodes; the defaults are the former constants.

--- a/crates/shallotroute_http/src/server.rs
+++ b/crates/shallotroute_http/src/server.rs
@@ -22,11 +22,38 @@
         request: Request<Incoming>,
         peer: SocketAddr,
     ) -> BoxFuture<'static, Response<Body>>;
+
+    /// Returns what holds for connections that are accepted from now on.
+    fn options(&self) -> Options {
+        Options::default()
+    }
+}
+
+/// What holds for a connection of a client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// How long a connection may be without a whole head of a request: idle, or while a head comes
+    /// in. HTTP/1.1 only.
+    pub head_timeout: Duration,
+    /// The longest head of a request, in bytes; at least 8 KB are read. HTTP/1.1 only.
+    pub head_bytes: Option<usize>,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            head_timeout: HEADER_TIMEOUT,
+            head_bytes: None,
+        }
+    }
 }
 
 /// How long a client may take to send the head of a request.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The least size of the buffer in which a head is read; the library takes no smaller one.
+const MIN_HEAD_BYTES: usize = 8192;
+
 /// The most headers of one request.
 const MAX_HEADERS: usize = 100;
 
@@ -34,13 +61,6 @@
 /// open requests and returns.
 pub async fn serve(listener: TcpListener, handler: Arc<dyn Handler>, drain: CancellationToken) {
     let graceful = GracefulShutdown::new();
-    let mut builder = Builder::new(TokioExecutor::new());
-    builder
-        .http1()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_TIMEOUT)
-        .max_headers(MAX_HEADERS);
-    builder.http2().timer(TokioTimer::new());
     loop {
         let accepted = tokio::select! {
             () = drain.cancelled() => break,
@@ -51,12 +71,27 @@
             tokio::time::sleep(Duration::from_millis(20)).await;
             continue;
         };
+        let builder = builder(handler.options());
         spawn_connection(&builder, &graceful, &handler, stream, peer);
     }
     drop(listener);
     graceful.shutdown().await;
 }
 
+fn builder(options: Options) -> Builder<TokioExecutor> {
+    let mut builder = Builder::new(TokioExecutor::new());
+    let mut http1 = builder.http1();
+    http1
+        .timer(TokioTimer::new())
+        .header_read_timeout(options.head_timeout)
+        .max_headers(MAX_HEADERS);
+    if let Some(bytes) = options.head_bytes {
+        http1.max_buf_size(bytes.max(MIN_HEAD_BYTES));
+    }
+    builder.http2().timer(TokioTimer::new());
+    builder
+}
+
 fn spawn_connection(
     builder: &Builder<TokioExecutor>,
     graceful: &GracefulShutdown,
--- a/crates/shallotroute_peer/src/lib.rs
+++ b/crates/shallotroute_peer/src/lib.rs
@@ -1,5 +1,6 @@
 //! Connections between nodes: heartbeats over UDP and typed calls over TCP.
 
+pub mod client;
 pub mod codec;
 pub mod heartbeat;
 mod metrics;
--- a/crates/shallotroute_peer/src/service.rs
+++ b/crates/shallotroute_peer/src/service.rs
@@ -14,6 +14,9 @@
     /// Trainers' steps.
     #[display("rollouts")]
     Rollouts,
+    /// Batch jobs and calls to the platform's store, between nodes on the users' platform.
+    #[display("jobs")]
+    Jobs,
 }
 
 impl Kind {
@@ -23,6 +26,7 @@
             Self::Configuration => 1,
             Self::Requests => 2,
             Self::Rollouts => 3,
+            Self::Jobs => 4,
         }
     }
 
@@ -32,6 +36,7 @@
             1 => Some(Self::Configuration),
             2 => Some(Self::Requests),
             3 => Some(Self::Rollouts),
+            4 => Some(Self::Jobs),
             _ => None,
         }
     }
--- a/crates/shallotroute_settings/src/check.rs
+++ b/crates/shallotroute_settings/src/check.rs
@@ -25,15 +25,7 @@
 ];
 
 pub(crate) fn parse(path: &Path, text: &str) -> Result<Settings> {
-    let value: Value = serde_yaml_ng::from_str(text).map_err(|error| {
-        let line = error.location().map_or(0, |location| location.line());
-        Findings(vec![Finding::new(
-            path,
-            line,
-            "",
-            format!("not valid YAML: {error}"),
-        )])
-    })?;
+    let value = read_yaml(path, text)?;
     let mut reader = Reader::new(path, text);
     let settings = reader
         .mapping(Some(&value), "", &SECTIONS)
@@ -45,6 +37,18 @@
     }
 }
 
+pub(crate) fn read_yaml(path: &Path, text: &str) -> Result<Value> {
+    serde_yaml_ng::from_str(text).map_err(|error| {
+        let line = error.location().map_or(0, |location| location.line());
+        Findings(vec![Finding::new(
+            path,
+            line,
+            "",
+            format!("not valid YAML: {error}"),
+        )])
+    })
+}
+
 /// Reads every section before it gives up, so that all findings are reported at once.
 fn read_sections(reader: &mut Reader<'_>, root: &Mapping) -> Option<Settings> {
     let node = read_node(reader, root.get("node"));
@@ -65,7 +69,7 @@
     })
 }
 
-fn read_node(reader: &mut Reader<'_>, value: Option<&Value>) -> Option<Node> {
+pub(crate) fn read_node(reader: &mut Reader<'_>, value: Option<&Value>) -> Option<Node> {
     let section = reader.mapping(value, "node", &["id", "region", "zone"])?;
     let id = read_name(reader, section.get("id"), "node.id");
     let region = read_name(reader, section.get("region"), "node.region");
@@ -205,7 +209,7 @@
     Log { level, modules }
 }
 
-fn read_level(reader: &mut Reader<'_>, value: &Value, path: &str) -> Option<Level> {
+pub(crate) fn read_level(reader: &mut Reader<'_>, value: &Value, path: &str) -> Option<Level> {
     // YAML reads a bare `off` as a text in version 1.2 and as false in version 1.1.
     if value.as_bool() == Some(false) {
         return Some(Level::Off);
@@ -225,7 +229,11 @@
     Some(name)
 }
 
-fn read_address(reader: &mut Reader<'_>, value: Option<&Value>, path: &str) -> Option<SocketAddr> {
+pub(crate) fn read_address(
+    reader: &mut Reader<'_>,
+    value: Option<&Value>,
+    path: &str,
+) -> Option<SocketAddr> {
     let address: SocketAddr = reader.parse(value, path, "an IP address with a port")?;
     if address.port() == 0 {
         reader.add(path, "needs a port other than 0");
--- a/crates/shallotroute_settings/src/lib.rs
+++ b/crates/shallotroute_settings/src/lib.rs
@@ -1,9 +1,11 @@
-//! A node's settings in YAML and their check. Start with [`Settings::parse`].
+//! A node's settings in YAML and their check. Start with [`Settings::parse`], and for a
+//! node on the users' platform with [`site::Site`].
 
 mod check;
 pub mod finding;
 mod locate;
 mod reader;
+pub mod site;
 
 use std::{collections::BTreeMap, fs, net::SocketAddr, path::Path, path::PathBuf};
 
--- /dev/null
+++ b/crates/shallotroute_settings/src/site.rs
@@ -0,0 +1,186 @@
+//! The settings of a node on the users' platform, where the deployment fills in a template.
+
+use std::{net::SocketAddr, path::Path, time::Duration};
+
+use serde_yaml_ng::Value;
+
+use crate::{
+    Level, Node, Result, check,
+    finding::{Finding, Findings},
+    reader::Reader,
+};
+
+const SECTIONS: [&str; 4] = ["node", "site", "listen", "log_level"];
+
+/// The settings of a node on the users' platform.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Site {
+    /// Who and where the node is.
+    pub node: Node,
+    /// What the node does.
+    pub role: Role,
+    /// Where it listens.
+    pub listen: Listen,
+    /// The platform's key-value store.
+    pub store: SocketAddr,
+    /// The time between SIGTERM and SIGKILL.
+    pub grace: Duration,
+    /// How long results of ended jobs are kept after their submission.
+    pub retention: Duration,
+    /// The least severe level that is logged.
+    pub log_level: Level,
+}
+
+/// What a node does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// It serves callers and trainers.
+    Entry,
+    /// It stands on a host with a disk and keeps nothing: all that lasts is in the platform's store.
+    Standby,
+}
+
+/// Where a node on the platform listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Listen {
+    /// HTTP for callers and trainers; none on a standby node.
+    pub callers: Option<SocketAddr>,
+    /// HTTP for the balancer's readiness check; none on a standby node.
+    pub readiness: Option<SocketAddr>,
+    /// TCP for other nodes.
+    pub peers: SocketAddr,
+    /// HTTP for metrics.
+    pub metrics: SocketAddr,
+}
+
+impl Site {
+    /// Reads settings from the text of the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// All findings: the text is not YAML, or has wrong, missing or unknown fields.
+    pub fn parse(path: &Path, text: &str) -> Result<Self> {
+        let value: Value = check::read_yaml(path, text)?;
+        let mut reader = Reader::new(path, text);
+        let settings = read(&mut reader, &value);
+        let findings = reader.into_findings();
+        match settings {
+            Some(settings) if findings.is_empty() => Ok(settings),
+            _ => Err(Findings(findings)),
+        }
+    }
+
+    /// Tells whether a text has the settings of a node on the platform.
+    ///
+    /// # Errors
+    ///
+    /// The text is not YAML.
+    pub fn recognizes(path: &Path, text: &str) -> std::result::Result<bool, Findings> {
+        let value = check::read_yaml(path, text)?;
+        Ok(value.get("site").is_some())
+    }
+}
+
+fn read(reader: &mut Reader<'_>, value: &Value) -> Option<Site> {
+    let root = reader.mapping(Some(value), "", &SECTIONS)?;
+    let node = check::read_node(reader, root.get("node"));
+    let listen = read_listen(reader, root.get("listen"));
+    let log_level = root
+        .get("log_level")
+        .and_then(|level| check::read_level(reader, level, "log_level"))
+        .unwrap_or_default();
+    let known = ["role", "store", "grace_s", "retention_s"];
+    let site = reader.mapping(root.get("site"), "site", &known)?;
+    let role = read_role(reader, site.get("role"));
+    let store = check::read_address(reader, site.get("store"), "site.store");
+    let grace = read_seconds(reader, site.get("grace_s"), "site.grace_s");
+    let retention = read_seconds(reader, site.get("retention_s"), "site.retention_s");
+    let (role, listen) = (role?, listen?);
+    if role == Role::Entry && (listen.callers.is_none() || listen.readiness.is_none()) {
+        reader.add(
+            "listen",
+            "an entry node needs the addresses `callers` and `readiness`",
+        );
+    }
+    Some(Site {
+        node: node?,
+        role,
+        listen,
+        store: store?,
+        grace: grace?,
+        retention: retention?,
+        log_level,
+    })
+}
+
+fn read_role(reader: &mut Reader<'_>, value: Option<&Value>) -> Option<Role> {
+    let text = reader.text(value, "site.role")?;
+    match text.as_str() {
+        "entry" => Some(Role::Entry),
+        "standby" => Some(Role::Standby),
+        other => {
+            reader.add(
+                "site.role",
+                format!("`{other}` is not one of entry, standby"),
+            );
+            None
+        }
+    }
+}
+
+fn read_listen(reader: &mut Reader<'_>, value: Option<&Value>) -> Option<Listen> {
+    let known = ["callers", "readiness", "peers", "metrics"];
+    let section = reader.mapping(value, "listen", &known)?;
+    let mut optional = |name: &str| match section.get(name) {
+        None | Some(Value::Null) => None,
+        some => check::read_address(reader, some, &format!("listen.{name}")),
+    };
+    let callers = optional("callers");
+    let readiness = optional("readiness");
+    let peers = check::read_address(reader, section.get("peers"), "listen.peers");
+    let metrics = check::read_address(reader, section.get("metrics"), "listen.metrics");
+    Some(Listen {
+        callers,
+        readiness,
+        peers: peers?,
+        metrics: metrics?,
+    })
+}
+
+fn read_seconds(reader: &mut Reader<'_>, value: Option<&Value>, path: &str) -> Option<Duration> {
+    let seconds: f64 = reader.parse(value, path, "a number of seconds")?;
+    match Duration::try_from_secs_f64(seconds) {
+        Ok(duration) => Some(duration),
+        Err(_) => {
+            reader.add(path, "has to be a number of seconds that is not negative");
+            None
+        }
+    }
+}
+
+/// The settings of either kind of node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Program {
+    /// A node with the product's own interface.
+    Node(Box<crate::Settings>),
+    /// A node on the users' platform.
+    Site(Box<Site>),
+}
+
+impl Program {
+    /// Reads a settings file; the section `site` tells the two kinds apart.
+    ///
+    /// # Errors
+    ///
+    /// All findings, as for [`crate::Settings::read`].
+    pub fn read(path: &Path) -> Result<Self> {
+        let text = std::fs::read_to_string(path).map_err(|error| {
+            let message = format!("the file can't be read: {error}");
+            Findings(vec![Finding::new(path, 0, "", message)])
+        })?;
+        match Site::recognizes(path, &text)? {
+            true => Site::parse(path, &text).map(|site| Self::Site(Box::new(site))),
+            false => crate::Settings::parse(path, &text).map(|node| Self::Node(Box::new(node))),
+        }
+    }
+}
