fleet, resident: each server follows one model; a load ends by time

Each load was also held for 1.2 s, because a report lags by some 200 ms. Change: wave::Planner divides the servers among their models; at most a fifth loads at once; a load counts as done after 0.92 s, and the list corrects that when it is wrong.

--- a/crates/shallotroute_fleet/src/wave.rs
+++ b/crates/shallotroute_fleet/src/wave.rs
@@ -1,5 +1,9 @@
-//! The order in which servers move to new versions: a few at a time, so that the others go on
-//! serving and the loads do not slow one another down.
+//! The orders that move servers to new versions.
+//!
+//! Answers two load patterns. When one model gets versions faster than all servers can load them one
+//! after the other, a few load at a time and the others go on serving. When several models share the
+//! servers, each server follows one model, so that a new version costs a share of the servers and not
+//! all of them.
 
 use std::{
     collections::BTreeMap,
@@ -7,16 +11,23 @@
 };
 
 use shallotroute_types::{name::Name, version::Version};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::server::Server;
 
 /// One server of this many may load at a time; more loads at once slow one another down.
 const SERVERS_PER_LOAD: usize = 5;
 
-/// How long the host list may lag behind what a server itself reported.
+/// One follower of a model of this many may load at a time, so that the others can serve.
+const FOLLOWERS_PER_LOAD: usize = 4;
+
+/// The usual time of a load; after it the next server may get its order.
+const LOAD_TIME: Duration = Duration::from_millis(920);
+
+/// How long the host list may lag behind what a server itself said.
 const LIST_LAG: Duration = Duration::from_secs(3);
 
-/// The pause after an order that was refused or lost, before the server is asked for its state.
+/// The pause after an order that was refused or lost.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
 /// An order to load a version.
@@ -28,8 +39,8 @@
     pub model: Name,
     /// The version.
     pub version: Version,
-    /// The orders that the server has accepted before, as it last reported; it refuses the order
-    /// when the count differs. None when it has not reported since its start.
+    /// The orders that the server has accepted before, as far as known; it refuses the order when
+    /// the count differs. None when it has not reported since its start.
     pub accepted_before: Option<u64>,
 }
 
@@ -46,10 +57,22 @@
     pub models: BTreeMap<Name, Version>,
 }
 
+/// How an order ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The server carries it out.
+    Accepted,
+    /// What it asks for held already.
+    Held,
+    /// It was refused or lost, and the count of accepted orders is not known any more.
+    Unknown,
+}
+
 /// Decides which server gets which order.
 #[derive(Debug, Default)]
 pub struct Planner {
-    loading: BTreeMap<Name, Order>,
+    /// Orders on their way or in progress, with the time at which the load counts as done.
+    loading: BTreeMap<Name, (Name, Option<Instant>)>,
     reports: BTreeMap<Name, (Report, Instant)>,
     paused: BTreeMap<Name, Instant>,
 }
@@ -62,30 +85,43 @@
         servers: &[Server],
         now: Instant,
     ) -> Vec<Order> {
-        self.forget_gone(servers);
-        self.paused.retain(|_, until| now < *until);
+        self.forget(servers, now);
+        let followers = self.follow(targets, servers, now);
+        let most = servers
+            .iter()
+            .filter(|server| !server.models.is_empty())
+            .count()
+            .div_ceil(SERVERS_PER_LOAD);
         let mut orders = Vec::new();
-        for (model, target) in targets {
-            let having: Vec<&Server> = servers
-                .iter()
-                .filter(|server| server.models.contains_key(model) && !server.draining)
-                .collect();
-            let most = having.len().div_ceil(SERVERS_PER_LOAD).max(1);
-            let loading = self
-                .loading
-                .values()
-                .filter(|order| order.model == *model)
-                .count();
-            let mut behind: Vec<(Version, Order)> = having
+        for (model, followers) in followers {
+            let Some(&target) = targets.get(model) else {
+                continue;
+            };
+            let most_here = followers.len().div_ceil(FOLLOWERS_PER_LOAD);
+            let mut behind: Vec<(Version, &Server)> = followers
                 .iter()
                 .filter(|server| !self.loading.contains_key(&server.id))
                 .filter(|server| !self.paused.contains_key(&server.id))
-                .filter_map(|server| self.order(server, model, *target, now))
+                .filter_map(|server| Some((self.version(server, model, now)?, *server)))
+                .filter(|(version, _)| *version < target)
                 .collect();
-            behind.sort_by(|one, other| (one.0, &one.1.server).cmp(&(other.0, &other.1.server)));
-            for (_, order) in behind.into_iter().take(most.saturating_sub(loading)) {
-                self.loading.insert(order.server.clone(), order.clone());
-                orders.push(order);
+            behind.sort_by(|one, other| (one.0, &one.1.id).cmp(&(other.0, &other.1.id)));
+            for (_, server) in behind {
+                let here = self.loading.values().filter(|(other, _)| other == model);
+                if here.count() >= most_here || self.loading.len() >= most {
+                    break;
+                }
+                self.loading
+                    .insert(server.id.clone(), (model.clone(), None));
+                orders.push(Order {
+                    server: server.id.clone(),
+                    model: model.clone(),
+                    version: target,
+                    accepted_before: self
+                        .reports
+                        .get(&server.id)
+                        .map(|(report, _)| report.orders),
+                });
             }
         }
         orders
@@ -96,50 +132,81 @@
         self.reports.insert(server.clone(), (report, now));
     }
 
-    /// Notes that an order has ended: carried out, refused or lost.
-    pub fn finish(&mut self, server: &str, done: bool, now: Instant) {
-        if let Some(order) = self.loading.remove(server)
-            && !done
-        {
-            self.paused.insert(order.server, now + RETRY_PAUSE);
+    /// Notes how an order ended.
+    pub fn finish(&mut self, order: &Order, end: End, now: Instant) {
+        let done_at = match end {
+            End::Accepted => now + LOAD_TIME,
+            End::Held => now,
+            End::Unknown => {
+                self.loading.remove(&order.server);
+                self.reports.remove(&order.server);
+                self.paused.insert(order.server.clone(), now + RETRY_PAUSE);
+                return;
+            }
+        };
+        if let Some((_, until)) = self.loading.get_mut(&order.server) {
+            *until = Some(done_at);
+        }
+        if let Some((report, at)) = self.reports.get_mut(&order.server) {
+            report.orders += u64::from(end == End::Accepted);
+            report.models.insert(order.model.clone(), order.version);
+            *at = done_at;
         }
     }
 
-    /// Forgets all orders in progress, as when the duty passes to another node.
-    pub fn reset(&mut self) {
-        *self = Self::default();
-    }
-
-    fn forget_gone(&mut self, servers: &[Server]) {
-        let lives = |id: &Name| servers.iter().any(|server| server.id == *id);
-        self.reports.retain(|id, (report, _)| {
-            servers
-                .iter()
-                .any(|server| server.id == *id && server.born == report.born)
-        });
-        self.loading.retain(|id, _| lives(id));
+    fn forget(&mut self, servers: &[Server], now: Instant) {
+        let find = |id: &Name| servers.iter().find(|server| server.id == *id);
+        self.reports
+            .retain(|id, (report, _)| find(id).is_some_and(|server| server.born == report.born));
+        self.loading
+            .retain(|id, (_, until)| find(id).is_some() && until.is_none_or(|until| now < until));
+        self.paused.retain(|_, until| now < *until);
     }
 
-    /// Returns the version behind the target and the order that mends it.
-    fn order(
+    /// Divides the servers among the models that they have, as evenly as possible. Each follows the
+    /// model whose version it lacks least, so that the division stays as it is.
+    fn follow<'a>(
         &self,
-        server: &Server,
-        model: &Name,
-        target: Version,
+        targets: &BTreeMap<Name, Version>,
+        servers: &'a [Server],
         now: Instant,
-    ) -> Option<(Version, Order)> {
-        let report = self.reports.get(&server.id);
-        let models = match report {
+    ) -> BTreeMap<&'a Name, Vec<&'a Server>> {
+        let mut pairs = Vec::new();
+        let mut having: BTreeMap<&Name, usize> = BTreeMap::new();
+        for server in servers.iter().filter(|server| !server.draining) {
+            for model in server.models.keys() {
+                *having.entry(model).or_default() += 1;
+                let Some(version) = self.version(server, model, now) else {
+                    continue;
+                };
+                let target = targets.get(model).copied().unwrap_or_default();
+                let lag = target.0.saturating_sub(version.0);
+                pairs.push((lag, weight(&server.id, model), server, model));
+            }
+        }
+        pairs.sort_by_key(|pair| (pair.0, pair.1));
+        let mut followers: BTreeMap<&Name, Vec<&Server>> = BTreeMap::new();
+        let mut taken = std::collections::BTreeSet::new();
+        for (_, _, server, model) in pairs {
+            let share = having[model].div_ceil(server.models.len());
+            let others = followers.entry(model).or_default();
+            if others.len() < share && taken.insert(&server.id) {
+                others.push(server);
+            }
+        }
+        followers
+    }
+
+    /// Returns the version that a server has, by its own report if that is newer than the list.
+    fn version(&self, server: &Server, model: &Name, now: Instant) -> Option<Version> {
+        let models = match self.reports.get(&server.id) {
             Some((report, at)) if now < *at + LIST_LAG => &report.models,
             _ => &server.models,
         };
-        let current = *models.get(model)?;
-        let order = Order {
-            server: server.id.clone(),
-            model: model.clone(),
-            version: target,
-            accepted_before: report.map(|(report, _)| report.orders),
-        };
-        (current < target).then_some((current, order))
+        models.get(model).copied()
     }
 }
+
+fn weight(server: &str, model: &str) -> u64 {
+    xxh3_64_with_seed(server.as_bytes(), xxh3_64(model.as_bytes()))
+}
--- a/crates/shallotroute_resident/src/duty.rs
+++ b/crates/shallotroute_resident/src/duty.rs
@@ -3,7 +3,10 @@
 
 use std::{
     collections::BTreeSet,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -17,7 +20,7 @@
 use shallotroute_fleet::{
     election,
     server::Server,
-    wave::{Order, Planner, Report},
+    wave::{End, Order, Planner, Report},
 };
 use shallotroute_types::{fence::Fence, name::Name};
 use tokio::sync::watch;
@@ -51,15 +54,6 @@
 /// How long an order or a report may take.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// The usual time of a load, after which the server is asked whether it is done.
-const LOAD_TIME: Duration = Duration::from_millis(950);
-
-/// The pause between two questions to a server that still loads.
-const LOAD_POLL: Duration = Duration::from_millis(250);
-
-/// After this time a load counts as failed.
-const MAX_LOAD_TIME: Duration = Duration::from_secs(6);
-
 /// The pause between two searches for jobs without a live owner, while nothing has changed.
 const SWEEP_PAUSE: Duration = Duration::from_secs(6);
 
@@ -76,7 +70,7 @@
     next_sweep: Instant,
     retired: BTreeSet<Name>,
     /// Whether a server has seen a higher fencing number.
-    fenced: Arc<std::sync::atomic::AtomicBool>,
+    fenced: Arc<AtomicBool>,
 }
 
 /// Takes the duty when it is vacant, and does it while this node holds it, until the process drains.
@@ -198,10 +192,7 @@
     }
 
     async fn work(&mut self) {
-        if self
-            .fenced
-            .swap(false, std::sync::atomic::Ordering::Relaxed)
-        {
+        if self.fenced.swap(false, Ordering::Relaxed) {
             spdlog::warn!("a server has seen a higher fencing number; giving the duty up", kv: {
                 fence = self.fence.0,
             });
@@ -335,7 +326,7 @@
     order: Order,
     fence: Fence,
     planner: Arc<Mutex<Planner>>,
-    fenced: Arc<std::sync::atomic::AtomicBool>,
+    fenced: Arc<AtomicBool>,
 }
 
 impl OrderTask {
@@ -351,20 +342,14 @@
             None => Reply::Unknown,
         };
         Metrics::count(&self.site.metrics.orders, reply_name(reply));
-        let done = match reply {
-            Reply::Accepted => self.wait_for_load(begun).await,
-            Reply::Holds => self.report().await.is_some(),
+        let end = match reply {
+            Reply::Accepted => End::Accepted,
+            Reply::Holds => End::Held,
             Reply::Fenced => {
-                self.fenced
-                    .store(true, std::sync::atomic::Ordering::Relaxed);
-                false
+                self.fenced.store(true, Ordering::Relaxed);
+                End::Unknown
             }
-            Reply::Unknown if self.order.accepted_before.is_none() => false,
-            Reply::Conflict | Reply::Unknown => {
-                self.report().await;
-                false
-            }
-            Reply::Misdirected | Reply::Invalid => false,
+            Reply::Conflict | Reply::Unknown | Reply::Misdirected | Reply::Invalid => End::Unknown,
         };
         spdlog::info!("order to a server", kv: {
             server = self.order.server.as_str(),
@@ -373,10 +358,9 @@
             accepted_before = format!("{:?}", self.order.accepted_before),
             fence = self.fence.0,
             reply = reply_name(reply),
-            done,
             taken_ms = self.site.now().saturating_duration_since(begun).as_millis(),
         });
-        lock(&self.planner).finish(&self.order.server, done, self.site.now());
+        lock(&self.planner).finish(&self.order, end, self.site.now());
     }
 
     async fn send(&self) -> Reply {
@@ -400,25 +384,6 @@
         }
     }
 
-    /// Asks the server for its state until the load is done.
-    async fn wait_for_load(&self, begun: Instant) -> bool {
-        tokio::time::sleep(LOAD_TIME).await;
-        loop {
-            let report = self.report().await;
-            let loaded = report.is_some_and(|report| {
-                let version = report.models.get(&self.order.model);
-                !report.busy && version.is_some_and(|version| *version >= self.order.version)
-            });
-            if loaded {
-                return true;
-            }
-            if self.site.now().saturating_duration_since(begun) > MAX_LOAD_TIME {
-                return false;
-            }
-            tokio::time::sleep(LOAD_POLL).await;
-        }
-    }
-
     /// Asks the server for its state, and notes it.
     async fn report(&self) -> Option<Report> {
         let (_, body) = match self.call(engine::report()).await {
