resident, fleet: jobs of a route run at one node, chosen by capacity

Change: the node that ranks first for the route, by rendezvous hashing weighted by its part of a core, runs its jobs; the accepting node writes the head in that node's name and hands the job over, and runs it itself when the node does not take it. Nodes that stop are marked and left out. The duty asks live owners to run what they own.

--- a/crates/shallotroute_fleet/src/election.rs
+++ b/crates/shallotroute_fleet/src/election.rs
@@ -22,9 +22,19 @@
     STAGGER * u32::try_from(rank.min(MAX_RANK)).unwrap_or(u32::MAX)
 }
 
-/// Returns the live node that ranks first for a duty.
-pub fn first<'a>(live: &'a [Id], duty: &str) -> Option<&'a Name> {
-    live.iter().max_by_key(|id| (weight(id, duty), &***id))
+/// Returns the node that ranks first for a duty by weighted rendezvous hashing: each is first for a
+/// share of all duties in proportion to its capacity.
+///
+/// C. Schindelhauer and G. Schomaker, "Weighted distributed hash tables", SPAA 2005.
+pub fn first<'a>(nodes: impl Iterator<Item = (&'a Id, u32)>, duty: &str) -> Option<&'a Name> {
+    nodes
+        .map(|(id, capacity)| {
+            // The upper 53 bits fill the mantissa; one half keeps the logarithm finite.
+            let uniform = ((weight(id, duty) >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+            (-f64::from(capacity.max(1)) / uniform.ln(), id)
+        })
+        .max_by(|(one, _), (other, _)| one.total_cmp(other))
+        .map(|(_, id)| id)
 }
 
 fn weight(node: &str, duty: &str) -> u64 {
--- a/crates/shallotroute_resident/src/claim.rs
+++ b/crates/shallotroute_resident/src/claim.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     job::{CLAIM_TRUST, Owned},
+    member::Member,
     metric::Metrics,
     runner,
     site::Site,
@@ -33,6 +34,9 @@
 /// How long a submission is tried to be written before its caller is told that the outcome is open.
 const ACCEPT_TIME: Duration = Duration::from_millis(1500);
 
+/// How long the node that an accepted job is handed to may take.
+const HAND_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// How long a write is tried without an answer before the caller is told so.
 pub(crate) const END_TIME: Duration = Duration::from_millis(1500);
 
@@ -74,16 +78,20 @@
     Open(String),
 }
 
-/// Keeps a new job and starts to run it.
+/// Keeps a new job, and has it run by the node that runs the jobs of its route: that node's
+/// connections are open and it knows the load that the route's other jobs make.
 pub(crate) async fn accept(
     site: &Arc<Site>,
     job: &Name,
+    route: &Name,
     specification: Specification,
 ) -> Acceptance {
     let encoded = record::encode(&specification);
     let parts: Vec<&[u8]> = encoded.chunks(MAX_PART_BYTES).collect();
+    let home = site.members.borrow().home(route).cloned();
+    let owner = home.as_ref().map_or(&site.owner, |home| &home.owner);
     let head = Head {
-        owner: Some(site.owner.clone()),
+        owner: Some(owner.clone()),
         nonce: rand::random(),
         total: count(specification.items.len()),
         parts: count(parts.len()),
@@ -95,10 +103,20 @@
         .enumerate()
         .map(|(index, part)| (specification_key(job, index), part.to_vec(), 0))
         .collect();
-    let specification = Arc::new(specification);
     match write_head(site, job, &head, 0, puts, ACCEPT_TIME).await {
         Outcome::Done(revision) => {
-            start(site, job, head, revision, specification, Vec::new());
+            let stored = Stored { head, revision };
+            match home.filter(|home| home.owner != site.owner) {
+                Some(home) => {
+                    site.jobs.set_owner(job, Some(home.owner.clone()));
+                    let handed = hand_to(Arc::clone(site), job.clone(), home, stored, encoded);
+                    tokio::spawn(handed);
+                }
+                None => {
+                    let specification = Arc::new(specification);
+                    start(site, job, stored.head, revision, specification, Vec::new());
+                }
+            }
             Acceptance::Kept
         }
         Outcome::Other => Acceptance::Known,
@@ -110,6 +128,67 @@
     }
 }
 
+/// Hands an accepted job to the node that its head names; runs it here if that node does not take
+/// it.
+async fn hand_to(site: Arc<Site>, job: Name, home: Member, stored: Stored, specification: Vec<u8>) {
+    let (id, head, revision) = (job.clone(), record::encode(&stored.head), stored.revision);
+    let started = site
+        .peers
+        .call(home.address, HAND_TIMEOUT, |client, context| async move {
+            client
+                .start(context, id, head, revision, specification)
+                .await
+        })
+        .await;
+    if matches!(started, Ok(true)) {
+        return;
+    }
+    spdlog::warn!("job not taken by its node; running it here", kv: {
+        job = job.as_str(), node = home.owner.to_string(), outcome = format!("{started:?}"),
+    });
+    site.jobs.set_owner(&job, None);
+    take_over(&site, &job, stored).await;
+}
+
+/// Starts a job that another node has accepted for this one.
+pub(crate) fn start_handed(
+    site: &Arc<Site>,
+    job: &Name,
+    head: &[u8],
+    revision: u64,
+    specification: &[u8],
+) -> bool {
+    if site.drain.is_cancelled() {
+        return false;
+    }
+    let decoded = decode::<Head>("head", head).and_then(|head| {
+        let specification: Specification = decode("specification", specification)?;
+        Ok((head, specification))
+    });
+    match decoded {
+        Ok((head, specification)) if head.owner.as_ref() == Some(&site.owner) => {
+            if site.jobs.owned(job).is_none() {
+                start(
+                    site,
+                    job,
+                    head,
+                    revision,
+                    Arc::new(specification),
+                    Vec::new(),
+                );
+            }
+            true
+        }
+        Ok(_) => false,
+        Err(error) => {
+            spdlog::error!("handed job can't be read", kv: {
+                job = job.as_str(), error = error.to_string(),
+            });
+            false
+        }
+    }
+}
+
 /// Runs a job whose acceptance had no answer, once the store tells that it was written.
 async fn settle_acceptance(site: Arc<Site>, job: Name, nonce: u64) {
     // A lost write is done within seconds or never.
--- a/crates/shallotroute_resident/src/drain.rs
+++ b/crates/shallotroute_resident/src/drain.rs
@@ -2,7 +2,6 @@
 
 use std::{sync::Arc, time::Duration};
 
-use shallotroute_fleet::election;
 use shallotroute_types::name::Name;
 use tokio::time::Instant;
 
@@ -47,17 +46,12 @@
         return;
     }
     owned.progress.send_modify(|progress| progress.lost = true);
-    let successor = {
-        let members = site.members.borrow();
-        let others: Vec<Name> = members
-            .live()
-            .into_iter()
-            .filter(|id| *id != site.owner.node)
-            .collect();
-        election::first(&others, &job)
-            .and_then(|id| members.nodes.get(id))
-            .cloned()
-    };
+    let successor = site
+        .members
+        .borrow()
+        .home(&job)
+        .filter(|member| member.owner != site.owner)
+        .cloned();
     let Some(successor) = successor else {
         spdlog::warn!("no other node for a job", kv: { job = job.as_str() });
         return;
--- a/crates/shallotroute_resident/src/duty.rs
+++ b/crates/shallotroute_resident/src/duty.rs
@@ -28,7 +28,7 @@
 use crate::{
     claim,
     generate::keep_time,
-    member::{DUTY_KEY, Duty},
+    member::{DUTY_KEY, Duty, Members},
     metric::Metrics,
     presence::Held,
     site::Site,
@@ -298,13 +298,42 @@
             let owner = stored.head.owner.as_ref();
             let lives = owner
                 .is_some_and(|owner| *owner == self.site.owner || members.address(owner).is_some());
-            if !lives && claim::take_over(&self.site, &job, stored).await {
-                taken += 1;
+            match lives {
+                true => self.check_owner(&members, &job, &stored).await,
+                false => taken += u32::from(claim::take_over(&self.site, &job, stored).await),
             }
         }
         spdlog::debug!("jobs swept", kv: { taken, live = live.len() });
     }
 
+    /// Has the live owner of a job run it: it may not know of it when the node that accepted the
+    /// job has died.
+    async fn check_owner(&self, members: &Members, job: &Name, stored: &claim::Stored) {
+        let Some(owner) = &stored.head.owner else {
+            return;
+        };
+        if *owner == self.site.owner {
+            claim::adopt(&self.site, job).await;
+            return;
+        }
+        let Some(address) = members.address(owner) else {
+            return;
+        };
+        let id = job.clone();
+        let adopted = self
+            .site
+            .peers
+            .call(address, CALL_TIMEOUT, |client, context| async move {
+                client.adopt(context, id).await
+            })
+            .await;
+        if !matches!(adopted, Ok(true)) {
+            spdlog::warn!("owner of job does not run it", kv: {
+                job = job.as_str(), owner = owner.to_string(), outcome = format!("{adopted:?}"),
+            });
+        }
+    }
+
     async fn remove_old(&self, job: &Name, stored: &claim::Stored) {
         let age = Duration::from_millis(self.site.wall().saturating_sub(stored.head.submitted));
         if age < self.site.settings.retention {
--- a/crates/shallotroute_resident/src/entry.rs
+++ b/crates/shallotroute_resident/src/entry.rs
@@ -146,7 +146,7 @@
     };
     if route.kind == Kind::Batch && parts.method == Method::POST {
         let host = host.to_owned();
-        return trainer::submit(site, &host, parts.uri.path(), &id, &content).await;
+        return trainer::submit(site, &host, parts.uri.path(), &route.name, &id, &content).await;
     }
     let exchange = exchange(site, &route, parts, content, &id, begun);
     match route.kind {
--- a/crates/shallotroute_resident/src/lib.rs
+++ b/crates/shallotroute_resident/src/lib.rs
@@ -189,6 +189,12 @@
         let end = begun + grace.saturating_sub(GRACE_MARGIN);
         spdlog::info!("node drains", kv: { open = self.open.load(Ordering::Relaxed) });
         self.site.drain.cancel();
+        let held = *self.held.borrow();
+        if let Some(held) = held
+            && let Err(error) = presence::write_entry(&self.site, held.lease).await
+        {
+            spdlog::warn!("leaving not announced", kv: { error = error.to_string() });
+        }
         if let Err(error) = self.duty.await {
             spdlog::error!("the duty ended abnormally", kv: { error = error.to_string() });
         }
--- a/crates/shallotroute_resident/src/member.rs
+++ b/crates/shallotroute_resident/src/member.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 use shallotroute_batch::record::{self, Owner};
+use shallotroute_fleet::election;
 use shallotroute_types::{fence::Fence, node::Id, place::Zone};
 
 /// The prefix of the entries of nodes and of the duty; one watch follows them all.
@@ -25,6 +26,10 @@
     pub(crate) address: SocketAddr,
     /// Its availability zone.
     pub(crate) zone: Zone,
+    /// Thousandths of a processor core.
+    pub(crate) capacity: u32,
+    /// Whether it stops and takes no new work.
+    pub(crate) leaving: bool,
 }
 
 /// Who gives orders to model servers and looks after jobs without an owner.
@@ -117,6 +122,13 @@
         (member.owner == *owner).then_some(member.address)
     }
 
+    /// Returns the node that takes new work under a key.
+    pub(crate) fn home(&self, key: &str) -> Option<&Member> {
+        let staying = self.nodes.iter().filter(|(_, member)| !member.leaving);
+        let id = election::first(staying.map(|(id, member)| (id, member.capacity)), key)?;
+        self.nodes.get(id)
+    }
+
     /// Returns the names of the live nodes.
     pub(crate) fn live(&self) -> Vec<Id> {
         self.nodes.keys().cloned().collect()
--- a/crates/shallotroute_resident/src/peer.rs
+++ b/crates/shallotroute_resident/src/peer.rs
@@ -42,6 +42,8 @@
     async fn body(job: Name, item: Name) -> Result<Option<Vec<u8>>, Denial>;
     /// Ends a job. Returns whether the end is kept.
     async fn end(job: Name) -> Result<bool, Denial>;
+    /// Starts a job that was accepted for this node.
+    async fn start(job: Name, head: Vec<u8>, revision: u64, specification: Vec<u8>) -> bool;
     /// Takes over a job that its owner gave up.
     async fn adopt(job: Name) -> bool;
     /// Makes a call to the platform's store.
@@ -78,6 +80,17 @@
         Ok(owned.end(&self.0).await)
     }
 
+    async fn start(
+        self,
+        _: Context,
+        job: Name,
+        head: Vec<u8>,
+        revision: u64,
+        specification: Vec<u8>,
+    ) -> bool {
+        crate::claim::start_handed(&self.0, &job, &head, revision, &specification)
+    }
+
     async fn adopt(self, _: Context, job: Name) -> bool {
         crate::claim::adopt(&self.0, &job).await
     }
--- a/crates/shallotroute_resident/src/presence.rs
+++ b/crates/shallotroute_resident/src/presence.rs
@@ -91,14 +91,25 @@
 async fn register(site: &Site) -> Result<Held> {
     let begun = site.now();
     let lease = site.store.grant(LEASE_PERIOD).await?;
+    write_entry(site, lease.id).await?;
+    Ok(Held {
+        lease: lease.id,
+        until: begun + lease.period,
+    })
+}
+
+/// Writes the node's entry, which tells the others whether it leaves.
+pub(crate) async fn write_entry(site: &Site, lease: u64) -> Result<()> {
     let member = Member {
         owner: site.owner.clone(),
         address: site.settings.listen.peers,
         zone: site.settings.node.zone.clone(),
+        capacity: (site.settings.cores * 1000.0) as u32,
+        leaving: site.drain.is_cancelled(),
     };
     let key = member::node_key(&site.owner.node);
     let write = Write {
-        puts: vec![(key.clone(), record::encode(&member), lease.id)],
+        puts: vec![(key.clone(), record::encode(&member), lease)],
         ..Write::default()
     };
     match site.store.write(&write).await? {
@@ -110,19 +121,15 @@
             spdlog::info!("node registered", kv: {
                 node = site.owner.node.as_str(),
                 incarnation = site.owner.incarnation.0,
+                leaving = member.leaving,
                 revision,
             });
+            Ok(())
         }
-        Written::Conflict(_) => {
-            return Err(Error::NotDone(
-                "an unconditional write conflicts".to_owned(),
-            ));
-        }
+        Written::Conflict(_) => Err(Error::NotDone(
+            "an unconditional write conflicts".to_owned(),
+        )),
     }
-    Ok(Held {
-        lease: lease.id,
-        until: begun + lease.period,
-    })
 }
 
 async fn renew(site: &Site, lease: u64) -> Result<Held> {
--- a/crates/shallotroute_resident/src/trainer.rs
+++ b/crates/shallotroute_resident/src/trainer.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     claim::{self, Acceptance, Stored},
-    job,
+    drain, job,
     metric::Metrics,
     peer::Denial,
     refusal,
@@ -32,6 +32,7 @@
     site: &Arc<Site>,
     host: &str,
     path: &str,
+    route: &Name,
     request: &str,
     content: &[u8],
 ) -> Response<Body> {
@@ -51,7 +52,7 @@
     }
     let items = specification.items.len();
     let oldest = specification.oldest;
-    let acceptance = claim::accept(site, &id, specification).await;
+    let acceptance = claim::accept(site, &id, route, specification).await;
     let (outcome, reason) = match &acceptance {
         Acceptance::Kept => ("kept", ""),
         Acceptance::Known => ("known", ""),
@@ -65,7 +66,7 @@
     match acceptance {
         Acceptance::Kept => {
             if site.drain.is_cancelled() {
-                tokio::spawn(crate::drain::hand_over(Arc::clone(site), id));
+                tokio::spawn(drain::hand_over(Arc::clone(site), id));
             }
             refusal::text(StatusCode::ACCEPTED, "")
         }
--- a/crates/shallotroute_settings/src/site.rs
+++ b/crates/shallotroute_settings/src/site.rs
@@ -13,7 +13,7 @@
 const SECTIONS: [&str; 4] = ["node", "site", "listen", "log_level"];
 
 /// The settings of a node on the users' platform.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Site {
     /// Who and where the node is.
     pub node: Node,
@@ -23,6 +23,8 @@
     pub listen: Listen,
     /// The platform's key-value store.
     pub store: SocketAddr,
+    /// The node's part of a processor core.
+    pub cores: f64,
     /// The time between SIGTERM and SIGKILL.
     pub grace: Duration,
     /// How long results of ended jobs are kept after their submission.
@@ -89,10 +91,11 @@
         .get("log_level")
         .and_then(|level| check::read_level(reader, level, "log_level"))
         .unwrap_or_default();
-    let known = ["role", "store", "grace_s", "retention_s"];
+    let known = ["role", "store", "cores", "grace_s", "retention_s"];
     let site = reader.mapping(root.get("site"), "site", &known)?;
     let role = read_role(reader, site.get("role"));
     let store = check::read_address(reader, site.get("store"), "site.store");
+    let cores: Option<f64> = reader.parse(site.get("cores"), "site.cores", "a number of cores");
     let grace = read_seconds(reader, site.get("grace_s"), "site.grace_s");
     let retention = read_seconds(reader, site.get("retention_s"), "site.retention_s");
     let (role, listen) = (role?, listen?);
@@ -107,6 +110,7 @@
         role,
         listen,
         store: store?,
+        cores: cores?,
         grace: grace?,
         retention: retention?,
         log_level,
@@ -159,7 +163,7 @@
 }
 
 /// The settings of either kind of node.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Program {
     /// A node with the product's own interface.
     Node(Box<crate::Settings>),
