resident, fleet: one node of each zone watches the store, the others follow it

Change: feed::Log keeps a node's recent changes; in each availability zone the node that ranks first watches the store, and the others wait for its changes. A node whose last answer from the store is older than 950 ms is no source; its followers then watch the store themselves.

--- a/crates/shallotroute_fleet/src/lib.rs
+++ b/crates/shallotroute_fleet/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod attempt;
 pub mod election;
+pub mod feed;
 pub mod route;
 pub mod server;
 pub mod wave;
--- a/crates/shallotroute_resident/src/follow.rs
+++ b/crates/shallotroute_resident/src/follow.rs
@@ -1,12 +1,22 @@
 //! Follows prefixes of the platform's store: a whole read first, then the changes.
+//!
+//! In each availability zone one node watches the store; the others get the changes from it, and
+//! watch the store themselves when it does not answer in time or can't reach the store.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
+use serde::{Deserialize, Serialize};
 use shallotroute_adapter::{
     registry::{self, Object},
     store::{Change, Item},
 };
+use shallotroute_fleet::feed::{Answer, Log};
 use shallotroute_types::name::Name;
+use tokio::sync::watch;
 
 use crate::{
     member,
@@ -18,6 +28,21 @@
 /// store keeps its history.
 const WATCH_WAIT: Duration = Duration::from_secs(15);
 
+/// How long another node lets a follower wait. A source that falls silent is noticed after this
+/// time, which with a watch of the store stays below the time after which a leaving server may get
+/// no request.
+const SOURCE_WAIT: Duration = Duration::from_millis(700);
+
+/// A node whose last answer from the store is older than this is no source: it may have missed a
+/// change. A source renews its lease twice in this time.
+const SOURCE_TRUST: Duration = Duration::from_millis(950);
+
+/// How long the answer of another node may take beyond that.
+const SOURCE_SLACK: Duration = Duration::from_millis(200);
+
+/// How long a source that failed is left alone.
+const SOURCE_PAUSE: Duration = Duration::from_secs(3);
+
 /// The pause between two watches of the host list, whose entries change often; together with the
 /// store's answer it stays far below the time after which a leaving server may get no request.
 const LIST_PAUSE: Duration = Duration::from_millis(400);
@@ -25,6 +50,35 @@
 /// The pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
 
+/// A prefix that all nodes follow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Prefix {
+    /// What operators and trainers write.
+    Operators,
+    /// The host list.
+    Servers,
+    /// The nodes.
+    Members,
+}
+
+/// What other nodes can get from this one.
+pub(crate) struct Source {
+    log: Mutex<Log<Change>>,
+    seen: watch::Sender<u64>,
+}
+
+/// The sources of all prefixes.
+#[derive(Default)]
+pub(crate) struct Sources {
+    operators: Source,
+    servers: Source,
+    members: Source,
+}
+
+/// The changes that a follower gets, with the revision up to which they are complete; none when it
+/// has to ask the store.
+pub(crate) type Fed = Option<(Vec<Change>, u64)>;
+
 /// What a prefix holds, or what has changed there.
 enum Feed {
     Whole(Vec<Item>),
@@ -33,70 +87,126 @@
     Regained,
 }
 
-/// Follows what operators and trainers write.
-pub(crate) async fn operators(site: Arc<Site>) {
-    let target = Arc::clone(&site);
-    follow(
-        site,
-        registry::OPERATOR_PREFIX,
-        Duration::ZERO,
-        move |feed| {
-            operator_feed(&target, feed);
-        },
-    )
-    .await;
+impl Prefix {
+    fn key(self) -> &'static str {
+        match self {
+            Self::Operators => registry::OPERATOR_PREFIX,
+            Self::Servers => registry::SERVER_PREFIX,
+            Self::Members => member::PREFIX,
+        }
+    }
+
+    fn pause(self) -> Duration {
+        match self {
+            Self::Servers => LIST_PAUSE,
+            Self::Operators | Self::Members => Duration::ZERO,
+        }
+    }
+
+    fn apply(self, site: &Site, feed: Feed) {
+        match self {
+            Self::Operators => operator_feed(site, feed),
+            Self::Servers => server_feed(site, feed),
+            Self::Members => member_feed(site, feed),
+        }
+    }
 }
 
-/// Follows the host list.
-pub(crate) async fn servers(site: Arc<Site>) {
-    let target = Arc::clone(&site);
-    follow(site, registry::SERVER_PREFIX, LIST_PAUSE, move |feed| {
-        server_feed(&target, feed);
-    })
-    .await;
+impl Default for Source {
+    fn default() -> Self {
+        Self {
+            log: Mutex::default(),
+            seen: watch::channel(0).0,
+        }
+    }
 }
 
-/// Follows the other nodes.
-pub(crate) async fn members(site: Arc<Site>) {
-    let target = Arc::clone(&site);
-    follow(site, member::PREFIX, Duration::ZERO, move |feed| {
-        member_feed(&target, feed);
-    })
-    .await;
+impl Source {
+    fn with<T>(&self, action: impl FnOnce(&mut Log<Change>) -> T) -> T {
+        let mut log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
+        let result = action(&mut log);
+        let seen = log.seen();
+        self.seen.send_if_modified(|last| {
+            let changed = *last != seen;
+            *last = seen;
+            changed
+        });
+        result
+    }
 }
 
-async fn follow(
-    site: Arc<Site>,
-    prefix: &'static str,
-    pause: Duration,
-    mut apply: impl FnMut(Feed),
-) {
+impl Sources {
+    fn get(&self, prefix: Prefix) -> &Source {
+        match prefix {
+            Prefix::Operators => &self.operators,
+            Prefix::Servers => &self.servers,
+            Prefix::Members => &self.members,
+        }
+    }
+}
+
+/// Returns the changes after a revision to another node; waits a while for one.
+pub(crate) async fn changes(site: &Site, prefix: Prefix, after: u64) -> Fed {
+    let trusted_until = || site.store.confirmed().map(|last| last + SOURCE_TRUST);
+    let source = site.sources.get(prefix);
+    let mut seen = source.seen.subscribe();
+    let changed = seen.wait_for(|seen| *seen > after);
+    let until = trusted_until()?.min(site.now() + SOURCE_WAIT);
+    // Without a change the answer is empty, and tells that this node still follows the store.
+    let _ = tokio::time::timeout_at(until.into(), changed).await;
+    if trusted_until()? <= site.now() {
+        return None;
+    }
+    match source.with(|log| log.after(after)) {
+        Answer::Changes(changes, revision) => Some((changes, revision)),
+        Answer::TooOld | Answer::Unknown => None,
+    }
+}
+
+/// Follows a prefix for as long as the process runs.
+pub(crate) async fn run(site: Arc<Site>, prefix: Prefix) {
     let mut revision = None;
     let mut failing = false;
+    let mut source_from = tokio::time::Instant::now();
     loop {
-        let result = step(&site, prefix, revision).await;
+        let source = match tokio::time::Instant::now() >= source_from {
+            true => source_address(&site),
+            false => None,
+        };
+        if let (Some(source), Some(after)) = (source, revision) {
+            match from_source(&site, prefix, source, after).await {
+                Some((changes, next)) => {
+                    take(&site, prefix, changes, next);
+                    revision = Some(next);
+                }
+                None => source_from = tokio::time::Instant::now() + SOURCE_PAUSE,
+            }
+            continue;
+        }
+        let result = from_store(&site, prefix, revision).await;
         if failing && result.is_ok() {
             failing = false;
-            apply(Feed::Regained);
+            prefix.apply(&site, Feed::Regained);
         }
         match result {
-            Ok((feeds, next)) => {
-                let changed = !feeds.is_empty();
-                for feed in feeds {
-                    apply(feed);
-                }
+            Ok(next) => {
+                let changed = revision.is_some_and(|last| next > last);
                 revision = Some(next);
-                if changed && !pause.is_zero() {
-                    tokio::time::sleep(pause).await;
+                if changed {
+                    tokio::time::sleep(prefix.pause()).await;
                 }
             }
             Err(Error::HistoryGone) => {
-                spdlog::info!("history of the platform store is gone, reading all", kv: { prefix });
+                spdlog::info!("history of the platform store is gone, reading all", kv: {
+                    prefix = prefix.key(),
+                });
                 revision = None;
             }
             Err(error) => {
                 if !failing {
-                    spdlog::warn!("can't follow the platform store", kv: { prefix, error = error.to_string() });
+                    spdlog::warn!("can't follow the platform store", kv: {
+                        prefix = prefix.key(), error = error.to_string(),
+                    });
                 }
                 failing = true;
                 tokio::time::sleep(FAILURE_PAUSE).await;
@@ -105,21 +215,65 @@
     }
 }
 
-/// Reads the whole prefix, or waits for changes after a revision.
-async fn step(site: &Site, prefix: &str, after: Option<u64>) -> Result<(Vec<Feed>, u64)> {
+/// Returns the node that watches the store for this availability zone, unless it is this one.
+fn source_address(site: &Site) -> Option<SocketAddr> {
+    let members = site.members.borrow();
+    let source = members.source(&site.settings.node.zone)?;
+    (source.owner != site.owner).then_some(source.address)
+}
+
+async fn from_source(site: &Site, prefix: Prefix, source: SocketAddr, after: u64) -> Fed {
+    let limit = SOURCE_WAIT + SOURCE_SLACK;
+    let fed = site
+        .peers
+        .call(source, limit, |client, context| async move {
+            client.changes(context, prefix, after).await
+        })
+        .await;
+    match fed {
+        Ok(Some(fed)) => return Some(fed),
+        Ok(None) => spdlog::info!("source can't tell the changes", kv: {
+            prefix = prefix.key(), source = source.to_string(), after,
+        }),
+        Err(denial) => spdlog::info!("source does not answer", kv: {
+            prefix = prefix.key(), source = source.to_string(), reason = format!("{denial:?}"),
+        }),
+    }
+    None
+}
+
+/// Reads the whole prefix, or waits for changes after a revision. Returns the revision up to which
+/// the prefix is known then.
+async fn from_store(site: &Site, prefix: Prefix, after: Option<u64>) -> Result<u64> {
     match after {
         None => {
-            let (items, revision) = site.store.range(prefix).await?;
-            Ok((vec![Feed::Whole(items)], revision))
+            let (items, revision) = site.store.range(prefix.key()).await?;
+            prefix.apply(site, Feed::Whole(items));
+            site.sources.get(prefix).with(|log| log.restart(revision));
+            Ok(revision)
         }
         Some(after) => {
-            let changes = site.store.watch(prefix, after, WATCH_WAIT).await?;
-            let feeds = changes.changes.into_iter().map(Feed::Change).collect();
-            Ok((feeds, changes.revision))
+            let changes = site.store.watch(prefix.key(), after, WATCH_WAIT).await?;
+            take(site, prefix, changes.changes, changes.revision);
+            Ok(changes.revision)
         }
     }
 }
 
+/// Applies changes and keeps them for other nodes.
+fn take(site: &Site, prefix: Prefix, changes: Vec<Change>, revision: u64) {
+    let logged: Vec<(u64, Change)> = changes
+        .iter()
+        .map(|change| (change.revision(), change.clone()))
+        .collect();
+    for change in changes {
+        prefix.apply(site, Feed::Change(change));
+    }
+    site.sources
+        .get(prefix)
+        .with(|log| log.extend(logged, revision));
+}
+
 fn operator_feed(site: &Site, feed: Feed) {
     match feed {
         Feed::Whole(items) => {
@@ -128,7 +282,7 @@
             }
         }
         Feed::Change(Change::Put(item)) => operator_item(site, &item),
-        Feed::Change(Change::Removed { key }) => {
+        Feed::Change(Change::Removed { key, .. }) => {
             if let Some(node) = registry::retired_node(&key) {
                 site.retirements.send_modify(|nodes| {
                     nodes.remove(&node);
@@ -201,7 +355,7 @@
                 }
             }
         },
-        Feed::Change(Change::Removed { key }) => {
+        Feed::Change(Change::Removed { key, .. }) => {
             if let Some(id) = registry::server_id(&key) {
                 spdlog::info!("server gone from the host list", kv: { server = id.as_str() });
                 site.roster().remove(&id, now);
@@ -247,7 +401,7 @@
             }
         }
         Feed::Change(Change::Put(item)) => members.put(&item.key, &item.value, item.revision),
-        Feed::Change(Change::Removed { key }) => {
+        Feed::Change(Change::Removed { key, .. }) => {
             spdlog::info!("member entry gone", kv: { key = key.as_str() });
             members.remove(&key, now);
             if key == member::node_key(own) {
--- a/crates/shallotroute_resident/src/lib.rs
+++ b/crates/shallotroute_resident/src/lib.rs
@@ -54,6 +54,7 @@
 use crate::{
     entry::{Entry, Readiness},
     error::{Error, Result},
+    follow::Prefix,
     metric::{Metrics, Page},
     peer::Acceptor,
     presence::Held,
@@ -165,9 +166,9 @@
             callers = Some(tokio::spawn(served));
         }
         let (held, held_receiver) = watch::channel(None);
-        tokio::spawn(follow::operators(Arc::clone(&site)));
-        tokio::spawn(follow::servers(Arc::clone(&site)));
-        tokio::spawn(follow::members(Arc::clone(&site)));
+        for prefix in [Prefix::Operators, Prefix::Servers, Prefix::Members] {
+            tokio::spawn(follow::run(Arc::clone(&site), prefix));
+        }
         tokio::spawn(presence::run(Arc::clone(&site), held, stop.clone()));
         tokio::spawn(expire(Arc::clone(&site)));
         tokio::spawn(claim::resume_own(Arc::clone(&site)));
--- a/crates/shallotroute_resident/src/member.rs
+++ b/crates/shallotroute_resident/src/member.rs
@@ -129,6 +129,16 @@
         self.nodes.get(id)
     }
 
+    /// Returns the node that watches the store for an availability zone.
+    pub(crate) fn source(&self, zone: &Zone) -> Option<&Member> {
+        let near = self
+            .nodes
+            .iter()
+            .filter(|(_, member)| member.zone == *zone && !member.leaving);
+        let id = election::first(near.map(|(id, member)| (id, member.capacity)), "source")?;
+        self.nodes.get(id)
+    }
+
     /// Returns the names of the live nodes.
     pub(crate) fn live(&self) -> Vec<Id> {
         self.nodes.keys().cloned().collect()
--- a/crates/shallotroute_resident/src/peer.rs
+++ b/crates/shallotroute_resident/src/peer.rs
@@ -19,7 +19,10 @@
 };
 use tokio::net::TcpStream;
 
-use crate::site::Site;
+use crate::{
+    follow::{self, Fed, Prefix},
+    site::Site,
+};
 
 /// Why another node did not answer a call about a job.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -46,6 +49,8 @@
     async fn start(job: Name, head: Vec<u8>, revision: u64, specification: Vec<u8>) -> bool;
     /// Takes over a job that its owner gave up.
     async fn adopt(job: Name) -> bool;
+    /// Returns the changes below a prefix of the store after a revision; waits a while for one.
+    async fn changes(prefix: Prefix, after: u64) -> Fed;
     /// Makes a call to the platform's store.
     async fn relay(call: Call, timeout_ms: u64) -> Relayed;
 }
@@ -95,6 +100,10 @@
         crate::claim::adopt(&self.0, &job).await
     }
 
+    async fn changes(self, _: Context, prefix: Prefix, after: u64) -> Fed {
+        follow::changes(&self.0, prefix, after).await
+    }
+
     async fn relay(self, _: Context, call: Call, timeout_ms: u64) -> Relayed {
         let timeout = Duration::from_millis(timeout_ms);
         let answer = self.0.store.direct(&call, timeout).await.ok()?;
--- a/crates/shallotroute_resident/src/presence.rs
+++ b/crates/shallotroute_resident/src/presence.rs
@@ -18,7 +18,11 @@
 pub(crate) const LEASE_PERIOD: Duration = Duration::from_millis(2500);
 
 /// The pause between two renewals.
-const RENEW_PAUSE: Duration = Duration::from_millis(800);
+const RENEW_PAUSE: Duration = Duration::from_millis(850);
+
+/// The pause between two renewals of a node from which others get the changes of the store: its
+/// renewals also show that it still reaches the store.
+const SOURCE_RENEW_PAUSE: Duration = Duration::from_millis(450);
 
 /// The pause after a failed renewal.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
@@ -49,7 +53,10 @@
         let pause = match result {
             Ok(next) => {
                 held.send_replace(Some(next));
-                RENEW_PAUSE
+                match is_source(&site) {
+                    true => SOURCE_RENEW_PAUSE,
+                    false => RENEW_PAUSE,
+                }
             }
             Err(Error::NotFound) => {
                 spdlog::warn!("lease of this node has ended, registering again");
@@ -79,6 +86,12 @@
     }
 }
 
+fn is_source(site: &Site) -> bool {
+    let members = site.members.borrow();
+    let source = members.source(&site.settings.node.zone);
+    source.is_some_and(|source| source.owner == site.owner)
+}
+
 /// Ends the lease and removes the node's entry at once.
 pub(crate) async fn leave(site: &Site, held: Option<Held>) {
     if let Some(held) = held
--- a/crates/shallotroute_resident/src/site.rs
+++ b/crates/shallotroute_resident/src/site.rs
@@ -17,7 +17,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    job::Registry, member::Members, metric::Metrics, peer::Peers, pool::Pool, store::Store,
+    follow::Sources, job::Registry, member::Members, metric::Metrics, peer::Peers, pool::Pool,
+    store::Store,
 };
 
 /// How long connecting to a backend server may take; a packet needs a few milliseconds.
@@ -43,6 +44,8 @@
     pub(crate) retirements: watch::Sender<BTreeSet<Name>>,
     pub(crate) members: watch::Sender<Members>,
     pub(crate) jobs: Registry,
+    /// What other nodes get of the prefixes that this one follows.
+    pub(crate) sources: Sources,
     /// Cancelled when the process has to stop.
     pub(crate) drain: CancellationToken,
     roster: Mutex<Roster>,
@@ -83,6 +86,7 @@
             retirements: watch::channel(BTreeSet::new()).0,
             members: watch::channel(Members::default()).0,
             jobs: Registry::default(),
+            sources: Sources::default(),
             drain: CancellationToken::new(),
             roster: Mutex::new(Roster::new(zone)),
             listed: watch::channel(false).0,
--- a/crates/shallotroute_resident/src/store.rs
+++ b/crates/shallotroute_resident/src/store.rs
@@ -80,6 +80,7 @@
     peers: Arc<Peers>,
     relays: Mutex<Vec<SocketAddr>>,
     detour: Mutex<Option<Instant>>,
+    confirmed: Mutex<Option<Instant>>,
     /// Whether the last direct call was answered; watches start anew when it changes.
     reachable: watch::Sender<bool>,
 }
@@ -95,6 +96,7 @@
             peers,
             relays: Mutex::new(Vec::new()),
             detour: Mutex::new(None),
+            confirmed: Mutex::new(None),
             reachable: watch::channel(true).0,
         }
     }
@@ -104,6 +106,11 @@
         *lock(&self.relays) = relays;
     }
 
+    /// Returns when the store last answered this node.
+    pub(crate) fn confirmed(&self) -> Option<Instant> {
+        *lock(&self.confirmed)
+    }
+
     /// Reads a key; linearizable.
     pub(crate) async fn get(&self, key: &str) -> Result<Item> {
         let answer = self.call(&Call::get(key), CALL_TIMEOUT).await?;
@@ -283,6 +290,9 @@
     /// Notes whether the store answers this node.
     fn note(&self, result: &Result<Answer>) {
         let reachable = result.is_ok();
+        if reachable {
+            *lock(&self.confirmed) = Some(Instant::now());
+        }
         *lock(&self.detour) = match reachable {
             true => None,
             false => Some(Instant::now() + DETOUR_TIME),
