batch, fleet, resident: long items first, runs leave slow servers, whole texts end

Change: items start in the order of their expected length; servers far slower than the usual pace lose runs while others have free slots; an empty whole answer ends a text; pauses after refusals double.

--- a/crates/shallotroute_batch/src/item.rs
+++ b/crates/shallotroute_batch/src/item.rs
@@ -61,6 +61,8 @@
     pub failures: usize,
     /// How often a rating service answered that the rating failed.
     pub rating_failures: usize,
+    /// How often a run was moved away from a slow server.
+    pub moves: u32,
     /// The servers whose runs broke off, newest last.
     pub broken_at: Vec<Name>,
     text: String,
@@ -78,6 +80,7 @@
             last_event: 0,
             failures: 0,
             rating_failures: 0,
+            moves: 0,
             broken_at: Vec::new(),
             text: String::new(),
             versions: Vec::new(),
--- a/crates/shallotroute_batch/src/record.rs
+++ b/crates/shallotroute_batch/src/record.rs
@@ -88,6 +88,8 @@
     pub headers: Vec<(String, String)>,
     /// The body.
     pub body: Vec<u8>,
+    /// The trainer's guess of the length of the text, in tokens.
+    pub expected_tokens: Option<u32>,
     /// The request that rates the text.
     pub reward: Option<Reward>,
 }
--- a/crates/shallotroute_batch/src/run.rs
+++ b/crates/shallotroute_batch/src/run.rs
@@ -2,6 +2,7 @@
 //! written next. Events come in, actions come out; the caller passes the time.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::{Duration, Instant},
@@ -26,11 +27,17 @@
 /// The longest pause between two tries of an item.
 const MAX_FAILURE_PAUSE: Duration = Duration::from_millis(500);
 
+/// The most moves of an item away from slow servers.
+const MAX_MOVES: u32 = 3;
+
+/// A run at a slow server is not moved before this time; shorter ones end sooner where they are.
+const MIN_RUN: Duration = Duration::from_millis(250);
+
 /// The most bytes of text in one chunk; encoded as text it stays below the store's megabyte.
 const MAX_CHUNK_BYTES: usize = 500 << 10;
 
 /// What a run may use; the caller derives it from the configuration in force.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Limits {
     /// The most items at servers at a time.
     pub concurrency: usize,
@@ -40,6 +47,10 @@
     pub rating_attempts: usize,
     /// A run without an event for this long is continued elsewhere.
     pub stall: Duration,
+    /// The servers that are much slower than the others.
+    pub slow: Vec<Name>,
+    /// The most runs that may be moved away from slow servers now.
+    pub spare: usize,
     /// Whether all events of a text have to come from one version.
     pub single_version: bool,
 }
@@ -137,6 +148,9 @@
     next_attempt: u64,
     writing: Option<Chunk>,
     cached: BTreeMap<Name, Name>,
+    /// The items with the longest expected text first: a long text that starts late decides when its
+    /// group is whole.
+    order: Vec<usize>,
     give_up_at: Instant,
     ended: bool,
 }
@@ -150,6 +164,14 @@
         give_up_at: Instant,
     ) -> Self {
         let mut items: Vec<Item> = specification.items.iter().map(|_| Item::new()).collect();
+        let mut order: Vec<usize> = (0..items.len()).collect();
+        order.sort_by_key(|index| {
+            Reverse(
+                specification.items[*index]
+                    .expected_tokens
+                    .unwrap_or_default(),
+            )
+        });
         for listed in &results {
             if let Some(item) = items.get_mut(listed.item as usize) {
                 item.phase = Phase::Listed;
@@ -163,6 +185,7 @@
             next_attempt: 1,
             writing: None,
             cached: BTreeMap::new(),
+            order,
             give_up_at,
             ended: false,
         }
@@ -242,7 +265,7 @@
             self.give_up(now, &mut actions);
             return actions;
         }
-        self.move_stalled(limits, now, &mut actions);
+        self.move_runs(limits, now, &mut actions);
         self.start_ratings(now, &mut actions);
         self.start_runs(limits, now, choose, &mut actions);
         actions
@@ -352,15 +375,29 @@
         }
     }
 
-    fn move_stalled(&mut self, limits: &Limits, now: Instant, actions: &mut Vec<Action>) {
+    /// Ends the runs that make no event, and some of those at slow servers; they go on elsewhere.
+    fn move_runs(&mut self, limits: &Limits, now: Instant, actions: &mut Vec<Action>) {
+        let mut spare = limits.spare;
         for item in &mut self.items {
             let Some(attempt) = item.attempt() else {
                 continue;
             };
             let since = attempt.progress.unwrap_or(attempt.since);
-            if now.saturating_duration_since(since) < limits.stall {
+            let stalled = now.saturating_duration_since(since) >= limits.stall;
+            let slow = spare > 0
+                && item.moves < MAX_MOVES
+                && now.saturating_duration_since(attempt.since) >= MIN_RUN
+                && limits.slow.contains(&attempt.server);
+            if !stalled && !slow {
                 continue;
             }
+            if !stalled {
+                spare -= 1;
+                item.moves += 1;
+            }
+            let Some(attempt) = item.attempt() else {
+                continue;
+            };
             let (number, server) = (attempt.number, attempt.server.clone());
             self.attempts.remove(&number);
             item.wait(None, Some(server));
@@ -399,7 +436,7 @@
             .iter()
             .filter(|item| item.attempt().is_some())
             .count();
-        for index in 0..self.items.len() {
+        for index in self.order.clone() {
             if running >= limits.concurrency {
                 return;
             }
--- a/crates/shallotroute_fleet/src/server.rs
+++ b/crates/shallotroute_fleet/src/server.rs
@@ -9,8 +9,12 @@
 
 use shallotroute_types::{name::Name, place::Zone, version::Version};
 
-/// How long a server that answered "not run" gets no new request: about two steps of the load lag.
-const REFUSAL_PAUSE: Duration = Duration::from_millis(150);
+/// The first pause after a server answered "not run"; it doubles with each further one: a full
+/// server frees a slot soon, a server that loads a version needs about a second.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(100);
+
+/// The longest pause after refusals.
+const MAX_REFUSAL_PAUSE: Duration = Duration::from_millis(400);
 
 /// The first pause after a failed or silent request; it doubles with each further one.
 const FAILURE_PAUSE: Duration = Duration::from_millis(500);
@@ -18,9 +22,19 @@
 /// The longest pause after failures; a restarted server is found again within this time.
 const MAX_FAILURE_PAUSE: Duration = Duration::from_secs(4);
 
-/// The weight of the newest measurement in the moving average of a server's pace.
+/// The weight of a whole answer in the moving average of a server's pace.
 const PACE_WEIGHT: f64 = 0.2;
 
+/// The weight of the time between two events in the moving average of a server's pace.
+const EVENT_WEIGHT: f64 = 0.08;
+
+/// The most that one event counts, in multiples of the average: a server that loads a version
+/// pauses once and is not slow.
+const MAX_EVENT: f64 = 3.0;
+
+/// A server counts as slow when its pace is this many times the usual one.
+const SLOW_FACTOR: f64 = 1.8;
+
 /// What a server in another availability zone costs, as a share of one request in progress.
 const ZONE_PENALTY: f64 = 0.05;
 
@@ -87,6 +101,7 @@
     server: Server,
     running: usize,
     failures: u32,
+    refusals: u32,
     paused_until: Option<Instant>,
     pace: Option<f64>,
     missing_since: Option<Instant>,
@@ -201,6 +216,47 @@
             .map(|pace| Duration::from_secs_f64(*pace))
     }
 
+    /// Notes the time between two events of a stream.
+    pub fn observe_event(&mut self, id: &str, gap: Duration) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.failures = 0;
+            entry.refusals = 0;
+            let gap = gap.as_secs_f64();
+            entry.pace = Some(match entry.pace {
+                Some(last) => last + EVENT_WEIGHT * (gap.min(last * MAX_EVENT) - last),
+                None => gap,
+            });
+        }
+    }
+
+    /// Returns the servers of a service that are much slower than the others, and the free slots of
+    /// the others that have a model in at least the version `oldest`.
+    pub fn slow(&self, service: &str, model: &str, oldest: Version) -> (Vec<Name>, usize) {
+        let Some(typical) = self.typical_pace(service) else {
+            return (Vec::new(), 0);
+        };
+        let limit = typical.as_secs_f64() * SLOW_FACTOR;
+        let mut slow = Vec::new();
+        let mut spare = 0;
+        for entry in self.entries.values() {
+            let server = &entry.server;
+            if &*server.service != service {
+                continue;
+            }
+            let fits = !server.draining
+                && server
+                    .models
+                    .get(model)
+                    .is_some_and(|version| *version >= oldest);
+            match entry.pace {
+                Some(pace) if pace > limit => slow.push(server.id.clone()),
+                _ if fits => spare += server.slots.saturating_sub(entry.running),
+                _ => {}
+            }
+        }
+        (slow, spare)
+    }
+
     /// Notes that a request begins at a server.
     pub fn begin(&mut self, id: &str) {
         if let Some(entry) = self.entries.get_mut(id) {
@@ -216,7 +272,7 @@
         entry.running = entry.running.saturating_sub(1);
         match outcome {
             Outcome::Answered(pace) => entry.answered(pace),
-            Outcome::Refused => entry.paused_until = Some(now + REFUSAL_PAUSE),
+            Outcome::Refused => entry.refused(now),
             Outcome::Failed => entry.failed(now),
             Outcome::Dropped => {}
         }
@@ -288,6 +344,7 @@
             server,
             running: 0,
             failures: 0,
+            refusals: 0,
             paused_until: None,
             pace: None,
             missing_since: None,
@@ -310,6 +367,7 @@
 
     fn answered(&mut self, pace: Duration) {
         self.failures = 0;
+        self.refusals = 0;
         let pace = pace.as_secs_f64();
         self.pace = Some(match self.pace {
             Some(last) => last + PACE_WEIGHT * (pace - last),
@@ -317,6 +375,16 @@
         });
     }
 
+    fn refused(&mut self, now: Instant) {
+        // Requests that were sent together are refused together.
+        if self.paused_until.is_some_and(|until| now < until) {
+            return;
+        }
+        let pause = REFUSAL_PAUSE * 2_u32.saturating_pow(self.refusals.min(8));
+        self.refusals += 1;
+        self.paused_until = Some(now + pause.min(MAX_REFUSAL_PAUSE));
+    }
+
     fn failed(&mut self, now: Instant) {
         let pause = FAILURE_PAUSE * 2_u32.saturating_pow(self.failures.min(8));
         self.failures += 1;
--- a/crates/shallotroute_resident/src/generate.rs
+++ b/crates/shallotroute_resident/src/generate.rs
@@ -174,14 +174,7 @@
         let status = parts.status;
         match status.as_u16() {
             200..=299 if !head.encoded => {
-                let Some(version) = head.version else {
-                    return End::new(
-                        Close::Broken,
-                        Outcome::Failed,
-                        "the answer names no version",
-                    );
-                };
-                self.stream(server, connection, &parts.headers, body, version)
+                self.stream(server, connection, &parts.headers, body, head.version)
                     .await
             }
             422 => End::new(
@@ -210,7 +203,7 @@
         connection: Connection,
         headers: &HeaderMap,
         mut body: Incoming,
-        mut version: Version,
+        mut version: Option<Version>,
     ) -> End {
         let mut events = Events::default();
         let mut first = None;
@@ -232,9 +225,19 @@
                     Ok(None) => break,
                     Err(error) => return broken(&error.to_string()),
                 };
-                version = event.version.unwrap_or(version);
-                last = self.site.now();
-                first.get_or_insert(last);
+                version = event.version.or(version);
+                let Some(version) = version else {
+                    return broken("an event has no version");
+                };
+                let now = self.site.now();
+                match first {
+                    Some(_) => {
+                        let gap = now.saturating_duration_since(last);
+                        self.site.roster().observe_event(server, gap);
+                    }
+                    None => first = Some(now),
+                }
+                last = now;
                 count += 1;
                 self.tell(Event::Piece {
                     number: event.number,
@@ -246,8 +249,11 @@
         if events.partial() {
             return broken("the stream ended in the middle of an event");
         }
-        let model = &self.specification.model;
-        self.site.roster().observe_version(server, model, version);
+        // A run that was asked for the events after the last one has none, and names no version.
+        if let Some(version) = version {
+            let model = &self.specification.model;
+            self.site.roster().observe_version(server, model, version);
+        }
         self.keep(connection, headers);
         let pace = match (first, count) {
             (Some(first), 2..) => {
--- a/crates/shallotroute_resident/src/runner.rs
+++ b/crates/shallotroute_resident/src/runner.rs
@@ -294,6 +294,7 @@
         .typical_pace(service)
         .map_or(MAX_STALL, |pace| pace * STALL_FACTOR)
         .clamp(MIN_STALL, MAX_STALL);
+    let (slow, spare) = roster.slow(service, &specification.model, specification.oldest);
     let rating_attempts = specification
         .items
         .iter()
@@ -305,6 +306,8 @@
         attempts: route.attempts,
         rating_attempts,
         stall,
+        slow,
+        spare,
         single_version: route.batch.is_some_and(|batch| batch.single_version),
     }
 }
@@ -316,6 +319,8 @@
         attempts: DEFAULT_ATTEMPTS,
         rating_attempts: DEFAULT_RATING_ATTEMPTS,
         stall: MAX_STALL,
+        slow: Vec::new(),
+        spare: 0,
         single_version: false,
     }
 }
