resident: jobs of owners that died in an outage are taken over at once

Change: after an outage the duty asks the owner at its last known address and takes the job when it does not answer; a vanished member starts a search at once.

--- a/crates/shallotroute_batch/src/record.rs
+++ b/crates/shallotroute_batch/src/record.rs
@@ -32,7 +32,7 @@
 impl std::error::Error for Error {}
 
 /// A process that runs a batch job.
-#[derive(Clone, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[display("{node}/{incarnation}")]
 pub struct Owner {
     /// The node.
--- a/crates/shallotroute_resident/src/duty.rs
+++ b/crates/shallotroute_resident/src/duty.rs
@@ -16,7 +16,7 @@
     registry,
     store::{Write, Written},
 };
-use shallotroute_batch::record;
+use shallotroute_batch::record::{self, Owner};
 use shallotroute_fleet::{
     election,
     server::Server,
@@ -57,6 +57,9 @@
 /// The pause between two searches for jobs without a live owner, while nothing has changed.
 const SWEEP_PAUSE: Duration = Duration::from_secs(6);
 
+/// The pause between two searches while entries may still return after an outage.
+const UNSETTLED_SWEEP_PAUSE: Duration = Duration::from_millis(500);
+
 /// How long after an outage of the store missing entries of nodes may return.
 const RETURN_TIME: Duration = Duration::from_millis(2500);
 
@@ -68,6 +71,8 @@
     planner: Arc<Mutex<Planner>>,
     orders_from: Instant,
     next_sweep: Instant,
+    /// The processes that were live at the last look.
+    owners: BTreeSet<Owner>,
     retired: BTreeSet<Name>,
     /// Whether a server has seen a higher fencing number.
     fenced: Arc<AtomicBool>,
@@ -186,6 +191,7 @@
             planner: Arc::new(Mutex::new(Planner::default())),
             orders_from: now + pause,
             next_sweep: now,
+            owners: BTreeSet::new(),
             retired: BTreeSet::new(),
             fenced: Arc::default(),
         }
@@ -264,18 +270,27 @@
     /// Takes over the jobs whose owner is gone, and removes records that nobody reads any more.
     async fn sweep(&mut self) {
         let now = self.site.now();
-        let (settled, live) = {
+        let owners: BTreeSet<Owner> = {
             let members = self.site.members.borrow();
-            let settled = members
-                .regained
-                .is_none_or(|regained| now >= regained + RETURN_TIME);
-            (settled, members.live())
+            members
+                .nodes
+                .values()
+                .map(|member| member.owner.clone())
+                .collect()
         };
-        if now < self.next_sweep || !settled {
+        let lost = !self.owners.is_subset(&owners);
+        self.owners = owners;
+        if now < self.next_sweep && !lost {
             return;
         }
         self.next_sweep = now + SWEEP_PAUSE;
         let members = self.site.members.borrow().clone();
+        let settled = members
+            .regained
+            .is_none_or(|regained| now >= regained + RETURN_TIME);
+        if !settled {
+            self.next_sweep = now + UNSETTLED_SWEEP_PAUSE;
+        }
         let heads = match self.site.store.range(claim::HEAD_PREFIX).await {
             Ok((heads, _)) => heads,
             Err(error) => {
@@ -295,29 +310,36 @@
                 self.remove_old(&job, &stored).await;
                 continue;
             }
-            let owner = stored.head.owner.as_ref();
-            let lives = owner
-                .is_some_and(|owner| *owner == self.site.owner || members.address(owner).is_some());
-            match lives {
-                true => self.check_owner(&members, &job, &stored).await,
-                false => taken += u32::from(claim::take_over(&self.site, &job, stored).await),
+            if self.is_orphan(&members, &job, &stored, settled).await
+                && claim::take_over(&self.site, &job, stored).await
+            {
+                taken += 1;
             }
         }
-        spdlog::debug!("jobs swept", kv: { taken, live = live.len() });
+        spdlog::debug!("jobs swept", kv: { taken, live = members.nodes.len() });
     }
 
-    /// Has the live owner of a job run it: it may not know of it when the node that accepted the
-    /// job has died.
-    async fn check_owner(&self, members: &Members, job: &Name, stored: &claim::Stored) {
+    /// Tells whether a job has no owner that runs it. Live owners are asked to run theirs: one may not
+    /// know of a job when the node that accepted it has died. After an outage, in which all leases may
+    /// have ended, so are those whose entries have not returned yet.
+    async fn is_orphan(
+        &self,
+        members: &Members,
+        job: &Name,
+        stored: &claim::Stored,
+        settled: bool,
+    ) -> bool {
         let Some(owner) = &stored.head.owner else {
-            return;
+            return true;
         };
         if *owner == self.site.owner {
             claim::adopt(&self.site, job).await;
-            return;
+            return false;
         }
-        let Some(address) = members.address(owner) else {
-            return;
+        let listed = members.address(owner);
+        let former = members.former.get(owner).filter(|_| !settled).copied();
+        let Some(address) = listed.or(former) else {
+            return settled;
         };
         let id = job.clone();
         let adopted = self
@@ -327,11 +349,14 @@
                 client.adopt(context, id).await
             })
             .await;
-        if !matches!(adopted, Ok(true)) {
-            spdlog::warn!("owner of job does not run it", kv: {
-                job = job.as_str(), owner = owner.to_string(), outcome = format!("{adopted:?}"),
-            });
+        if matches!(adopted, Ok(true)) {
+            return false;
         }
+        spdlog::warn!("owner of job does not run it", kv: {
+            job = job.as_str(), owner = owner.to_string(), outcome = format!("{adopted:?}"),
+        });
+        // An owner whose lease lives may only be out of this node's reach.
+        listed.is_none()
     }
 
     async fn remove_old(&self, job: &Name, stored: &claim::Stored) {
--- a/crates/shallotroute_resident/src/member.rs
+++ b/crates/shallotroute_resident/src/member.rs
@@ -17,6 +17,9 @@
 /// The key of the duty.
 pub(crate) const DUTY_KEY: &str = "shallotroute/member/duty";
 
+/// The most vanished processes whose addresses are remembered.
+const MAX_FORMER: usize = 256;
+
 /// A node.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Member {
@@ -53,6 +56,8 @@
 pub(crate) struct Members {
     /// The live nodes.
     pub(crate) nodes: BTreeMap<Id, Member>,
+    /// Where processes whose entries vanished were last seen.
+    pub(crate) former: BTreeMap<Owner, SocketAddr>,
     /// The duty; none when its holder's lease has ended.
     pub(crate) duty: Option<HeldDuty>,
     /// When the duty's entry vanished without an orderly end.
@@ -68,7 +73,9 @@
 impl Members {
     /// Replaces what is known by the entries of a whole read.
     pub(crate) fn replace(&mut self, items: &[(String, Vec<u8>, u64)], now: Instant) {
-        self.nodes.clear();
+        for member in std::mem::take(&mut self.nodes).into_values() {
+            self.forget(member);
+        }
         let held = self.duty.take();
         for (key, value, revision) in items {
             self.put(key, value, *revision);
@@ -111,9 +118,18 @@
             }
             return;
         }
-        if let Some(node) = key.strip_prefix(NODE_PREFIX) {
-            self.nodes.remove(node);
+        if let Some(node) = key.strip_prefix(NODE_PREFIX)
+            && let Some(member) = self.nodes.remove(node)
+        {
+            self.forget(member);
+        }
+    }
+
+    fn forget(&mut self, member: Member) {
+        if self.former.len() >= MAX_FORMER {
+            self.former.clear();
         }
+        self.former.insert(member.owner, member.address);
     }
 
     /// Returns the address of a live process.
