resident: unwritten results survive their owner; fewer calls while the store is away

Change: an owner that can't write has two other nodes keep its results, and whoever takes the job over collects them; an owner's address stands in the head; calls fail at once for 300 ms after one that no way answered; a submission that reached the store on no way is refused at once.

--- a/crates/shallotroute_batch/src/record.rs
+++ b/crates/shallotroute_batch/src/record.rs
@@ -4,6 +4,8 @@
 //! results is written under the condition that the head has not changed since, so that a former
 //! owner's late write has no effect.
 
+use std::net::SocketAddr;
+
 use derive_more::Display;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use shallotroute_types::{
@@ -39,6 +41,8 @@
     pub node: Id,
     /// The start of its process.
     pub incarnation: Incarnation,
+    /// Where it answers other nodes.
+    pub address: SocketAddr,
 }
 
 /// The changing part of a batch job.
--- a/crates/shallotroute_batch/src/run.rs
+++ b/crates/shallotroute_batch/src/run.rs
@@ -191,6 +191,39 @@
         }
     }
 
+    /// Takes results that an earlier owner could not write any more. Those of items that are listed
+    /// already are ignored.
+    pub fn restore(&mut self, results: Vec<Listed>, now: Instant) {
+        for listed in results {
+            if let Some(item) = self.items.get_mut(listed.item as usize)
+                && matches!(item.phase, Phase::Waiting { .. })
+            {
+                item.phase = Phase::Ready {
+                    outcome: listed.outcome,
+                    since: now,
+                };
+            }
+        }
+    }
+
+    /// Returns the results that are known and not written, except those of the items in `known`.
+    pub fn unwritten(&self, known: &BTreeSet<u32>) -> Vec<Listed> {
+        self.items
+            .iter()
+            .enumerate()
+            .filter_map(|(index, item)| {
+                let Phase::Ready { outcome, .. } = &item.phase else {
+                    return None;
+                };
+                let index = u32::try_from(index).ok()?;
+                (!known.contains(&index)).then(|| Listed {
+                    item: index,
+                    outcome: outcome.clone(),
+                })
+            })
+            .collect()
+    }
+
     /// Returns the specification.
     pub fn specification(&self) -> &Arc<Specification> {
         &self.specification
--- a/crates/shallotroute_resident/src/claim.rs
+++ b/crates/shallotroute_resident/src/claim.rs
@@ -19,6 +19,7 @@
     metric::Metrics,
     runner,
     site::Site,
+    spare,
     store::{Error, Result},
 };
 
@@ -35,7 +36,7 @@
 const ACCEPT_TIME: Duration = Duration::from_millis(1500);
 
 /// How long the node that an accepted job is handed to may take.
-const HAND_TIMEOUT: Duration = Duration::from_millis(600);
+const HAND_TIMEOUT: Duration = Duration::from_millis(350);
 
 /// How long a write is tried without an answer before the caller is told so.
 pub(crate) const END_TIME: Duration = Duration::from_millis(1500);
@@ -134,11 +135,15 @@
     let (id, head, revision) = (job.clone(), record::encode(&stored.head), stored.revision);
     let started = site
         .peers
-        .call(home.address, HAND_TIMEOUT, |client, context| async move {
-            client
-                .start(context, id, head, revision, specification)
-                .await
-        })
+        .call(
+            home.owner.address,
+            HAND_TIMEOUT,
+            |client, context| async move {
+                client
+                    .start(context, id, head, revision, specification)
+                    .await
+            },
+        )
         .await;
     if matches!(started, Ok(true)) {
         return;
@@ -255,6 +260,16 @@
         total = specification.items.len(),
     });
     start(site, job, head, revision, specification, results);
+    let spares = spare::collect(site, job).await;
+    if let Some(owned) = site.jobs.owned(job)
+        && !spares.is_empty()
+    {
+        spdlog::info!("unwritten results of the former owner found", kv: {
+            job = job.as_str(), results = spares.len(),
+        });
+        let now = site.now();
+        owned.state().run.restore(spares, now);
+    }
     true
 }
 
@@ -586,17 +601,13 @@
                     _ => Outcome::Other,
                 };
             }
-            Err(Error::NotDone(reason)) if open.is_none() && Instant::now() >= until => {
-                return Outcome::NotDone(reason);
-            }
+            // No try has reached the store: the caller is told at once, and may ask another node.
+            Err(Error::NotDone(reason)) if open.is_none() => return Outcome::NotDone(reason),
             Err(Error::NotDone(_)) => {}
             Err(error) => open = Some(error.to_string()),
         }
         if Instant::now() >= until {
-            return match open {
-                Some(reason) => Outcome::Open(reason),
-                None => Outcome::NotDone("the store is not available".to_owned()),
-            };
+            return Outcome::Open(open.unwrap_or_default());
         }
         tokio::time::sleep(RETRY_PAUSE).await;
     }
--- a/crates/shallotroute_resident/src/drain.rs
+++ b/crates/shallotroute_resident/src/drain.rs
@@ -60,7 +60,7 @@
     let adopted = site
         .peers
         .call(
-            successor.address,
+            successor.owner.address,
             ADOPT_TIMEOUT,
             |client, context| async move { client.adopt(context, id).await },
         )
--- a/crates/shallotroute_resident/src/duty.rs
+++ b/crates/shallotroute_resident/src/duty.rs
@@ -54,15 +54,15 @@
 /// How long an order or a report may take.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// How long a process whose entry has vanished may take to say that it runs a job.
+const FORMER_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// The pause between two searches for jobs without a live owner, while nothing has changed.
 const SWEEP_PAUSE: Duration = Duration::from_secs(6);
 
 /// The pause between two searches while entries may still return after an outage.
 const UNSETTLED_SWEEP_PAUSE: Duration = Duration::from_millis(500);
 
-/// How long after an outage of the store missing entries of nodes may return.
-const RETURN_TIME: Duration = Duration::from_millis(2500);
-
 /// What the holder does.
 struct Holder {
     site: Arc<Site>,
@@ -285,9 +285,7 @@
         }
         self.next_sweep = now + SWEEP_PAUSE;
         let members = self.site.members.borrow().clone();
-        let settled = members
-            .regained
-            .is_none_or(|regained| now >= regained + RETURN_TIME);
+        let settled = !members.unsettled(now);
         if !settled {
             self.next_sweep = now + UNSETTLED_SWEEP_PAUSE;
         }
@@ -336,16 +334,19 @@
             claim::adopt(&self.site, job).await;
             return false;
         }
-        let listed = members.address(owner);
-        let former = members.former.get(owner).filter(|_| !settled).copied();
-        let Some(address) = listed.or(former) else {
-            return settled;
+        let lives = members.lives(owner);
+        if !lives && settled {
+            return true;
+        }
+        let limit = match lives {
+            true => CALL_TIMEOUT,
+            false => FORMER_TIMEOUT,
         };
         let id = job.clone();
         let adopted = self
             .site
             .peers
-            .call(address, CALL_TIMEOUT, |client, context| async move {
+            .call(owner.address, limit, |client, context| async move {
                 client.adopt(context, id).await
             })
             .await;
@@ -356,7 +357,7 @@
             job = job.as_str(), owner = owner.to_string(), outcome = format!("{adopted:?}"),
         });
         // An owner whose lease lives may only be out of this node's reach.
-        listed.is_none()
+        !lives
     }
 
     async fn remove_old(&self, job: &Name, stored: &claim::Stored) {
--- a/crates/shallotroute_resident/src/follow.rs
+++ b/crates/shallotroute_resident/src/follow.rs
@@ -219,7 +219,7 @@
 fn source_address(site: &Site) -> Option<SocketAddr> {
     let members = site.members.borrow();
     let source = members.source(&site.settings.node.zone)?;
-    (source.owner != site.owner).then_some(source.address)
+    (source.owner != site.owner).then_some(source.owner.address)
 }
 
 async fn from_source(site: &Site, prefix: Prefix, source: SocketAddr, after: u64) -> Fed {
@@ -416,7 +416,7 @@
         .nodes
         .values()
         .filter(|member| member.owner != site.owner)
-        .map(|member| member.address)
+        .map(|member| member.owner.address)
         .collect();
     site.store.set_relays(relays);
 }
--- a/crates/shallotroute_resident/src/lib.rs
+++ b/crates/shallotroute_resident/src/lib.rs
@@ -20,6 +20,7 @@
 mod refusal;
 mod runner;
 mod site;
+mod spare;
 mod store;
 mod stream;
 mod trainer;
--- a/crates/shallotroute_resident/src/member.rs
+++ b/crates/shallotroute_resident/src/member.rs
@@ -1,7 +1,10 @@
 //! The nodes on the platform, and the duty that one of them holds, as their entries in the store
 //! tell. An entry lives as long as its node renews its lease.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Instant};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 use serde::{Deserialize, Serialize};
 use shallotroute_batch::record::{self, Owner};
@@ -17,16 +20,14 @@
 /// The key of the duty.
 pub(crate) const DUTY_KEY: &str = "shallotroute/member/duty";
 
-/// The most vanished processes whose addresses are remembered.
-const MAX_FORMER: usize = 256;
+/// How long after an outage of the store missing entries of nodes may return.
+const RETURN_TIME: Duration = Duration::from_millis(2500);
 
 /// A node.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Member {
     /// Its process.
     pub(crate) owner: Owner,
-    /// Where it answers other nodes.
-    pub(crate) address: SocketAddr,
     /// Its availability zone.
     pub(crate) zone: Zone,
     /// Thousandths of a processor core.
@@ -56,8 +57,6 @@
 pub(crate) struct Members {
     /// The live nodes.
     pub(crate) nodes: BTreeMap<Id, Member>,
-    /// Where processes whose entries vanished were last seen.
-    pub(crate) former: BTreeMap<Owner, SocketAddr>,
     /// The duty; none when its holder's lease has ended.
     pub(crate) duty: Option<HeldDuty>,
     /// When the duty's entry vanished without an orderly end.
@@ -73,9 +72,7 @@
 impl Members {
     /// Replaces what is known by the entries of a whole read.
     pub(crate) fn replace(&mut self, items: &[(String, Vec<u8>, u64)], now: Instant) {
-        for member in std::mem::take(&mut self.nodes).into_values() {
-            self.forget(member);
-        }
+        self.nodes.clear();
         let held = self.duty.take();
         for (key, value, revision) in items {
             self.put(key, value, *revision);
@@ -118,24 +115,21 @@
             }
             return;
         }
-        if let Some(node) = key.strip_prefix(NODE_PREFIX)
-            && let Some(member) = self.nodes.remove(node)
-        {
-            self.forget(member);
+        if let Some(node) = key.strip_prefix(NODE_PREFIX) {
+            self.nodes.remove(node);
         }
     }
 
-    fn forget(&mut self, member: Member) {
-        if self.former.len() >= MAX_FORMER {
-            self.former.clear();
-        }
-        self.former.insert(member.owner, member.address);
+    /// Tells whether a process is live.
+    pub(crate) fn lives(&self, owner: &Owner) -> bool {
+        let member = self.nodes.get(&owner.node);
+        member.is_some_and(|member| member.owner == *owner)
     }
 
-    /// Returns the address of a live process.
-    pub(crate) fn address(&self, owner: &Owner) -> Option<SocketAddr> {
-        let member = self.nodes.get(&owner.node)?;
-        (member.owner == *owner).then_some(member.address)
+    /// Tells whether entries may still be missing after an outage.
+    pub(crate) fn unsettled(&self, now: Instant) -> bool {
+        self.regained
+            .is_some_and(|regained| now < regained + RETURN_TIME)
     }
 
     /// Returns the node that takes new work under a key.
--- a/crates/shallotroute_resident/src/peer.rs
+++ b/crates/shallotroute_resident/src/peer.rs
@@ -6,6 +6,7 @@
 use futures::StreamExt;
 use serde::{Deserialize, Serialize};
 use shallotroute_adapter::store::Call;
+use shallotroute_batch::record;
 use shallotroute_peer::{
     client::Clients,
     service::Kind,
@@ -49,6 +50,10 @@
     async fn start(job: Name, head: Vec<u8>, revision: u64, specification: Vec<u8>) -> bool;
     /// Takes over a job that its owner gave up.
     async fn adopt(job: Name) -> bool;
+    /// Keeps results that their owner can't write.
+    async fn keep(job: Name, results: Vec<u8>);
+    /// Returns the kept results of a job, and forgets them.
+    async fn spares(job: Name) -> Vec<u8>;
     /// Returns the changes below a prefix of the store after a revision; waits a while for one.
     async fn changes(prefix: Prefix, after: u64) -> Fed;
     /// Makes a call to the platform's store.
@@ -100,13 +105,26 @@
         crate::claim::adopt(&self.0, &job).await
     }
 
+    async fn keep(self, _: Context, job: Name, results: Vec<u8>) {
+        match record::decode("results", &results) {
+            Ok(results) => self.0.spares.keep(job, results),
+            Err(error) => spdlog::warn!("shared results can't be read", kv: {
+                job = job.as_str(), error = error.to_string(),
+            }),
+        }
+    }
+
+    async fn spares(self, _: Context, job: Name) -> Vec<u8> {
+        record::encode(&self.0.spares.take(&job))
+    }
+
     async fn changes(self, _: Context, prefix: Prefix, after: u64) -> Fed {
         follow::changes(&self.0, prefix, after).await
     }
 
     async fn relay(self, _: Context, call: Call, timeout_ms: u64) -> Relayed {
         let timeout = Duration::from_millis(timeout_ms);
-        let answer = self.0.store.direct(&call, timeout).await.ok()?;
+        let answer = self.0.store.relay_for(&call, timeout).await.ok()?;
         Some((answer.status.as_u16(), answer.body.to_vec()))
     }
 }
@@ -151,16 +169,25 @@
         F: Future<Output = Result<T, RpcError>>,
     {
         let unreachable = |reason: String| Denial::Unreachable(format!("{address}: {reason}"));
-        let client = self
-            .0
-            .get(address)
-            .await
-            .map_err(|error| unreachable(error.to_string()))?;
         let mut context = tarpc::context::current();
         context.deadline = std::time::Instant::now() + timeout;
-        call(client, context).await.map_err(|error| {
+        let exchange = async {
+            let client = self
+                .0
+                .get(address)
+                .await
+                .map_err(|error| error.to_string())?;
+            call(client, context)
+                .await
+                .map_err(|error| error.to_string())
+        };
+        let result = match tokio::time::timeout(timeout, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err("no answer in time".to_owned()),
+        };
+        result.map_err(|reason| {
             self.0.remove(address);
-            unreachable(error.to_string())
+            unreachable(reason)
         })
     }
 }
--- a/crates/shallotroute_resident/src/presence.rs
+++ b/crates/shallotroute_resident/src/presence.rs
@@ -115,7 +115,6 @@
 pub(crate) async fn write_entry(site: &Site, lease: u64) -> Result<()> {
     let member = Member {
         owner: site.owner.clone(),
-        address: site.settings.listen.peers,
         zone: site.settings.node.zone.clone(),
         capacity: (site.settings.cores * 1000.0) as u32,
         leaving: site.drain.is_cancelled(),
--- a/crates/shallotroute_resident/src/runner.rs
+++ b/crates/shallotroute_resident/src/runner.rs
@@ -2,9 +2,9 @@
 //! writes its results.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeSet, HashMap, VecDeque},
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use shallotroute_batch::{
@@ -27,6 +27,7 @@
     metric::Metrics,
     rate,
     site::{Running, Site},
+    spare,
 };
 
 /// The longest pause between two looks at a job: stalled runs are found at most this much later.
@@ -42,6 +43,10 @@
 /// The longest time after which a run is moved.
 const MAX_STALL: Duration = Duration::from_millis(1500);
 
+/// After this time without an answer to a write of results, other nodes keep them too; a slow store
+/// answers sooner.
+const WRITE_PATIENCE: Duration = Duration::from_millis(400);
+
 /// How long the owner of an ended job keeps it for readers.
 const ENDED_TIME: Duration = Duration::from_secs(20);
 
@@ -57,6 +62,10 @@
     owned: Arc<Owned>,
     attempts: HashMap<u64, AbortHandle>,
     writing: Option<oneshot::Receiver<bool>>,
+    /// When the write in progress began.
+    writing_since: Instant,
+    /// The items whose unwritten results other nodes keep.
+    shared: BTreeSet<u32>,
 }
 
 /// Runs a job until all its items are listed, its trainer ends it, or another node owns it.
@@ -71,6 +80,8 @@
         owned: Arc::clone(&owned),
         attempts: HashMap::new(),
         writing: None,
+        writing_since: site.now(),
+        shared: BTreeSet::new(),
     };
     let mut progress = owned.progress.subscribe();
     loop {
@@ -83,6 +94,7 @@
         }
         driver.advance();
         driver.write();
+        driver.share();
         tokio::select! {
             received = events.recv() => {
                 if let Some((attempt, event)) = received {
@@ -233,6 +245,18 @@
             let _ = sender.send(written);
         });
         self.writing = Some(receiver);
+        self.writing_since = self.site.now();
+    }
+
+    /// Has other nodes keep what the store does not take.
+    fn share(&mut self) {
+        let waiting = self
+            .site
+            .now()
+            .saturating_duration_since(self.writing_since);
+        if self.writing.is_some() && waiting >= WRITE_PATIENCE {
+            spare::share(&self.site, &self.owned, &mut self.shared);
+        }
     }
 
     fn written(&mut self, written: bool) {
--- a/crates/shallotroute_resident/src/site.rs
+++ b/crates/shallotroute_resident/src/site.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     follow::Sources, job::Registry, member::Members, metric::Metrics, peer::Peers, pool::Pool,
-    store::Store,
+    spare::Spares, store::Store,
 };
 
 /// How long connecting to a backend server may take; a packet needs a few milliseconds.
@@ -44,6 +44,8 @@
     pub(crate) retirements: watch::Sender<BTreeSet<Name>>,
     pub(crate) members: watch::Sender<Members>,
     pub(crate) jobs: Registry,
+    /// Results that other nodes could not write.
+    pub(crate) spares: Spares,
     /// What other nodes get of the prefixes that this one follows.
     pub(crate) sources: Sources,
     /// Cancelled when the process has to stop.
@@ -69,6 +71,7 @@
         let owner = Owner {
             node: settings.node.id.clone(),
             incarnation: Incarnation(started),
+            address: settings.listen.peers,
         };
         let zone = settings.node.zone.clone();
         let store = Store::new(settings.store, Arc::clone(&metrics), Arc::clone(&peers));
@@ -86,6 +89,7 @@
             retirements: watch::channel(BTreeSet::new()).0,
             members: watch::channel(Members::default()).0,
             jobs: Registry::default(),
+            spares: Spares::default(),
             sources: Sources::default(),
             drain: CancellationToken::new(),
             roster: Mutex::new(Roster::new(zone)),
--- a/crates/shallotroute_resident/src/store.rs
+++ b/crates/shallotroute_resident/src/store.rs
@@ -39,6 +39,16 @@
 /// directly again.
 const DETOUR_TIME: Duration = Duration::from_millis(700);
 
+/// After a call that failed on all ways, calls fail at once for this long: refused calls are counted
+/// too, and the store is found again within this time.
+const DARK_TIME: Duration = Duration::from_millis(300);
+
+/// How long a relay may take for a call other than a watch.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long a call to a relay may take beyond the relay's own call.
+const RELAY_SLACK: Duration = Duration::from_millis(150);
+
 /// The most nodes that are asked to relay one call.
 const MAX_RELAYS: usize = 2;
 
@@ -80,6 +90,8 @@
     peers: Arc<Peers>,
     relays: Mutex<Vec<SocketAddr>>,
     detour: Mutex<Option<Instant>>,
+    /// Until when calls fail at once, because the store answered on no way.
+    dark: Mutex<Option<Instant>>,
     confirmed: Mutex<Option<Instant>>,
     /// Whether the last direct call was answered; watches start anew when it changes.
     reachable: watch::Sender<bool>,
@@ -96,6 +108,7 @@
             peers,
             relays: Mutex::new(Vec::new()),
             detour: Mutex::new(None),
+            dark: Mutex::new(None),
             confirmed: Mutex::new(None),
             reachable: watch::channel(true).0,
         }
@@ -188,7 +201,32 @@
         result
     }
 
+    /// Makes a call for another node, unless the store did not answer this one either.
+    pub(crate) async fn relay_for(&self, call: &Call, limit: Duration) -> Result<Answer> {
+        match self.is_dark() {
+            true => Err(dark()),
+            false => self.direct(call, limit).await,
+        }
+    }
+
+    fn is_dark(&self) -> bool {
+        lock(&self.dark).is_some_and(|until| Instant::now() < until)
+    }
+
     async fn call(&self, call: &Call, limit: Duration) -> Result<Answer> {
+        if self.is_dark() {
+            return Err(dark());
+        }
+        let outcome = self.call_any_way(call, limit).await;
+        *lock(&self.dark) = match &outcome {
+            Ok(_) => None,
+            // Nodes that fail together should not call together again.
+            Err(_) => Some(Instant::now() + DARK_TIME.mul_f64(rand::random_range(0.7..1.3))),
+        };
+        outcome
+    }
+
+    async fn call_any_way(&self, call: &Call, limit: Duration) -> Result<Answer> {
         let detour = lock(&self.detour).is_some_and(|until| Instant::now() < until);
         let mut outcome = match detour {
             true => Err(Error::NotDone(format!(
@@ -213,11 +251,15 @@
     }
 
     async fn relay(&self, relay: SocketAddr, call: &Call, limit: Duration) -> Result<Answer> {
+        let limit = limit.min(match call.kind {
+            Kind::Watch => limit,
+            _ => RELAY_TIMEOUT,
+        });
         let milliseconds = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
         let content = call.clone();
         let relayed = self
             .peers
-            .call(relay, limit + WATCH_SLACK, |client, context| async move {
+            .call(relay, limit + RELAY_SLACK, |client, context| async move {
                 client.relay(context, content, milliseconds).await
             })
             .await;
@@ -329,6 +371,10 @@
     }
 }
 
+fn dark() -> Error {
+    Error::NotDone("the store answered neither this node nor its relays a moment ago".to_owned())
+}
+
 fn refused(status: StatusCode) -> bool {
     status == StatusCode::TOO_MANY_REQUESTS || status == StatusCode::SERVICE_UNAVAILABLE
 }
--- a/crates/shallotroute_resident/src/trainer.rs
+++ b/crates/shallotroute_resident/src/trainer.rs
@@ -210,11 +210,17 @@
 where
     F: Future<Output = Result<Result<T, Denial>, tarpc::client::RpcError>>,
 {
-    if *owner == site.owner {
+    let reachable = {
+        let members = site.members.borrow();
+        members.lives(owner) || members.unsettled(site.now())
+    };
+    if *owner == site.owner || !reachable {
         return None;
     }
-    let address = site.members.borrow().address(owner)?;
-    let asked = site.peers.call(address, wait + OWNER_TIMEOUT, call).await;
+    let asked = site
+        .peers
+        .call(owner.address, wait + OWNER_TIMEOUT, call)
+        .await;
     let denial = match asked {
         Ok(Ok(answer)) => return Some(answer),
         Ok(Err(denial)) | Err(denial) => denial,
