fleet, resident: fair orders between models; items wait for a free slot

Change: the model that is furthest behind gets the next order; an item is sent only to a server with a free slot as this node knows it.

--- a/crates/shallotroute_fleet/src/server.rs
+++ b/crates/shallotroute_fleet/src/server.rs
@@ -83,8 +83,8 @@
     pub avoid: &'a [Name],
     /// The server that has the request's prompt cached.
     pub cached: Option<&'a str>,
-    /// The most requests of this node at one server.
-    pub most: usize,
+    /// Whether a server whose slots this node fills already is out of the question.
+    pub within_slots: bool,
 }
 
 /// The servers that this node knows.
@@ -362,7 +362,7 @@
         &*server.service == need.service
             && !server.draining
             && version_fits
-            && self.running < need.most
+            && (!need.within_slots || self.running < server.slots)
     }
 
     fn answered(&mut self, pace: Duration) {
--- a/crates/shallotroute_fleet/src/wave.rs
+++ b/crates/shallotroute_fleet/src/wave.rs
@@ -6,6 +6,7 @@
 //! all of them.
 
 use std::{
+    cmp::Reverse,
     collections::BTreeMap,
     time::{Duration, Instant},
 };
@@ -68,6 +69,27 @@
     Unknown,
 }
 
+/// The servers of one model that need an order.
+struct Waiting {
+    model: Name,
+    target: Version,
+    /// The servers with their versions, the furthest behind first.
+    servers: Vec<(Version, Name)>,
+    /// The servers that load the model now.
+    loading: usize,
+    /// The most that may load it at a time.
+    most: usize,
+}
+
+impl Waiting {
+    /// Returns how many versions the first server is behind.
+    fn lag(&self) -> u64 {
+        self.servers
+            .first()
+            .map_or(0, |(version, _)| self.target.0.saturating_sub(version.0))
+    }
+}
+
 /// Decides which server gets which order.
 #[derive(Debug, Default)]
 pub struct Planner {
@@ -92,41 +114,61 @@
             .filter(|server| !server.models.is_empty())
             .count()
             .div_ceil(SERVERS_PER_LOAD);
+        let mut waiting: Vec<Waiting> = followers
+            .into_iter()
+            .filter_map(|(model, followers)| self.waiting(model, &followers, targets, now))
+            .collect();
         let mut orders = Vec::new();
-        for (model, followers) in followers {
-            let Some(&target) = targets.get(model) else {
-                continue;
+        while self.loading.len() < most {
+            // The model that is furthest behind comes first, so that none is starved by the others.
+            let next = waiting
+                .iter_mut()
+                .filter(|model| model.loading < model.most && !model.servers.is_empty())
+                .max_by_key(|model| (model.lag(), Reverse(model.loading)));
+            let Some(next) = next else {
+                break;
             };
-            let most_here = followers.len().div_ceil(FOLLOWERS_PER_LOAD);
-            let mut behind: Vec<(Version, &Server)> = followers
-                .iter()
-                .filter(|server| !self.loading.contains_key(&server.id))
-                .filter(|server| !self.paused.contains_key(&server.id))
-                .filter_map(|server| Some((self.version(server, model, now)?, *server)))
-                .filter(|(version, _)| *version < target)
-                .collect();
-            behind.sort_by(|one, other| (one.0, &one.1.id).cmp(&(other.0, &other.1.id)));
-            for (_, server) in behind {
-                let here = self.loading.values().filter(|(other, _)| other == model);
-                if here.count() >= most_here || self.loading.len() >= most {
-                    break;
-                }
-                self.loading
-                    .insert(server.id.clone(), (model.clone(), None));
-                orders.push(Order {
-                    server: server.id.clone(),
-                    model: model.clone(),
-                    version: target,
-                    accepted_before: self
-                        .reports
-                        .get(&server.id)
-                        .map(|(report, _)| report.orders),
-                });
-            }
+            let (_, server) = next.servers.remove(0);
+            next.loading += 1;
+            self.loading
+                .insert(server.clone(), (next.model.clone(), None));
+            orders.push(Order {
+                accepted_before: self.reports.get(&server).map(|(report, _)| report.orders),
+                server,
+                model: next.model.clone(),
+                version: next.target,
+            });
         }
         orders
     }
 
+    /// Returns the followers of a model that need an order, the furthest behind first.
+    fn waiting(
+        &self,
+        model: &Name,
+        followers: &[&Server],
+        targets: &BTreeMap<Name, Version>,
+        now: Instant,
+    ) -> Option<Waiting> {
+        let target = *targets.get(model)?;
+        let mut servers: Vec<(Version, Name)> = followers
+            .iter()
+            .filter(|server| !self.loading.contains_key(&server.id))
+            .filter(|server| !self.paused.contains_key(&server.id))
+            .filter_map(|server| Some((self.version(server, model, now)?, server.id.clone())))
+            .filter(|(version, _)| *version < target)
+            .collect();
+        servers.sort();
+        let loading = self.loading.values().filter(|(other, _)| other == model);
+        Some(Waiting {
+            model: model.clone(),
+            target,
+            servers,
+            loading: loading.count(),
+            most: followers.len().div_ceil(FOLLOWERS_PER_LOAD),
+        })
+    }
+
     /// Notes what a server reported.
     pub fn report(&mut self, server: &Name, report: Report, now: Instant) {
         self.reports.insert(server.clone(), (report, now));
--- a/crates/shallotroute_resident/src/forward.rs
+++ b/crates/shallotroute_resident/src/forward.rs
@@ -210,7 +210,7 @@
         model: None,
         avoid,
         cached: None,
-        most: usize::MAX,
+        within_slots: false,
     };
     site.roster().choose(&need, site.now()).cloned()
 }
--- a/crates/shallotroute_resident/src/runner.rs
+++ b/crates/shallotroute_resident/src/runner.rs
@@ -363,7 +363,7 @@
         model: Some((&specification.model, specification.oldest)),
         avoid: wish.avoid,
         cached: wish.cached.map(|name| &**name),
-        most: usize::MAX,
+        within_slots: true,
     };
     roster
         .choose(&need, site.now())
