resident, settings: a new holder of the duty gives orders at once where servers check fences

Cause: after a holder's lease ended the next one waited 3.2 s before its first order. Change: the pause is 0.3 s where servers refuse lower fencing numbers, and the setting `lease_s` more where they do not. The progress of jobs is in the log once a second.

--- a/crates/shallotroute_batch/src/run.rs
+++ b/crates/shallotroute_batch/src/run.rs
@@ -138,6 +138,21 @@
     pub avoid: &'a [Name],
 }
 
+/// The items of a job by what they are doing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// They wait for a server.
+    pub waiting: usize,
+    /// A server generates their texts.
+    pub generating: usize,
+    /// Their texts wait to be rated or are being rated.
+    pub rating: usize,
+    /// Their outcomes are not written yet.
+    pub ready: usize,
+    /// They stand in their positions.
+    pub listed: usize,
+}
+
 /// A batch job at its owner.
 #[derive(Debug)]
 pub struct Run {
@@ -249,6 +264,21 @@
         self.attempts.len()
     }
 
+    /// Counts the items by what they are doing.
+    pub fn tally(&self) -> Tally {
+        let mut tally = Tally::default();
+        for item in &self.items {
+            match item.phase {
+                Phase::Waiting { .. } => tally.waiting += 1,
+                Phase::Generating(_) => tally.generating += 1,
+                Phase::Unrated { .. } | Phase::Rating { .. } => tally.rating += 1,
+                Phase::Ready { .. } => tally.ready += 1,
+                Phase::Listed => tally.listed += 1,
+            }
+        }
+        tally
+    }
+
     /// Counts the complete groups.
     pub fn complete_groups(&self) -> usize {
         let mut open: BTreeMap<&Name, bool> = BTreeMap::new();
--- a/crates/shallotroute_resident/src/duty.rs
+++ b/crates/shallotroute_resident/src/duty.rs
@@ -44,11 +44,7 @@
 /// next holder.
 const LEASE_MARGIN: Duration = Duration::from_millis(700);
 
-/// The pause before the first order after a holder whose entry vanished: it may hold a lease on its
-/// own clock, and an order may be on its way.
-const TAKEOVER_PAUSE: Duration = Duration::from_millis(3200);
-
-/// The pause before the first order after a holder that gave the duty up in good order.
+/// The pause before a new holder's first order: one of the former holder may be on its way.
 const HANDOVER_PAUSE: Duration = Duration::from_millis(300);
 
 /// How long an order or a report may take.
@@ -93,7 +89,12 @@
         match &current.duty {
             Some(duty) if duty.holder.as_ref() == Some(&site.owner) => {
                 let holder = holder.get_or_insert_with(|| {
-                    Holder::new(&site, duty.fence, held.clone(), Duration::ZERO)
+                    Holder::new(
+                        &site,
+                        duty.fence,
+                        held.clone(),
+                        HANDOVER_PAUSE + site.settings.order_pause,
+                    )
                 });
                 holder.fence = duty.fence;
                 holder.work().await;
@@ -102,12 +103,10 @@
             vacant if current.read => {
                 holder = None;
                 let expected = vacant.as_ref().map_or(0, |duty| duty.fence.0);
-                let pause = match (vacant, current.duty_lost) {
-                    (Some(_), _) => HANDOVER_PAUSE,
-                    (None, Some(_)) => TAKEOVER_PAUSE,
-                    // Nobody was seen to hold it; another process may have ended a moment ago.
-                    (None, None) if site.targets.borrow().is_empty() => Duration::ZERO,
-                    (None, None) => TAKEOVER_PAUSE,
+                let orderly = vacant.is_some();
+                let pause = match orderly {
+                    true => HANDOVER_PAUSE,
+                    false => HANDOVER_PAUSE + site.settings.order_pause,
                 };
                 if let Some(fence) = take(&site, &held, &current.live(), expected).await {
                     holder = Some(Holder::new(&site, fence, held.clone(), pause));
--- a/crates/shallotroute_resident/src/follow.rs
+++ b/crates/shallotroute_resident/src/follow.rs
@@ -391,7 +391,7 @@
             // The first read may be older than the entry that this process has just written.
             let first = !std::mem::replace(&mut members.read, true);
             let entry = members.nodes.get(own).cloned();
-            members.replace(&entries, now);
+            members.replace(&entries);
             match (first, entry) {
                 (true, Some(entry)) => {
                     members.nodes.insert(own.clone(), entry);
@@ -403,7 +403,7 @@
         Feed::Change(Change::Put(item)) => members.put(&item.key, &item.value, item.revision),
         Feed::Change(Change::Removed { key, .. }) => {
             spdlog::info!("member entry gone", kv: { key = key.as_str() });
-            members.remove(&key, now);
+            members.remove(&key);
             if key == member::node_key(own) {
                 members.own_losses += 1;
             }
--- a/crates/shallotroute_resident/src/member.rs
+++ b/crates/shallotroute_resident/src/member.rs
@@ -59,8 +59,6 @@
     pub(crate) nodes: BTreeMap<Id, Member>,
     /// The duty; none when its holder's lease has ended.
     pub(crate) duty: Option<HeldDuty>,
-    /// When the duty's entry vanished without an orderly end.
-    pub(crate) duty_lost: Option<Instant>,
     /// When the entries could be read again after an outage; some may still be missing then.
     pub(crate) regained: Option<Instant>,
     /// Whether the entries were read once.
@@ -71,15 +69,12 @@
 
 impl Members {
     /// Replaces what is known by the entries of a whole read.
-    pub(crate) fn replace(&mut self, items: &[(String, Vec<u8>, u64)], now: Instant) {
+    pub(crate) fn replace(&mut self, items: &[(String, Vec<u8>, u64)]) {
         self.nodes.clear();
-        let held = self.duty.take();
+        self.duty = None;
         for (key, value, revision) in items {
             self.put(key, value, *revision);
         }
-        if held.is_some_and(|held| held.holder.is_some()) && self.duty.is_none() {
-            self.duty_lost = Some(now);
-        }
     }
 
     /// Applies the write of an entry.
@@ -108,11 +103,9 @@
     }
 
     /// Applies the removal of an entry.
-    pub(crate) fn remove(&mut self, key: &str, now: Instant) {
+    pub(crate) fn remove(&mut self, key: &str) {
         if key == DUTY_KEY {
-            if self.duty.take().is_some_and(|held| held.holder.is_some()) {
-                self.duty_lost = Some(now);
-            }
+            self.duty = None;
             return;
         }
         if let Some(node) = key.strip_prefix(NODE_PREFIX) {
--- a/crates/shallotroute_resident/src/runner.rs
+++ b/crates/shallotroute_resident/src/runner.rs
@@ -47,6 +47,9 @@
 /// answers sooner.
 const WRITE_PATIENCE: Duration = Duration::from_millis(400);
 
+/// The pause between two lines of the log on a job's progress.
+const LOG_PAUSE: Duration = Duration::from_secs(1);
+
 /// How long the owner of an ended job keeps it for readers.
 const ENDED_TIME: Duration = Duration::from_secs(20);
 
@@ -64,6 +67,8 @@
     writing: Option<oneshot::Receiver<bool>>,
     /// When the write in progress began.
     writing_since: Instant,
+    /// When the job's progress is logged next.
+    next_log: Instant,
     /// The items whose unwritten results other nodes keep.
     shared: BTreeSet<u32>,
 }
@@ -81,6 +86,7 @@
         attempts: HashMap::new(),
         writing: None,
         writing_since: site.now(),
+        next_log: site.now() + LOG_PAUSE,
         shared: BTreeSet::new(),
     };
     let mut progress = owned.progress.subscribe();
@@ -95,6 +101,7 @@
         driver.advance();
         driver.write();
         driver.share();
+        driver.log_progress();
         tokio::select! {
             received = events.recv() => {
                 if let Some((attempt, event)) = received {
@@ -248,6 +255,28 @@
         self.writing_since = self.site.now();
     }
 
+    /// Logs how far the job is, now and then.
+    fn log_progress(&mut self) {
+        let now = self.site.now();
+        if now < self.next_log {
+            return;
+        }
+        self.next_log = now + LOG_PAUSE;
+        let state = self.owned.state();
+        let tally = state.run.tally();
+        let age = now.saturating_duration_since(state.since);
+        drop(state);
+        spdlog::info!("job runs", kv: {
+            job = self.owned.id.as_str(),
+            age_ms = age.as_millis(),
+            waiting = tally.waiting,
+            generating = tally.generating,
+            rating = tally.rating,
+            ready = tally.ready,
+            listed = tally.listed,
+        });
+    }
+
     /// Has other nodes keep what the store does not take.
     fn share(&mut self) {
         let waiting = self
--- a/crates/shallotroute_settings/src/reader.rs
+++ b/crates/shallotroute_settings/src/reader.rs
@@ -85,6 +85,7 @@
             }
             Some(Value::String(text)) => Some(text.clone()),
             Some(Value::Number(number)) => Some(number.to_string()),
+            Some(Value::Bool(value)) => Some(value.to_string()),
             Some(_) => {
                 self.add(path, "has to be a text");
                 None
--- a/crates/shallotroute_settings/src/site.rs
+++ b/crates/shallotroute_settings/src/site.rs
@@ -29,6 +29,9 @@
     pub grace: Duration,
     /// How long results of ended jobs are kept after their submission.
     pub retention: Duration,
+    /// How long the orders of a former holder may still arrive at model servers that do not check
+    /// fencing numbers; zero when all check them.
+    pub order_pause: Duration,
     /// The least severe level that is logged.
     pub log_level: Level,
 }
@@ -91,13 +94,32 @@
         .get("log_level")
         .and_then(|level| check::read_level(reader, level, "log_level"))
         .unwrap_or_default();
-    let known = ["role", "store", "cores", "grace_s", "retention_s"];
+    let known = [
+        "role",
+        "store",
+        "cores",
+        "grace_s",
+        "retention_s",
+        "fences_checked",
+        "lease_s",
+    ];
     let site = reader.mapping(root.get("site"), "site", &known)?;
     let role = read_role(reader, site.get("role"));
     let store = check::read_address(reader, site.get("store"), "site.store");
     let cores: Option<f64> = reader.parse(site.get("cores"), "site.cores", "a number of cores");
     let grace = read_seconds(reader, site.get("grace_s"), "site.grace_s");
     let retention = read_seconds(reader, site.get("retention_s"), "site.retention_s");
+    let fences_checked: Option<bool> = reader.parse(
+        site.get("fences_checked"),
+        "site.fences_checked",
+        "true or false",
+    );
+    let lease = read_seconds(reader, site.get("lease_s"), "site.lease_s");
+    let order_pause = match fences_checked {
+        Some(true) => Some(Duration::ZERO),
+        Some(false) => lease,
+        None => None,
+    };
     let (role, listen) = (role?, listen?);
     if role == Role::Entry && (listen.callers.is_none() || listen.readiness.is_none()) {
         reader.add(
@@ -113,6 +135,7 @@
         cores: cores?,
         grace: grace?,
         retention: retention?,
+        order_pause: order_pause?,
         log_level,
     })
 }
