--- a/crates/shallotroute_batch/src/run.rs
+++ b/crates/shallotroute_batch/src/run.rs
@@ -259,6 +259,17 @@
         self.results.len() == self.items.len()
     }
 
+    /// Returns the numbers of the runs and ratings in progress.
+    pub fn attempts(&self) -> Vec<u64> {
+        self.attempts.keys().copied().collect()
+    }
+
+    /// Returns the number of the last event of an attempt's item; 0 before the first.
+    pub fn last_event(&self, attempt: u64) -> u64 {
+        let index = self.attempts.get(&attempt);
+        index.map_or(0, |index| self.items[*index].last_event)
+    }
+
     /// Returns the number of runs and ratings in progress.
     pub fn in_progress(&self) -> usize {
         self.attempts.len()
--- a/crates/shallotroute_fleet/src/wave.rs
+++ b/crates/shallotroute_fleet/src/wave.rs
@@ -7,7 +7,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 
@@ -214,10 +214,10 @@
         now: Instant,
     ) -> BTreeMap<&'a Name, Vec<&'a Server>> {
         let mut pairs = Vec::new();
-        let mut having: BTreeMap<&Name, usize> = BTreeMap::new();
+        let mut sizes: BTreeMap<&Name, usize> = BTreeMap::new();
         for server in servers.iter().filter(|server| !server.draining) {
+            *sizes.entry(&server.service).or_default() += 1;
             for model in server.models.keys() {
-                *having.entry(model).or_default() += 1;
                 let Some(version) = self.version(server, model, now) else {
                     continue;
                 };
@@ -227,12 +227,20 @@
             }
         }
         pairs.sort_by_key(|pair| (pair.0, pair.1));
+        // The servers that are left when all models have the same number; each goes to one model.
+        let mut rest: BTreeMap<&Name, usize> = BTreeMap::new();
         let mut followers: BTreeMap<&Name, Vec<&Server>> = BTreeMap::new();
-        let mut taken = std::collections::BTreeSet::new();
+        let mut taken = BTreeSet::new();
         for (_, _, server, model) in pairs {
-            let share = having[model].div_ceil(server.models.len());
+            let size = sizes[&server.service];
+            let share = size / server.models.len();
+            let rest = rest
+                .entry(&server.service)
+                .or_insert(size % server.models.len());
             let others = followers.entry(model).or_default();
-            if others.len() < share && taken.insert(&server.id) {
+            let extra = others.len() == share && *rest > 0;
+            if (others.len() < share || extra) && taken.insert(&server.id) {
+                *rest -= usize::from(extra);
                 others.push(server);
             }
         }
