--- /dev/null
+++ b/crates/shallotroute_settings/tests/site.rs
@@ -0,0 +1,102 @@
+//! Settings of a node on the users' platform.
+
+use std::{path::Path, time::Duration};
+
+use googletest::prelude::*;
+use shallotroute_settings::site::{Program, Role, Site};
+
+const SETTINGS: &str = "\
+node:
+  id: front-1
+  region: lk-west
+  zone: colombo
+site:
+  role: entry
+  store: 10.200.1.7:8169
+  cores: 0.25
+  grace_s: 8
+  retention_s: 120
+  fences_checked: true
+  lease_s: 3000e-3
+listen:
+  callers: 10.1.0.10:8161
+  readiness: 10.1.0.10:8167
+  peers: 10.1.0.10:7720
+  metrics: 10.1.0.10:9464
+log_level: info
+";
+
+fn parse(text: &str) -> std::result::Result<Site, String> {
+    Site::parse(Path::new("node.yaml"), text).map_err(|findings| findings.to_string())
+}
+
+#[gtest]
+fn reads_the_settings_that_the_template_makes() -> Result<()> {
+    let site = parse(SETTINGS).or_fail()?;
+    expect_that!(site.node.id.as_str(), eq("front-1"));
+    expect_that!(site.role, eq(Role::Entry));
+    expect_that!(site.grace, eq(Duration::from_secs(8)));
+    expect_that!(site.order_pause, eq(Duration::ZERO));
+    expect_that!(site.listen.peers.port(), eq(7720));
+    Ok(())
+}
+
+/// Guards against orders that arrive after those of the next holder at servers that check nothing.
+#[gtest]
+fn orders_pause_where_servers_do_not_check_fences() -> Result<()> {
+    let site = parse(&SETTINGS.replace("checked: true", "checked: false")).or_fail()?;
+    expect_that!(site.order_pause, eq(Duration::from_secs(3)));
+    Ok(())
+}
+
+#[gtest]
+fn a_standby_node_needs_no_addresses_for_callers() -> Result<()> {
+    let text = SETTINGS.replace("role: entry", "role: standby").replace(
+        "  callers: 10.1.0.10:8161\n  readiness: 10.1.0.10:8167\n",
+        "",
+    );
+    expect_that!(parse(&text).or_fail()?.role, eq(Role::Standby));
+    Ok(())
+}
+
+/// Guards against a check that stops at the first fault or names no line.
+#[gtest]
+fn reports_all_faults_with_their_lines() {
+    let text = SETTINGS
+        .replace("role: entry", "role: captain")
+        .replace("10.200.1.7:8169", "nowhere")
+        .replace("grace_s: 8", "grace_s: -1")
+        .replace("  lease_s", "  rack: 7\n  lease_s");
+    let findings = parse(&text).err().unwrap_or_default();
+    for part in [
+        "node.yaml:6: site.role: `captain` is not one of entry, standby",
+        "node.yaml:7: site.store: `nowhere` is not an IP address with a port",
+        "node.yaml:9: site.grace_s: has to be a number of seconds that is not negative",
+        "node.yaml:12: site.rack: unknown field",
+    ] {
+        expect_that!(findings, contains_substring(part));
+    }
+    let missing = SETTINGS.replace("  callers: 10.1.0.10:8161\n", "");
+    expect_that!(
+        parse(&missing).err(),
+        some(contains_substring("needs the addresses `callers`"))
+    );
+}
+
+/// Guards against a program that takes one kind of settings for the other.
+#[gtest]
+fn the_section_site_tells_the_kinds_apart() -> Result<()> {
+    let folder = tempfile::tempdir()?;
+    let path = folder.path().join("node.yaml");
+    std::fs::write(&path, SETTINGS)?;
+    expect_that!(
+        Program::read(&path).or_fail()?,
+        matches_pattern!(Program::Site(anything()))
+    );
+    let example = Path::new("../../docs/operators/settings.example.yaml");
+    expect_that!(
+        Program::read(example).or_fail()?,
+        matches_pattern!(Program::Node(anything()))
+    );
+    Ok(())
+}
