--- /dev/null
+++ b/crates/shallotroute/examples/soak.rs
@@ -0,0 +1,113 @@
+//! Runs randomized soaks of the node program and prints what they find.
+
+use std::{path::PathBuf, process::ExitCode, time::Duration};
+
+use argh::FromArgs;
+use shallotroute_soak::soak::{self, Options, Report};
+
+/// Soaks of the node program under faults, one after the other.
+#[derive(Debug, FromArgs)]
+struct Arguments {
+    /// the first seed (1)
+    #[argh(option, default = "1")]
+    seed: u64,
+
+    /// how many seeds (50)
+    #[argh(option, default = "50")]
+    seeds: u64,
+
+    /// node processes (5)
+    #[argh(option, default = "5")]
+    nodes: usize,
+
+    /// callers at a time (8)
+    #[argh(option, default = "8")]
+    callers: usize,
+
+    /// seconds of faults for each seed (12)
+    #[argh(option, default = "12")]
+    seconds: u64,
+
+    /// soaks at a time (3)
+    #[argh(option, default = "3")]
+    jobs: u64,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    let Some(binary) = binary() else {
+        eprintln!("build the node program first: cargo build --release -p shallotroute");
+        return ExitCode::FAILURE;
+    };
+    let mut failed = 0;
+    let mut seeds = arguments.seed..arguments.seed + arguments.seeds;
+    loop {
+        let batch: Vec<_> = seeds
+            .by_ref()
+            .take(usize::try_from(arguments.jobs).unwrap_or(1))
+            .map(|seed| {
+                let options = Options {
+                    seed,
+                    nodes: arguments.nodes,
+                    callers: arguments.callers,
+                    period: Duration::from_secs(arguments.seconds),
+                    faults: true,
+                };
+                let binary = binary.clone();
+                tokio::spawn(async move { soak::run(&binary, options).await })
+            })
+            .collect();
+        if batch.is_empty() {
+            break;
+        }
+        for soak in batch {
+            let report = match soak.await {
+                Ok(report) => report.map_err(|error| error.to_string()),
+                Err(error) => Err(error.to_string()),
+            };
+            failed += usize::from(!print(report));
+        }
+    }
+    eprintln!("{failed} of {} seeds with findings", arguments.seeds);
+    match failed {
+        0 => ExitCode::SUCCESS,
+        _ => ExitCode::FAILURE,
+    }
+}
+
+/// Prints what a soak found; false when it found something or did not run.
+fn print(report: Result<Report, String>) -> bool {
+    let report = match report {
+        Ok(report) => report,
+        Err(error) => {
+            eprintln!("a soak did not run to its end: {error}");
+            return false;
+        }
+    };
+    eprintln!(
+        "seed {}: {} requests answered, {} steps, {} faults, {} findings",
+        report.seed,
+        report.answered,
+        report.steps,
+        report.faults.len(),
+        report.findings.len()
+    );
+    if report.findings.is_empty() {
+        return true;
+    }
+    eprintln!(
+        "{}\nfaults:\n{}\nlogs: {:?}",
+        report.findings.join("\n"),
+        report.faults.join("\n"),
+        report.logs
+    );
+    false
+}
+
+/// Returns the node program, which is built beside the examples.
+fn binary() -> Option<PathBuf> {
+    let own = std::env::current_exe().ok()?;
+    let binary = own.parent()?.parent()?.join("shallotroute");
+    binary.is_file().then_some(binary)
+}
--- a/crates/shallotroute/tests/process/support.rs
+++ b/crates/shallotroute/tests/process/support.rs
@@ -197,7 +197,12 @@
             .operator
             .publish(admin, &objects.to_yaml(), "test")
             .await;
-        admin::published(&answer.expect("the node should answer"))
+        let answer = answer.expect("the node should answer");
+        let published = admin::published(&answer);
+        if published.is_none() {
+            eprintln!("not published: {answer:?}");
+        }
+        published
     }
 
     /// Returns the objects with a limit that nothing refers to.
--- /dev/null
+++ b/crates/shallotroute/tests/soak.rs
@@ -0,0 +1,56 @@
+//! The node program on a stand-in of the users' platform: a calm run, a short seeded run with faults,
+//! and the seeds that have failed.
+
+use std::{path::Path, time::Duration};
+
+use googletest::prelude::*;
+use shallotroute_soak::soak::{self, Options, Report};
+
+const OPTIONS: Options = Options {
+    seed: 1,
+    nodes: 3,
+    callers: 6,
+    period: Duration::from_secs(8),
+    faults: true,
+};
+
+async fn play(options: Options) -> Report {
+    soak::run(Path::new(env!("CARGO_BIN_EXE_shallotroute")), options)
+        .await
+        .expect("the stand-ins should start")
+}
+
+fn expect_no_findings(report: &Report) {
+    expect_that!(
+        report.findings,
+        is_empty(),
+        "seed {}, logs in {:?}\nfaults:\n{}",
+        report.seed,
+        report.logs,
+        report.faults.join("\n")
+    );
+}
+
+/// Guards against a path that does not work at all.
+#[gtest]
+#[tokio::test]
+async fn a_calm_run_serves_everything() {
+    let report = play(Options {
+        faults: false,
+        period: Duration::from_secs(4),
+        ..OPTIONS
+    })
+    .await;
+    expect_no_findings(&report);
+    expect_that!(report.answered, ge(200));
+    expect_that!(report.steps, ge(2));
+}
+
+/// Guards against a broken promise under faults that overlap.
+#[gtest]
+#[tokio::test]
+async fn promises_hold_under_overlapping_faults() {
+    let report = play(OPTIONS).await;
+    expect_no_findings(&report);
+    expect_that!(report.answered, ge(20));
+}
--- a/crates/shallotroute_control/src/publisher.rs
+++ b/crates/shallotroute_control/src/publisher.rs
@@ -35,6 +35,10 @@
 /// How often a publication is prepared before it is given up. An answer in ten may be lost.
 const PREPARATIONS: u32 = 4;
 
+/// The pause before a publication is prepared again: together the pauses outlast the backoff of calls
+/// after an outage, in which a read is refused at once.
+const PREPARATION_PAUSE: Duration = Duration::from_millis(500);
+
 /// How many results are kept.
 const MAX_RESULTS: usize = 1024;
 
@@ -202,6 +206,7 @@
                 Err(report) if attempt < PREPARATIONS => {
                     spdlog::debug!("preparation {} failed: {:?}", attempt, report);
                     attempt += 1;
+                    tokio::time::sleep(PREPARATION_PAUSE).await;
                 }
                 result => return result,
             }
--- a/crates/shallotroute_resident/src/log.rs
+++ b/crates/shallotroute_resident/src/log.rs
@@ -13,7 +13,7 @@
     time::Duration,
 };
 
-use error_stack::ResultExt;
+use error_stack::{Report, ResultExt, fmt::ColorMode};
 use shallotroute_settings::Level;
 use spdlog::{
     LevelFilter, Logger, Record, StringBuf,
@@ -43,6 +43,7 @@
 ///
 /// The writer's thread can't be started.
 pub(crate) fn init(level: Level) -> Result<()> {
+    Report::set_color_mode(ColorMode::None);
     let (sender, receiver) = sync_channel(QUEUE_LINES);
     let left_out = Arc::new(AtomicU64::new(0));
     let counter = Arc::clone(&left_out);
--- a/crates/shallotroute_standin/src/process.rs
+++ b/crates/shallotroute_standin/src/process.rs
@@ -10,6 +10,7 @@
     time::{Duration, Instant},
 };
 
+use derive_more::Deref;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 
@@ -67,10 +68,11 @@
     blake3::hash(key.as_bytes()).to_hex().to_string()
 }
 
-/// A node process; dropping it kills it.
+/// A process that ends with the value that started it.
 #[derive(Debug)]
-pub struct Node {
-    settings: Settings,
+pub struct Process {
+    id: String,
+    text: String,
     binary: PathBuf,
     file: PathBuf,
     log: PathBuf,
@@ -78,6 +80,14 @@
     child: Mutex<Option<Child>>,
 }
 
+/// A node process with the product's own interface; dropping it kills it.
+#[derive(Debug, Deref)]
+pub struct Node {
+    #[deref]
+    process: Process,
+    settings: Settings,
+}
+
 /// How often the end of a process is checked.
 const POLL: Duration = Duration::from_millis(5);
 
@@ -89,24 +99,42 @@
     ///
     /// # Errors
     ///
-    /// The folder can't be written or the program can't be started.
+    /// As for [`Process::start`].
     pub fn start(binary: &Path, settings: Settings, folder: &Path) -> io::Result<Self> {
-        let node = Self {
-            binary: binary.to_owned(),
-            file: folder.join(format!("{}.yaml", settings.id)),
-            log: folder.join(format!("{}.log", settings.id)),
-            output: folder.join(format!("{}.out", settings.id)),
-            settings,
-            child: Mutex::new(None),
-        };
-        node.restart()?;
-        Ok(node)
+        let process = Process::start(binary, &settings.id, settings.to_yaml(), folder)?;
+        Ok(Self { process, settings })
     }
 
     /// Returns the settings.
     pub fn settings(&self) -> &Settings {
         &self.settings
     }
+}
+
+impl Process {
+    /// Writes the text of a settings file into `folder` and starts the node program with it.
+    ///
+    /// # Errors
+    ///
+    /// The folder can't be written or the program can't be started.
+    pub fn start(binary: &Path, id: &str, text: String, folder: &Path) -> io::Result<Self> {
+        let process = Self {
+            id: id.to_owned(),
+            text,
+            binary: binary.to_owned(),
+            file: folder.join(format!("{id}.yaml")),
+            log: folder.join(format!("{id}.log")),
+            output: folder.join(format!("{id}.out")),
+            child: Mutex::new(None),
+        };
+        process.restart()?;
+        Ok(process)
+    }
+
+    /// Returns the node's name.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
 
     /// Starts the process again after it ended.
     ///
@@ -114,7 +142,7 @@
     ///
     /// The program can't be started.
     pub fn restart(&self) -> io::Result<()> {
-        fs::write(&self.file, self.settings.to_yaml())?;
+        fs::write(&self.file, &self.text)?;
         let append = |path| File::options().create(true).append(true).open(path);
         let child = Command::new(&self.binary)
             .arg("--settings")
@@ -203,7 +231,7 @@
     }
 }
 
-impl Drop for Node {
+impl Drop for Process {
     fn drop(&mut self) {
         self.kill();
     }
