batch, resident: fewer writes of results and reads of heads

Change: results gather for 250 ms unless nothing else will follow; a node asks the nodes that run the batch routes before it asks the store; the host list is read at most every 0.7 s.

--- a/crates/shallotroute_batch/src/run.rs
+++ b/crates/shallotroute_batch/src/run.rs
@@ -15,8 +15,9 @@
     record::{Chunk, Listed, Outcome, Specification},
 };
 
-/// How long a result waits for others to be written with it, unless it completes its group.
-const GATHER_TIME: Duration = Duration::from_millis(150);
+/// How long a result waits for others to be written with it. Trainers read about twice a second, and
+/// each write is a call to the store.
+const GATHER_TIME: Duration = Duration::from_millis(250);
 
 /// The pause before an item whose server did not run it is tried again.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(30);
@@ -423,23 +424,22 @@
         self.writing = None;
     }
 
+    /// Tells whether a result has waited for long enough, or nothing else will follow.
     fn worth_writing(&self, now: Instant) -> bool {
-        let mut pending_groups = BTreeSet::new();
-        let mut ready = Vec::new();
-        let mut overdue = false;
-        for (item, state) in self.specification.items.iter().zip(&self.items) {
-            match &state.phase {
+        let mut waited = false;
+        let mut any = false;
+        let mut pending = false;
+        for item in &self.items {
+            match &item.phase {
                 Phase::Ready { since, .. } => {
-                    ready.push(&item.group);
-                    overdue |= now.saturating_duration_since(*since) >= GATHER_TIME;
+                    any = true;
+                    waited |= now.saturating_duration_since(*since) >= GATHER_TIME;
                 }
                 Phase::Listed => {}
-                _ => {
-                    pending_groups.insert(&item.group);
-                }
+                _ => pending = true,
             }
         }
-        overdue || ready.iter().any(|group| !pending_groups.contains(group))
+        waited || (any && !pending)
     }
 
     fn give_up(&mut self, now: Instant, actions: &mut Vec<Action>) {
--- a/crates/shallotroute_resident/src/follow.rs
+++ b/crates/shallotroute_resident/src/follow.rs
@@ -45,7 +45,7 @@
 
 /// The pause between two watches of the host list, whose entries change often; together with the
 /// store's answer it stays far below the time after which a leaving server may get no request.
-const LIST_PAUSE: Duration = Duration::from_millis(400);
+const LIST_PAUSE: Duration = Duration::from_millis(700);
 
 /// The pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
--- a/crates/shallotroute_resident/src/job.rs
+++ b/crates/shallotroute_resident/src/job.rs
@@ -151,7 +151,9 @@
             .wait_for(|progress| progress.listed > after || progress.ended || progress.lost);
         // The time may be over without a result; the page is empty then.
         let _ = tokio::time::timeout(wait, awaited).await;
-        if self.progress.borrow().listed <= after && !claim::confirm(site, self).await {
+        let complete = self.state().run.finished();
+        let short = self.progress.borrow().listed <= after;
+        if short && !complete && !claim::confirm(site, self).await {
             return None;
         }
         if self.progress.borrow().lost {
--- a/crates/shallotroute_resident/src/trainer.rs
+++ b/crates/shallotroute_resident/src/trainer.rs
@@ -5,6 +5,7 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use shallotroute_adapter::{caller::Call, job as wire};
 use shallotroute_batch::record::Owner;
+use shallotroute_fleet::route::Kind;
 use shallotroute_http::body::{self, Body};
 use shallotroute_types::name::Name;
 
@@ -21,6 +22,9 @@
 /// How long the owner of a job may take to answer beyond the time that the caller lets it wait.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// The most processes that are asked about a job before the store is.
+const MAX_LIKELY_OWNERS: usize = 4;
+
 /// The longest time that an answer waits for a result.
 const MAX_WAIT: Duration = Duration::from_secs(1);
 
@@ -178,6 +182,12 @@
     {
         return Located::Answer(answer);
     }
+    for owner in likely_owners(site) {
+        if let Some(answer) = ask(site, job, &owner, wait, &call).await {
+            site.jobs.set_owner(job, Some(owner));
+            return Located::Answer(answer);
+        }
+    }
     let stored = match claim::read_head(site, job).await {
         Ok(stored) => stored,
         Err(Error::NotFound) => {
@@ -199,6 +209,24 @@
     }
 }
 
+/// Returns the processes that run the jobs of the batch routes now. Asking them costs less than a read
+/// of the store; one that does not own the job says so at once.
+fn likely_owners(site: &Site) -> Vec<Owner> {
+    let Some(table) = site.table() else {
+        return Vec::new();
+    };
+    let members = site.members.borrow();
+    let mut owners: Vec<Owner> = table
+        .routes()
+        .filter(|route| route.kind == Kind::Batch)
+        .take(MAX_LIKELY_OWNERS)
+        .filter_map(|route| Some(members.home(&route.name)?.owner.clone()))
+        .collect();
+    owners.sort();
+    owners.dedup();
+    owners
+}
+
 /// Asks a process about a job that it may own.
 async fn ask<T, F>(
     site: &Site,
@@ -225,9 +253,11 @@
         Ok(Ok(answer)) => return Some(answer),
         Ok(Err(denial)) | Err(denial) => denial,
     };
-    spdlog::info!("owner of job did not answer", kv: {
-        job = job.as_str(), owner = owner.to_string(), reason = format!("{denial:?}"),
-    });
+    if denial != Denial::NotOwner {
+        spdlog::info!("owner of job did not answer", kv: {
+            job = job.as_str(), owner = owner.to_string(), reason = format!("{denial:?}"),
+        });
+    }
     site.jobs.set_owner(job, None);
     None
 }
