batch, resident: texts in progress survive their owner

Cause: a new owner ran every item that was not listed from its start; a long text takes 4 to 5 s of the 7.5 s in which a step is due. Change: twice a second an owner has a node of its availability zone keep the texts that have grown by ten events, and two nodes the results that the store does not take; whoever takes the job over goes on from there. Drafts are dropped after 10 s.

--- a/crates/shallotroute_batch/src/item.rs
+++ b/crates/shallotroute_batch/src/item.rs
@@ -4,7 +4,7 @@
 
 use shallotroute_types::{name::Name, version::Version};
 
-use crate::record::{Outcome, Sample};
+use crate::record::{DraftState, Outcome, Sample};
 
 /// What an item is doing.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -121,6 +121,38 @@
         version >= oldest && !mixed
     }
 
+    /// Returns the text so far, if it has an event and the outcome is not known.
+    pub fn partial(&self) -> Option<DraftState> {
+        if self.last_event == 0 || self.settled() {
+            return None;
+        }
+        Some(DraftState::Partial {
+            last_event: self.last_event,
+            text: self.text.clone(),
+            versions: self.versions.clone(),
+        })
+    }
+
+    /// Takes up the text of a former owner; an item that has a text already keeps its own.
+    pub fn restore(&mut self, state: DraftState, now: Instant) {
+        let fresh = matches!(self.phase, Phase::Waiting { .. }) && self.last_event == 0;
+        match state {
+            DraftState::Done(outcome) if !self.settled() && self.attempt().is_none() => {
+                self.settle(outcome, now);
+            }
+            DraftState::Partial {
+                last_event,
+                text,
+                versions,
+            } if fresh => {
+                self.last_event = last_event;
+                self.text = text;
+                self.versions = versions;
+            }
+            DraftState::Done(_) | DraftState::Partial { .. } => {}
+        }
+    }
+
     /// Drops the text, so that the item starts anew.
     pub fn restart(&mut self) {
         self.text.clear();
--- a/crates/shallotroute_batch/src/record.rs
+++ b/crates/shallotroute_batch/src/record.rs
@@ -140,6 +140,41 @@
     pub score: Option<String>,
 }
 
+/// What an owner has of an item that is not listed yet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Draft {
+    /// The item's position in the specification.
+    pub item: u32,
+    /// How far it is.
+    pub state: DraftState,
+}
+
+/// How far an item that is not listed is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DraftState {
+    /// Its text has these events.
+    Partial {
+        /// The number of the last event.
+        last_event: u64,
+        /// The data of the events, separated by line feeds.
+        text: String,
+        /// The versions that generated them.
+        versions: Vec<Version>,
+    },
+    /// Its outcome is known.
+    Done(Outcome),
+}
+
+impl Draft {
+    /// Returns how far the item is; more is further.
+    pub fn progress(&self) -> u64 {
+        match self.state {
+            DraftState::Partial { last_event, .. } => last_event,
+            DraftState::Done(_) => u64::MAX,
+        }
+    }
+}
+
 /// Results in consecutive positions, written together.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Chunk {
--- a/crates/shallotroute_batch/src/run.rs
+++ b/crates/shallotroute_batch/src/run.rs
@@ -3,7 +3,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -12,7 +12,7 @@
 
 use crate::{
     item::{Attempt, Item, Phase},
-    record::{Chunk, Listed, Outcome, Specification},
+    record::{Chunk, Draft, DraftState, Listed, Outcome, Specification},
 };
 
 /// How long a result waits for others to be written with it. Trainers read about twice a second, and
@@ -34,6 +34,9 @@
 /// A run at a slow server is not moved before this time; shorter ones end sooner where they are.
 const MIN_RUN: Duration = Duration::from_millis(250);
 
+/// The events by which a text has to grow before it is shared again: some 400 ms of work.
+pub const DRAFT_EVENTS: u64 = 10;
+
 /// The most bytes of text in one chunk; encoded as text it stays below the store's megabyte.
 const MAX_CHUNK_BYTES: usize = 500 << 10;
 
@@ -207,37 +210,41 @@
         }
     }
 
-    /// Takes results that an earlier owner could not write any more. Those of items that are listed
-    /// already are ignored.
-    pub fn restore(&mut self, results: Vec<Listed>, now: Instant) {
-        for listed in results {
-            if let Some(item) = self.items.get_mut(listed.item as usize)
-                && matches!(item.phase, Phase::Waiting { .. })
-            {
-                item.phase = Phase::Ready {
-                    outcome: listed.outcome,
-                    since: now,
-                };
+    /// Takes up what a former owner had of items that are not listed.
+    pub fn restore(&mut self, drafts: Vec<Draft>, now: Instant) {
+        for draft in drafts {
+            if let Some(item) = self.items.get_mut(draft.item as usize) {
+                item.restore(draft.state, now);
             }
         }
     }
 
-    /// Returns the results that are known and not written, except those of the items in `known`.
-    pub fn unwritten(&self, known: &BTreeSet<u32>) -> Vec<Listed> {
-        self.items
-            .iter()
-            .enumerate()
-            .filter_map(|(index, item)| {
-                let Phase::Ready { outcome, .. } = &item.phase else {
-                    return None;
-                };
-                let index = u32::try_from(index).ok()?;
-                (!known.contains(&index)).then(|| Listed {
-                    item: index,
-                    outcome: outcome.clone(),
-                })
-            })
-            .collect()
+    /// Returns what other nodes should keep in case this one dies: texts that have grown by
+    /// [`DRAFT_EVENTS`] since they were shared, and with `results` also the outcomes that are not
+    /// written yet. `shared` holds how far each item was when it was shared.
+    pub fn drafts(&self, shared: &mut BTreeMap<u32, u64>, results: bool) -> Vec<Draft> {
+        let mut drafts = Vec::new();
+        for (index, item) in self.items.iter().enumerate() {
+            let state = match &item.phase {
+                Phase::Ready { outcome, .. } if results => DraftState::Done(outcome.clone()),
+                Phase::Ready { .. } | Phase::Listed => continue,
+                _ => match item.partial() {
+                    Some(partial) => partial,
+                    None => continue,
+                },
+            };
+            let draft = Draft {
+                item: u32::try_from(index).unwrap_or(u32::MAX),
+                state,
+            };
+            let last = shared.entry(draft.item).or_default();
+            let progress = draft.progress();
+            if progress > *last && progress >= last.saturating_add(DRAFT_EVENTS) {
+                *last = progress;
+                drafts.push(draft);
+            }
+        }
+        drafts
     }
 
     /// Returns the specification.
--- a/crates/shallotroute_batch/tests/run.rs
+++ b/crates/shallotroute_batch/tests/run.rs
@@ -1,13 +1,14 @@
 //! One job at its owner: single cases.
 
 use std::{
+    collections::BTreeMap,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use googletest::prelude::*;
 use shallotroute_batch::{
-    record::{Item, Listed, Outcome, Reward, Sample, Specification},
+    record::{Draft, DraftState, Item, Listed, Outcome, Reward, Sample, Specification},
     run::{Action, Close, Event, Limits, Rating, Run},
 };
 use shallotroute_types::{name::Name, version::Version};
@@ -384,12 +385,12 @@
     expect_that!(run.in_progress(), eq(0));
 }
 
-/// Guards against results of a former owner that replace listed ones or runs in progress.
+/// Guards against drafts of a former owner that replace listed results or runs in progress.
 #[gtest]
-fn restored_results_fill_only_what_is_open() {
+fn drafts_fill_only_what_is_open() {
     let now = Instant::now();
     let limits = limits();
-    let sample = |text: &str| {
+    let outcome = |text: &str| {
         Outcome::Completed(Sample {
             text: text.to_owned(),
             versions: vec![Version(4)],
@@ -398,16 +399,63 @@
     };
     let listed = |item, text| Listed {
         item,
-        outcome: sample(text),
+        outcome: outcome(text),
+    };
+    let done = |item, text| Draft {
+        item,
+        state: DraftState::Done(outcome(text)),
     };
     let written = vec![listed(1, "written")];
     let give_up_at = now + Duration::from_secs(20);
-    let mut run = Run::new(specification(3, false), written.clone(), give_up_at);
+    let mut run = Run::new(specification(4, false), written.clone(), give_up_at);
+    let partial = Draft {
+        item: 2,
+        state: DraftState::Partial {
+            last_event: 7,
+            text: "seven".to_owned(),
+            versions: vec![Version(4)],
+        },
+    };
     run.restore(
-        vec![listed(0, "kept"), listed(1, "other"), listed(9, "nobody's")],
+        vec![
+            done(0, "kept"),
+            done(1, "other"),
+            done(9, "nobody's"),
+            partial,
+        ],
         now,
     );
     expect_that!(texts(&mut run, now), elements_are![eq(&listed(0, "kept"))]);
     expect_that!(run.results(), eq(&written[..]));
-    expect_that!(started(&advance(&mut run, &limits, now)), len(eq(1)));
+    let starts: Vec<(usize, u64)> = started(&advance(&mut run, &limits, now))
+        .iter()
+        .map(|start| (start.1, start.2))
+        .collect();
+    expect_that!(starts, elements_are![eq(&(3, 0)), eq(&(2, 7))]);
+    // What runs already is not replaced.
+    run.restore(vec![done(3, "late")], now);
+    expect_that!(run.attempts(), len(eq(2)));
+}
+
+/// Answers an owner that dies in the middle of long texts: others have what grew, and only that.
+#[gtest]
+fn drafts_are_shared_as_texts_grow() {
+    let now = Instant::now();
+    let limits = limits();
+    let mut run = run(2, false, now);
+    let attempt = started(&advance(&mut run, &limits, now))[0].0;
+    let mut shared = BTreeMap::new();
+    let mut sizes = Vec::new();
+    for number in 1..=25 {
+        run.handle(attempt, piece(number, 4), &limits, now);
+        for draft in run.drafts(&mut shared, false) {
+            sizes.push(draft.progress());
+        }
+    }
+    expect_that!(sizes, elements_are![eq(&10), eq(&20)]);
+    run.handle(attempt, Event::Closed(Close::Whole), &limits, now);
+    expect_that!(run.drafts(&mut shared, false), is_empty());
+    let results = run.drafts(&mut shared, true);
+    expect_that!(results, len(eq(1)));
+    expect_that!(run.drafts(&mut shared, true), is_empty());
 }
--- a/crates/shallotroute_batch/tests/world.rs
+++ b/crates/shallotroute_batch/tests/world.rs
@@ -12,7 +12,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use shallotroute_batch::{
-    record::{Chunk, Item, Listed, Outcome, Reward, Specification},
+    record::{Chunk, Draft, Item, Listed, Outcome, Reward, Specification},
     run::{Action, Close, Event, Limits, Rating, Run, Wish},
 };
 use shallotroute_types::{name::Name, version::Version};
@@ -76,8 +76,8 @@
     random: ChaCha8Rng,
     store: Store,
     owners: Vec<Option<Owner>>,
-    /// Results that a dead owner had shared.
-    spares: Vec<Listed>,
+    /// What a dead owner had shared.
+    spares: Vec<Draft>,
     specification: Arc<Specification>,
     now: Instant,
     start: Instant,
@@ -89,7 +89,7 @@
 }
 
 fn length(item: usize) -> u64 {
-    1 + (item as u64 * 7) % 9
+    1 + (item as u64 * 7) % 23
 }
 
 fn data(item: usize, number: u64) -> String {
@@ -349,8 +349,9 @@
             if let Some(owner) = self.owners[node].take()
                 && self.chance(50)
             {
-                let shared = owner.run.unwritten(&BTreeSet::new());
-                self.spares.extend(shared);
+                let results = self.random.random_bool(0.5);
+                self.spares
+                    .extend(owner.run.drafts(&mut BTreeMap::new(), results));
             }
         }
         if self.chance(2) {
--- a/crates/shallotroute_resident/src/claim.rs
+++ b/crates/shallotroute_resident/src/claim.rs
@@ -264,8 +264,8 @@
     if let Some(owned) = site.jobs.owned(job)
         && !spares.is_empty()
     {
-        spdlog::info!("unwritten results of the former owner found", kv: {
-            job = job.as_str(), results = spares.len(),
+        spdlog::info!("drafts of the former owner found", kv: {
+            job = job.as_str(), drafts = spares.len(),
         });
         let now = site.now();
         owned.state().run.restore(spares, now);
--- a/crates/shallotroute_resident/src/peer.rs
+++ b/crates/shallotroute_resident/src/peer.rs
@@ -50,9 +50,9 @@
     async fn start(job: Name, head: Vec<u8>, revision: u64, specification: Vec<u8>) -> bool;
     /// Takes over a job that its owner gave up.
     async fn adopt(job: Name) -> bool;
-    /// Keeps results that their owner can't write.
-    async fn keep(job: Name, results: Vec<u8>);
-    /// Returns the kept results of a job, and forgets them.
+    /// Keeps what the owner of a job has and the store does not.
+    async fn keep(job: Name, drafts: Vec<u8>);
+    /// Returns what is kept of a job, and forgets it.
     async fn spares(job: Name) -> Vec<u8>;
     /// Returns the changes below a prefix of the store after a revision; waits a while for one.
     async fn changes(prefix: Prefix, after: u64) -> Fed;
@@ -105,10 +105,10 @@
         crate::claim::adopt(&self.0, &job).await
     }
 
-    async fn keep(self, _: Context, job: Name, results: Vec<u8>) {
-        match record::decode("results", &results) {
-            Ok(results) => self.0.spares.keep(job, results),
-            Err(error) => spdlog::warn!("shared results can't be read", kv: {
+    async fn keep(self, _: Context, job: Name, drafts: Vec<u8>) {
+        match record::decode("drafts", &drafts) {
+            Ok(drafts) => self.0.spares.keep(job, drafts, self.0.now()),
+            Err(error) => spdlog::warn!("drafts can't be read", kv: {
                 job = job.as_str(), error = error.to_string(),
             }),
         }
--- a/crates/shallotroute_resident/src/runner.rs
+++ b/crates/shallotroute_resident/src/runner.rs
@@ -2,7 +2,7 @@
 //! writes its results.
 
 use std::{
-    collections::{BTreeSet, HashMap, VecDeque},
+    collections::{BTreeMap, HashMap, VecDeque},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -47,6 +47,9 @@
 /// answers sooner.
 const WRITE_PATIENCE: Duration = Duration::from_millis(400);
 
+/// The pause between two looks at what other nodes should keep.
+const SHARE_PAUSE: Duration = Duration::from_millis(500);
+
 /// The pause between two lines of the log on a job's progress.
 const LOG_PAUSE: Duration = Duration::from_secs(1);
 
@@ -69,8 +72,9 @@
     writing_since: Instant,
     /// When the job's progress is logged next.
     next_log: Instant,
-    /// The items whose unwritten results other nodes keep.
-    shared: BTreeSet<u32>,
+    /// How far each item was when other nodes were last asked to keep it.
+    shared: BTreeMap<u32, u64>,
+    next_share: Instant,
 }
 
 /// Runs a job until all its items are listed, its trainer ends it, or another node owns it.
@@ -87,7 +91,8 @@
         writing: None,
         writing_since: site.now(),
         next_log: site.now() + LOG_PAUSE,
-        shared: BTreeSet::new(),
+        shared: BTreeMap::new(),
+        next_share: site.now() + SHARE_PAUSE,
     };
     let mut progress = owned.progress.subscribe();
     loop {
@@ -277,15 +282,16 @@
         });
     }
 
-    /// Has other nodes keep what the store does not take.
+    /// Has other nodes keep what would be lost with this one.
     fn share(&mut self) {
-        let waiting = self
-            .site
-            .now()
-            .saturating_duration_since(self.writing_since);
-        if self.writing.is_some() && waiting >= WRITE_PATIENCE {
-            spare::share(&self.site, &self.owned, &mut self.shared);
+        let now = self.site.now();
+        if now < self.next_share {
+            return;
         }
+        self.next_share = now + SHARE_PAUSE;
+        let waiting = now.saturating_duration_since(self.writing_since);
+        let stuck = self.writing.is_some() && waiting >= WRITE_PATIENCE;
+        spare::share(&self.site, &self.owned, &mut self.shared, stuck);
     }
 
     fn written(&mut self, written: bool) {
--- a/crates/shallotroute_resident/src/spare.rs
+++ b/crates/shallotroute_resident/src/spare.rs
@@ -1,79 +1,106 @@
-//! Results that their owner can't write while the store is away, kept in the memory of other nodes.
+//! What the owner of a job has and the store does not, kept in the memory of other nodes.
 //!
-//! They are no part of what lasts: nobody reads them, and a job is correct without them. They spare the
-//! work when the owner dies before the store is back.
+//! It is no part of what lasts: nobody reads it, and a job is correct without it. It spares the work when
+//! an owner dies in the middle of long texts, or before it could write its results.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, HashMap},
     sync::{Arc, Mutex, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use futures::future::join_all;
-use shallotroute_batch::record::{self, Listed};
+use shallotroute_batch::record::{self, Draft};
 use shallotroute_types::name::Name;
 
 use crate::{job::Owned, member::Member, site::Site};
 
-/// The nodes that keep the results of one job.
-const KEEPERS: usize = 2;
+/// The nodes that keep results which the store does not take.
+const RESULT_KEEPERS: usize = 2;
 
-/// The most jobs whose results are kept for other nodes.
-const MAX_JOBS: usize = 32;
+/// How long drafts are kept after the last of their job came: longer than a takeover takes.
+const KEEP_TIME: Duration = Duration::from_secs(10);
 
-/// How long another node may take to keep or return results.
+/// How long another node may take to keep or return drafts.
 const CALL_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// The results that this node keeps for others, by job.
+/// The drafts of one job.
+struct Kept {
+    drafts: BTreeMap<u32, Draft>,
+    since: Instant,
+}
+
+/// The drafts that this node keeps for others, by job.
 #[derive(Default)]
-pub(crate) struct Spares(Mutex<HashMap<Name, Vec<Listed>>>);
+pub(crate) struct Spares(Mutex<HashMap<Name, Kept>>);
 
 impl Spares {
-    /// Keeps results of another node.
-    pub(crate) fn keep(&self, job: Name, results: Vec<Listed>) {
+    /// Keeps drafts of another node, in place of older ones of the same items.
+    pub(crate) fn keep(&self, job: Name, drafts: Vec<Draft>, now: Instant) {
         let mut jobs = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        if jobs.len() >= MAX_JOBS && !jobs.contains_key(&job) {
-            jobs.clear();
+        jobs.retain(|_, kept| now < kept.since + KEEP_TIME);
+        let kept = jobs.entry(job).or_insert_with(|| Kept {
+            drafts: BTreeMap::new(),
+            since: now,
+        });
+        kept.since = now;
+        for draft in drafts {
+            kept.drafts.insert(draft.item, draft);
         }
-        jobs.entry(job).or_default().extend(results);
     }
 
-    /// Returns the results of a job and forgets them.
-    pub(crate) fn take(&self, job: &str) -> Vec<Listed> {
+    /// Returns the drafts of a job and forgets them.
+    pub(crate) fn take(&self, job: &str) -> Vec<Draft> {
         let mut jobs = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        jobs.remove(job).unwrap_or_default()
+        let kept = jobs.remove(job);
+        kept.map_or_else(Vec::new, |kept| kept.drafts.into_values().collect())
     }
 }
 
-/// Has other nodes keep the results that are not written and not in `shared`, which then names them.
-pub(crate) fn share(site: &Arc<Site>, owned: &Owned, shared: &mut BTreeSet<u32>) {
-    let results = owned.state().run.unwritten(shared);
-    if results.is_empty() {
+/// Has other nodes keep what has grown since it was last shared; with `results` also the outcomes that
+/// the store does not take.
+pub(crate) fn share(
+    site: &Arc<Site>,
+    owned: &Owned,
+    shared: &mut BTreeMap<u32, u64>,
+    results: bool,
+) {
+    let drafts = owned.state().run.drafts(shared, results);
+    if drafts.is_empty() {
         return;
     }
-    shared.extend(results.iter().map(|listed| listed.item));
-    let encoded = record::encode(&results);
-    for keeper in others(site).into_iter().take(KEEPERS) {
+    let keepers = match results {
+        true => RESULT_KEEPERS,
+        false => 1,
+    };
+    let encoded = record::encode(&drafts);
+    for keeper in keepers_of(site, &owned.id, keepers) {
         let (site, job, encoded) = (Arc::clone(site), owned.id.clone(), encoded.clone());
+        let count = drafts.len();
         tokio::spawn(async move {
+            let id = job.clone();
             let kept = site
                 .peers
-                .call(keeper.owner.address, CALL_TIMEOUT, |client, context| {
-                    let job = job.clone();
-                    async move { client.keep(context, job, encoded).await }
-                })
+                .call(
+                    keeper.owner.address,
+                    CALL_TIMEOUT,
+                    |client, context| async move { client.keep(context, id, encoded).await },
+                )
                 .await;
-            spdlog::info!("unwritten results shared", kv: {
-                job = job.as_str(),
-                keeper = keeper.owner.to_string(),
-                outcome = format!("{kept:?}"),
-            });
+            if let Err(denial) = kept {
+                spdlog::info!("drafts not shared", kv: {
+                    job = job.as_str(),
+                    keeper = keeper.owner.to_string(),
+                    count,
+                    reason = format!("{denial:?}"),
+                });
+            }
         });
     }
 }
 
-/// Collects the results of a job that its former owner could not write.
-pub(crate) async fn collect(site: &Arc<Site>, job: &Name) -> Vec<Listed> {
+/// Collects the drafts of a job from all nodes.
+pub(crate) async fn collect(site: &Arc<Site>, job: &Name) -> Vec<Draft> {
     let asked = others(site).into_iter().map(|member| {
         let job = job.clone();
         async move {
@@ -86,17 +113,34 @@
                 .await
         }
     });
-    let mut results = site.spares.take(job);
+    let mut drafts = site.spares.take(job);
     // A node that can't be reached has nothing that is needed.
     for encoded in join_all(asked).await.into_iter().flatten() {
-        match record::decode::<Vec<Listed>>("results", &encoded) {
-            Ok(more) => results.extend(more),
-            Err(error) => spdlog::warn!("shared results can't be read", kv: {
+        match record::decode::<Vec<Draft>>("drafts", &encoded) {
+            Ok(more) => drafts.extend(more),
+            Err(error) => spdlog::warn!("drafts can't be read", kv: {
                 job = job.as_str(), error = error.to_string(),
             }),
         }
     }
-    results
+    // The furthest draft of an item comes first, and the others are ignored.
+    drafts.sort_by_key(|draft| std::cmp::Reverse(draft.progress()));
+    drafts
+}
+
+/// Returns the nodes that keep drafts of a job, those of this availability zone first.
+fn keepers_of(site: &Site, job: &str, count: usize) -> Vec<Member> {
+    let mut members = others(site);
+    let zone = &site.settings.node.zone;
+    members.sort_by_cached_key(|member| {
+        let rank = xxhash_rust::xxh3::xxh3_64_with_seed(
+            member.owner.node.as_bytes(),
+            xxhash_rust::xxh3::xxh3_64(job.as_bytes()),
+        );
+        (member.zone != *zone, rank)
+    });
+    members.truncate(count);
+    members
 }
 
 fn others(site: &Site) -> Vec<Member> {
