fleet, resident: callers come back later to servers that are down

Cause: with a plain service down as a whole, refused callers came back after 0.2 s, as for full servers, and spent their one retry while it was still down. The line of a request without an answer did not name the servers that were tried. Change: a refusal says 0.7 s when no server could be reached; the line names the servers and the sends without an answer.

--- a/crates/shallotroute_fleet/src/attempt.rs
+++ b/crates/shallotroute_fleet/src/attempt.rs
@@ -19,9 +19,13 @@
 /// The pause before servers that refused are asked again.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(15);
 
-/// After this time a refused caller may come back; a server frees a slot within a few requests'
-/// work.
-const RETRY_AFTER: Duration = Duration::from_millis(200);
+/// After this time a caller that full servers refused may come back; a server frees a slot within a
+/// few requests' work.
+const RETRY_AFTER_FULL: Duration = Duration::from_millis(200);
+
+/// After this time a caller may come back when no server could be reached. Callers come back once or
+/// twice, and a server that is down needs longer than one that is full.
+const RETRY_AFTER_DOWN: Duration = Duration::from_millis(700);
 
 /// What holds for a request.
 #[derive(Clone, Copy, Debug)]
@@ -43,6 +47,8 @@
 pub enum Miss {
     /// The server did not run it.
     NotRun,
+    /// The server could not be reached, and did not run it.
+    Unreachable,
     /// It may have run.
     Unknown,
 }
@@ -79,6 +85,8 @@
     servers: Vec<Name>,
     in_flight: usize,
     may_have_run: bool,
+    /// Whether a server has answered that it does not run the request.
+    refused: bool,
     pause_until: Option<Instant>,
 }
 
@@ -90,6 +98,7 @@
             servers: Vec::new(),
             in_flight: 0,
             may_have_run: false,
+            refused: false,
             pause_until: None,
         }
     }
@@ -112,8 +121,11 @@
         self.in_flight = self.in_flight.saturating_sub(1);
         match miss {
             Miss::Unknown => self.may_have_run = true,
-            Miss::NotRun if self.exhausted() => self.pause_until = Some(now + REFUSAL_PAUSE),
-            Miss::NotRun => {}
+            Miss::NotRun => self.refused = true,
+            Miss::Unreachable => {}
+        }
+        if miss != Miss::Unknown && self.exhausted() {
+            self.pause_until = Some(now + REFUSAL_PAUSE);
         }
     }
 
@@ -168,7 +180,10 @@
 
     fn not_run(&self) -> Verdict {
         Verdict::NotRun {
-            retry_after: RETRY_AFTER,
+            retry_after: match self.refused {
+                true => RETRY_AFTER_FULL,
+                false => RETRY_AFTER_DOWN,
+            },
         }
     }
 }
--- a/crates/shallotroute_fleet/tests/attempt.rs
+++ b/crates/shallotroute_fleet/tests/attempt.rs
@@ -87,6 +87,28 @@
     expect_that!(tries.servers().len(), eq(2));
 }
 
+/// Answers a service that is down as a whole: its few retries should not be spent at once.
+#[gtest]
+fn callers_come_back_later_to_servers_that_are_down() {
+    let begun = Instant::now();
+    let retry_after = |miss| {
+        let mut tries = Tries::new(plan(begun, true));
+        for server in ["a", "b"] {
+            tries.sent(&Name::from(server));
+            tries.missed(miss, begun);
+        }
+        match tries.step(begun + OBJECTIVE) {
+            Step::Give(Verdict::NotRun { retry_after }) => retry_after,
+            other => panic!("a refusal was expected, got {other:?}"),
+        }
+    };
+    expect_that!(retry_after(Miss::NotRun), eq(Duration::from_millis(200)));
+    expect_that!(
+        retry_after(Miss::Unreachable),
+        eq(Duration::from_millis(700))
+    );
+}
+
 /// Guards against "not run" for a request of which one send may have run.
 #[gtest]
 fn a_possible_run_is_never_called_not_run() {
--- a/crates/shallotroute_resident/src/entry.rs
+++ b/crates/shallotroute_resident/src/entry.rs
@@ -209,9 +209,14 @@
             };
             (response, outcome, server.to_string(), String::new())
         }
-        forward::Result::None { verdict, reason } => {
+        forward::Result::None {
+            verdict,
+            reason,
+            servers,
+        } => {
             let (response, outcome) = no_answer(verdict);
-            (response, outcome, String::new(), reason)
+            let servers: Vec<&str> = servers.iter().map(|server| server.as_str()).collect();
+            (response, outcome, servers.join(","), reason)
         }
     };
     Metrics::count(&site.metrics.requests, outcome);
--- a/crates/shallotroute_resident/src/forward.rs
+++ b/crates/shallotroute_resident/src/forward.rs
@@ -57,6 +57,8 @@
     },
     /// The server did not run the request.
     NotRun(String),
+    /// The server could not be reached; it did not run the request.
+    Unreachable(String),
     /// The request may have run.
     Unknown(String),
 }
@@ -72,7 +74,12 @@
         server: Name,
     },
     /// No answer.
-    None { verdict: Verdict, reason: String },
+    None {
+        verdict: Verdict,
+        reason: String,
+        /// The servers to which the request was sent.
+        servers: Vec<Name>,
+    },
 }
 
 /// Sends a request to one server and waits for its answer.
@@ -168,6 +175,7 @@
         };
         let (miss, reason) = match reply {
             Reply::NotRun(reason) => (Miss::NotRun, reason),
+            Reply::Unreachable(reason) => (Miss::Unreachable, reason),
             Reply::Unknown(reason) => (Miss::Unknown, reason),
             Reply::Answer {
                 status,
@@ -196,9 +204,14 @@
     }
 
     fn give(self, verdict: Verdict) -> Result {
+        let reason = match self.sends.len() {
+            0 => self.reason,
+            open => format!("{open} sends without an answer; {}", self.reason),
+        };
         self.last_answer.unwrap_or(Result::None {
             verdict,
-            reason: self.reason,
+            reason,
+            servers: self.tries.servers().to_vec(),
         })
     }
 }
@@ -236,11 +249,12 @@
         }
         Reply::Answer { .. } => (Outcome::Dropped, "error"),
         Reply::NotRun(_) => (Outcome::Refused, "not_run"),
+        Reply::Unreachable(_) => (Outcome::Failed, "unreachable"),
         Reply::Unknown(_) => (Outcome::Failed, "unknown"),
     };
     running.finish(outcome);
     Metrics::count(&site.metrics.attempts, name);
-    if let Reply::NotRun(reason) | Reply::Unknown(reason) = &reply {
+    if let Reply::NotRun(reason) | Reply::Unreachable(reason) | Reply::Unknown(reason) = &reply {
         spdlog::info!("send without an answer", kv: {
             request = &*exchange.request,
             server = server.id.as_str(),
@@ -255,7 +269,7 @@
 async fn attempt(site: &Site, server: &Server, exchange: &Exchange, deadline: Instant) -> Reply {
     let mut connection = match site.pool.get(server.address).await {
         Ok(connection) => connection,
-        Err(failure) => return Reply::NotRun(failure.reason().to_owned()),
+        Err(failure) => return Reply::Unreachable(failure.reason().to_owned()),
     };
     let reused = connection.reused;
     let mut result = match request(site, server, exchange, deadline) {
@@ -267,7 +281,7 @@
     {
         connection = match site.pool.open(server.address).await {
             Ok(connection) => connection,
-            Err(failure) => return Reply::NotRun(failure.reason().to_owned()),
+            Err(failure) => return Reply::Unreachable(failure.reason().to_owned()),
         };
         result = match request(site, server, exchange, deadline) {
             Ok(request) => connection.send(request).await,
@@ -276,7 +290,7 @@
     }
     match result {
         Ok(response) => receive(site, connection, &exchange.request, response).await,
-        Err(Failure::Unsent(reason)) => Reply::NotRun(reason),
+        Err(Failure::Unsent(reason)) => Reply::Unreachable(reason),
         Err(Failure::Lost(reason)) => Reply::Unknown(reason),
     }
 }
