--- a/crates/shallotroute_sampling/src/peers.rs
+++ b/crates/shallotroute_sampling/src/peers.rs
@@ -1,14 +1,12 @@
 //! Connections to other nodes for trainers' steps.
 
 use std::{
-    collections::HashMap,
     net::SocketAddr,
     time::{Duration, Instant},
 };
 
-use shallotroute_peer::{service::Kind, stream};
+use shallotroute_peer::{client::Clients, service::Kind, stream};
 use tarpc::{client::RpcError, context};
-use tokio::sync::Mutex;
 
 use crate::{
     failure::{Failure, Result},
@@ -19,8 +17,15 @@
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The open connections by address.
-#[derive(Default)]
-pub(crate) struct Peers(Mutex<HashMap<SocketAddr, RolloutsClient>>);
+pub(crate) struct Peers(Clients<RolloutsClient>);
+
+impl Default for Peers {
+    fn default() -> Self {
+        Self(Clients::new(Kind::Rollouts, |stream| {
+            RolloutsClient::new(tarpc::client::Config::default(), stream::frame(stream)).spawn()
+        }))
+    }
+}
 
 impl Peers {
     /// Calls the node at `address`. A connection that proves closed is opened again once: all
@@ -40,7 +45,11 @@
     {
         let mut last = None;
         for _ in 0..2 {
-            let client = self.client(address).await?;
+            let client = self
+                .0
+                .get(address)
+                .await
+                .map_err(|error| Failure::Unavailable(error.to_string()))?;
             let mut context = context::current();
             context.deadline = Instant::now() + timeout;
             match call(client, context).await {
@@ -48,7 +57,7 @@
                 Err(error) => {
                     let late = matches!(error, RpcError::DeadlineExceeded);
                     last = Some(error.to_string());
-                    self.0.lock().await.remove(&address);
+                    self.0.remove(address);
                     if late {
                         break;
                     }
@@ -57,18 +66,4 @@
         }
         Err(Failure::Lost(last.unwrap_or_default()))
     }
-
-    async fn client(&self, address: SocketAddr) -> Result<RolloutsClient> {
-        if let Some(client) = self.0.lock().await.get(&address) {
-            return Ok(client.clone());
-        }
-        // The lock is not held while connecting, so that a dead node does not delay calls to others.
-        let stream = stream::open(address, Kind::Rollouts)
-            .await
-            .map_err(|error| Failure::Unavailable(error.to_string()))?;
-        let transport = stream::frame(stream);
-        let client = RolloutsClient::new(tarpc::client::Config::default(), transport).spawn();
-        self.0.lock().await.insert(address, client.clone());
-        Ok(client)
-    }
 }
