batch, resident: ratings leave room for callers of their service

Change: a job has at most half of the rating service's slots, divided by the trainers, in progress, and four at least.

--- a/crates/shallotroute_batch/src/run.rs
+++ b/crates/shallotroute_batch/src/run.rs
@@ -45,6 +45,8 @@
 pub struct Limits {
     /// The most items at servers at a time.
     pub concurrency: usize,
+    /// The most ratings at a time: the service that rates also has callers who wait.
+    pub ratings: usize,
     /// The runs that a server may fail before an item is given up.
     pub attempts: usize,
     /// The ratings that may fail before an item is given up.
@@ -348,7 +350,7 @@
             return actions;
         }
         self.move_runs(limits, now, &mut actions);
-        self.start_ratings(now, &mut actions);
+        self.start_ratings(limits, now, &mut actions);
         self.start_runs(limits, now, choose, &mut actions);
         actions
     }
@@ -486,14 +488,17 @@
         }
     }
 
-    fn start_ratings(&mut self, now: Instant, actions: &mut Vec<Action>) {
+    fn start_ratings(&mut self, limits: &Limits, now: Instant, actions: &mut Vec<Action>) {
+        let rating = |item: &&Item| matches!(item.phase, Phase::Rating { .. });
+        let mut running = self.items.iter().filter(rating).count();
         for (index, item) in self.items.iter_mut().enumerate() {
             let Phase::Unrated { until } = item.phase else {
                 continue;
             };
-            if until.is_some_and(|until| now < until) {
+            if running >= limits.ratings || until.is_some_and(|until| now < until) {
                 continue;
             }
+            running += 1;
             let attempt = self.next_attempt;
             self.next_attempt += 1;
             item.phase = Phase::Rating { attempt };
--- a/crates/shallotroute_batch/tests/run.rs
+++ b/crates/shallotroute_batch/tests/run.rs
@@ -16,6 +16,7 @@
 fn limits() -> Limits {
     Limits {
         concurrency: 8,
+        ratings: 4,
         attempts: 3,
         rating_attempts: 2,
         stall: Duration::from_millis(700),
@@ -373,6 +374,24 @@
     expect_that!(run.complete_groups(), eq(2));
 }
 
+/// Answers a job whose texts all end together: its ratings leave room for callers of the service.
+#[gtest]
+fn ratings_leave_room_for_others() {
+    let now = Instant::now();
+    let limits = limits();
+    let mut run = run(8, true, now);
+    for (attempt, _, _) in started(&advance(&mut run, &limits, now)) {
+        run.handle(attempt, piece(1, 4), &limits, now);
+        run.handle(attempt, Event::Closed(Close::Whole), &limits, now);
+    }
+    expect_that!(advance(&mut run, &limits, now), len(eq(limits.ratings)));
+    expect_that!(advance(&mut run, &limits, now), is_empty());
+    let attempt = run.attempts()[0];
+    let score = Event::Rated(Rating::Score("stamp".to_owned()));
+    run.handle(attempt, score, &limits, now);
+    expect_that!(advance(&mut run, &limits, now), len(eq(1)));
+}
+
 /// Guards against an item that runs after its trainer has ended the job.
 #[gtest]
 fn nothing_runs_after_the_end() {
--- a/crates/shallotroute_batch/tests/world.rs
+++ b/crates/shallotroute_batch/tests/world.rs
@@ -146,6 +146,7 @@
     fn limits() -> Limits {
         Limits {
             concurrency: 5,
+            ratings: 4,
             attempts: 3,
             rating_attempts: 3,
             stall: Duration::from_millis(400),
--- a/crates/shallotroute_resident/src/runner.rs
+++ b/crates/shallotroute_resident/src/runner.rs
@@ -40,6 +40,13 @@
 /// long.
 const MIN_STALL: Duration = Duration::from_millis(700);
 
+/// The share of the slots of a rating service that all trainers together take, in percent; the rest
+/// is for callers who wait for an answer.
+const RATING_PERCENT: usize = 50;
+
+/// The ratings that a job may always have in progress.
+const MIN_RATINGS: usize = 4;
+
 /// The longest time after which a run is moved.
 const MAX_STALL: Duration = Duration::from_millis(1500);
 
@@ -354,14 +361,18 @@
         .map_or(MAX_STALL, |pace| pace * STALL_FACTOR)
         .clamp(MIN_STALL, MAX_STALL);
     let (slow, spare) = roster.slow(service, &specification.model, specification.oldest);
-    let rating_attempts = specification
+    let reward = specification
         .items
         .iter()
-        .find_map(|item| item.reward.as_ref())
-        .and_then(|reward| table.find(&reward.host, &reward.path))
-        .map_or(DEFAULT_RATING_ATTEMPTS, |route| route.attempts);
+        .find_map(|item| item.reward.as_ref());
+    let rating_route = reward.and_then(|reward| table.find(&reward.host, &reward.path));
+    let rating_attempts = rating_route.map_or(DEFAULT_RATING_ATTEMPTS, |route| route.attempts);
+    let trainers = table.batch_routes(service).max(1);
+    let rating_slots = rating_route.map_or(0, |route| roster.slots(route.service(&route.name)));
+    let ratings = (rating_slots * RATING_PERCENT / 100 / trainers).max(MIN_RATINGS);
     Limits {
-        concurrency: (slots / table.batch_routes(service).max(1)).max(1),
+        concurrency: (slots / trainers).max(1),
+        ratings,
         attempts: route.attempts,
         rating_attempts,
         stall,
@@ -375,6 +386,7 @@
 fn unrouted_limits() -> Limits {
     Limits {
         concurrency: 0,
+        ratings: 0,
         attempts: DEFAULT_ATTEMPTS,
         rating_attempts: DEFAULT_RATING_ATTEMPTS,
         stall: MAX_STALL,
