batch: the last groups that a trainer wants are written at once

Cause: a result waited up to 250 ms for others, also the one that ends a trainer's wait. Change: from 80 % of the wanted groups on, a complete group is written at once.

--- a/crates/shallotroute_batch/src/run.rs
+++ b/crates/shallotroute_batch/src/run.rs
@@ -19,6 +19,10 @@
 /// each write is a call to the store.
 const GATHER_TIME: Duration = Duration::from_millis(250);
 
+/// From this share of the wanted groups on, in percent, a group that is complete is written at once:
+/// its trainer may only wait for this one.
+const LAST_PERCENT: usize = 80;
+
 /// The pause before an item whose server did not run it is tried again.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(30);
 
@@ -433,22 +437,33 @@
         self.writing = None;
     }
 
-    /// Tells whether a result has waited for long enough, or nothing else will follow.
+    /// Tells whether a result has waited for long enough, nothing else will follow, or it completes
+    /// one of the last groups that the trainer waits for.
     fn worth_writing(&self, now: Instant) -> bool {
         let mut waited = false;
         let mut any = false;
         let mut pending = false;
-        for item in &self.items {
-            match &item.phase {
+        // For each group whether an item of it is still in progress, and whether one is new.
+        let mut groups: BTreeMap<&Name, (bool, bool)> = BTreeMap::new();
+        for (item, state) in self.specification.items.iter().zip(&self.items) {
+            let (open, new) = groups.entry(&item.group).or_default();
+            match &state.phase {
                 Phase::Ready { since, .. } => {
                     any = true;
+                    *new = true;
                     waited |= now.saturating_duration_since(*since) >= GATHER_TIME;
                 }
                 Phase::Listed => {}
-                _ => pending = true,
+                _ => {
+                    pending = true;
+                    *open = true;
+                }
             }
         }
-        waited || (any && !pending)
+        let complete = groups.values().filter(|(open, _)| !open).count();
+        let completes = groups.values().any(|(open, new)| *new && !open);
+        let nearly = complete * 100 >= self.specification.wanted_groups as usize * LAST_PERCENT;
+        waited || (any && !pending) || (completes && nearly)
     }
 
     fn give_up(&mut self, now: Instant, actions: &mut Vec<Action>) {
--- a/crates/shallotroute_batch/tests/run.rs
+++ b/crates/shallotroute_batch/tests/run.rs
@@ -374,6 +374,29 @@
     expect_that!(run.complete_groups(), eq(2));
 }
 
+/// Guards against a trainer that waits for the last group that it wants.
+#[gtest]
+fn the_last_wanted_groups_are_written_at_once() {
+    let now = Instant::now();
+    let limits = limits();
+    // One group is wanted; items 2 and 3 are of another one.
+    let mut run = run(4, false, now);
+    let starts = started(&advance(&mut run, &limits, now));
+    let attempt_of = |item: usize| {
+        let start = starts.iter().find(|start| start.1 == item);
+        start.map_or(0, |start| start.0)
+    };
+    for item in [0, 2] {
+        run.handle(attempt_of(item), piece(1, 4), &limits, now);
+        run.handle(attempt_of(item), Event::Closed(Close::Whole), &limits, now);
+    }
+    expect_that!(run.chunk(now), none());
+    run.handle(attempt_of(1), piece(1, 4), &limits, now);
+    run.handle(attempt_of(1), Event::Closed(Close::Whole), &limits, now);
+    let chunk = run.chunk(now);
+    expect_that!(chunk.map(|chunk| chunk.results.len()), some(eq(3)));
+}
+
 /// Answers a job whose texts all end together: its ratings leave room for callers of the service.
 #[gtest]
 fn ratings_leave_room_for_others() {
