--- a/crates/shallotroute_resident/src/claim.rs
+++ b/crates/shallotroute_resident/src/claim.rs
@@ -286,11 +286,17 @@
 
 /// Takes up the jobs of an earlier process of this node.
 pub(crate) async fn resume_own(site: Arc<Site>) {
+    let mut failures = 0_u32;
     let heads = loop {
         match site.store.range(HEAD_PREFIX).await {
             Ok((heads, _)) => break heads,
             Err(error) => {
-                spdlog::warn!("jobs can't be listed", kv: { error = error.to_string() });
+                if failures == 0 {
+                    spdlog::warn!("jobs of an earlier process can't be listed yet", kv: {
+                        error = error.to_string(),
+                    });
+                }
+                failures += 1;
                 tokio::time::sleep(RETRY_PAUSE * 3).await;
             }
         }
--- a/crates/shallotroute_resident/src/lib.rs
+++ b/crates/shallotroute_resident/src/lib.rs
@@ -201,7 +201,7 @@
             spdlog::error!("the duty ended abnormally", kv: { error = error.to_string() });
         }
         drain::jobs(&self.site).await;
-        tokio::time::sleep_until(begun + BALANCER_TIME).await;
+        tokio::time::sleep_until(begun + BALANCER_TIME.min(grace / 2)).await;
         self.closing.cancel();
         while self.open.load(Ordering::Relaxed) > 0 && Instant::now() < end {
             tokio::time::sleep(STOP_PAUSE).await;
