resident: a dump of the state on request

Cause: operators could not ask a node on the platform what it knows and does. Change: the metrics address answers the path that shallotctl asks; the dump has the configuration, nodes, the duty, servers, named versions and jobs.

--- a/crates/shallotroute_fleet/src/server.rs
+++ b/crates/shallotroute_fleet/src/server.rs
@@ -87,6 +87,23 @@
     pub within_slots: bool,
 }
 
+/// What this node knows of a server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Summary {
+    /// The server as the host list has it.
+    pub server: Server,
+    /// This node's requests in progress there.
+    pub running: usize,
+    /// The failures since its last answer.
+    pub failures: u32,
+    /// How long it gets no request while there is another.
+    pub paused: Duration,
+    /// The mean time of an answer, or between two events.
+    pub pace: Option<Duration>,
+    /// Whether its entry has vanished and may return.
+    pub missing: bool,
+}
+
 /// The servers that this node knows.
 #[derive(Debug, Default)]
 pub struct Roster {
@@ -189,6 +206,23 @@
         self.entries.values().map(|entry| &entry.server)
     }
 
+    /// Returns what is known of each server, for people.
+    pub fn summaries(&self, now: Instant) -> Vec<Summary> {
+        self.entries
+            .values()
+            .map(|entry| Summary {
+                server: entry.server.clone(),
+                running: entry.running,
+                failures: entry.failures,
+                paused: entry
+                    .paused_until
+                    .map_or(Duration::ZERO, |until| until.saturating_duration_since(now)),
+                pace: entry.pace.map(Duration::from_secs_f64),
+                missing: entry.missing_since.is_some(),
+            })
+            .collect()
+    }
+
     /// Returns the slots of the servers of a service that take requests.
     pub fn slots(&self, service: &str) -> usize {
         self.servers()
--- /dev/null
+++ b/crates/shallotroute_resident/src/dump.rs
@@ -0,0 +1,102 @@
+//! The state of a node, for operators and auditors.
+
+use std::time::Instant;
+
+use serde_json::{Value, json};
+use shallotroute_batch::record::Owner;
+
+use crate::{job::Owned, site::Site};
+
+/// Returns what the node knows and does now; ages are in milliseconds.
+pub(crate) fn dump(site: &Site) -> Value {
+    let now = site.now();
+    let age = |at: Instant| now.saturating_duration_since(at).as_millis();
+    json!({
+        "node": owner(&site.owner),
+        "draining": site.drain.is_cancelled(),
+        "ready": site.ready(),
+        "store": {
+            "address": site.settings.store,
+            "answered_ms_ago": site.store.confirmed().map(age),
+        },
+        "configuration": site.table().map(|table| json!({
+            "version": table.version(),
+            "routes": table.routes().map(|route| json!({
+                "name": route.name,
+                "host": route.host,
+                "prefix": route.prefix,
+                "kind": route.kind.to_string(),
+                "services": route.shares.iter().map(|share| &share.service).collect::<Vec<_>>(),
+            })).collect::<Vec<_>>(),
+        })),
+        "members": members(site),
+        "named_versions": *site.targets.borrow(),
+        "servers": servers(site),
+        "jobs": site.jobs.all_owned().iter().map(|owned| job(owned, now)).collect::<Vec<_>>(),
+    })
+}
+
+fn owner(owner: &Owner) -> Value {
+    json!({
+        "node": owner.node,
+        "incarnation": owner.incarnation,
+        "address": owner.address,
+    })
+}
+
+fn members(site: &Site) -> Value {
+    let members = site.members.borrow();
+    json!({
+        "duty": members.duty.as_ref().map(|duty| json!({
+            "holder": duty.holder.as_ref().map(owner),
+            "fence": duty.fence,
+        })),
+        "nodes": members.nodes.values().map(|member| json!({
+            "process": owner(&member.owner),
+            "zone": member.zone,
+            "capacity": member.capacity,
+            "leaving": member.leaving,
+        })).collect::<Vec<_>>(),
+    })
+}
+
+fn servers(site: &Site) -> Vec<Value> {
+    let summaries = site.roster().summaries(site.now());
+    summaries
+        .iter()
+        .map(|summary| {
+            json!({
+                "id": summary.server.id,
+                "service": summary.server.service,
+                "address": summary.server.address,
+                "zone": summary.server.zone,
+                "draining": summary.server.draining,
+                "versions": summary.server.models,
+                "running_here": summary.running,
+                "failures": summary.failures,
+                "paused_ms": summary.paused.as_millis(),
+                "pace_ms": summary.pace.map(|pace| pace.as_millis()),
+                "entry_missing": summary.missing,
+            })
+        })
+        .collect()
+}
+
+fn job(owned: &Owned, now: Instant) -> Value {
+    let progress = *owned.progress.borrow();
+    let state = owned.state();
+    let tally = state.run.tally();
+    json!({
+        "id": owned.id,
+        "revision": state.revision,
+        "confirmed_ms_ago": now.saturating_duration_since(state.confirmed).as_millis(),
+        "oldest_version": state.run.specification().oldest,
+        "ended": progress.ended,
+        "waiting": tally.waiting,
+        "generating": tally.generating,
+        "rating": tally.rating,
+        "ready": tally.ready,
+        "listed": tally.listed,
+        "total": state.head.total,
+    })
+}
--- a/crates/shallotroute_resident/src/lib.rs
+++ b/crates/shallotroute_resident/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod claim;
 mod drain;
+mod dump;
 mod duty;
 mod entry;
 pub mod error;
@@ -107,7 +108,10 @@
 
 /// Waits for the signal to stop; the host's disk is not used.
 async fn run_standby(settings: &Settings, file: &Path, signals: &mut Signals) -> Result<()> {
-    let metrics = Arc::new(Page(Arc::new(Metrics::new())));
+    let metrics = Arc::new(Page {
+        metrics: Arc::new(Metrics::new()),
+        site: None,
+    });
     let listener = listen("metrics", settings.listen.metrics).await?;
     let stop = CancellationToken::new();
     tokio::spawn(server::serve(listener, metrics, stop));
@@ -149,7 +153,10 @@
         let services: Services = [(Kind::Jobs, acceptor)].into_iter().collect();
         tokio::spawn(serve(peers, Arc::new(services), stop.clone()));
         let metrics = listen("metrics", listen_at.metrics).await?;
-        let page = Arc::new(Page(Arc::clone(&site.metrics)));
+        let page = Arc::new(Page {
+            metrics: Arc::clone(&site.metrics),
+            site: Some(Arc::clone(&site)),
+        });
         tokio::spawn(server::serve(metrics, page, stop.clone()));
         if let Some(address) = listen_at.readiness {
             let readiness = listen("the readiness check", address).await?;
--- a/crates/shallotroute_resident/src/metric.rs
+++ b/crates/shallotroute_resident/src/metric.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use futures::future::BoxFuture;
-use http::{Request, Response, header};
+use http::{Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
@@ -15,6 +15,8 @@
     server::Handler,
 };
 
+use crate::{dump, site::Site};
+
 const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
 /// The upper bounds of the latency histograms, in seconds.
@@ -173,15 +175,25 @@
     }
 }
 
-/// Serves the metrics.
-pub(crate) struct Page(pub(crate) Arc<Metrics>);
+/// Serves the metrics, and the state of a node that has one.
+pub(crate) struct Page {
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) site: Option<Arc<Site>>,
+}
+
+/// The path of the state; the operators' program asks for it there.
+const DUMP_PATH: &str = "/admin/v1/dump";
 
 impl Handler for Page {
     fn handle(
         self: Arc<Self>,
-        _: Request<Incoming>,
+        request: Request<Incoming>,
         _: SocketAddr,
     ) -> BoxFuture<'static, Response<Body>> {
-        Box::pin(async move { self.0.encode() })
+        let response = match (&self.site, request.uri().path()) {
+            (Some(site), DUMP_PATH) => body::json(StatusCode::OK, &dump::dump(site)),
+            _ => self.metrics.encode(),
+        };
+        Box::pin(async move { response })
     }
 }
