--- a/crates/shallotroute_resident/src/claim.rs
+++ b/crates/shallotroute_resident/src/claim.rs
@@ -5,7 +5,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use shallotroute_adapter::store::{Item, Write, Written};
+use shallotroute_adapter::store::{Write, Written};
 use shallotroute_batch::{
     record::{self, Chunk, Head, Listed, MAX_PART_BYTES, Specification},
     run::Run,
@@ -15,6 +15,7 @@
 
 use crate::{
     job::{CLAIM_TRUST, Owned},
+    ledger::{self, Outcome, Stored},
     member::Member,
     metric::Metrics,
     runner,
@@ -23,15 +24,6 @@
     store::{Error, Result},
 };
 
-/// The prefix of jobs' heads.
-pub(crate) const HEAD_PREFIX: &str = "shallotroute/job/head/";
-
-/// The prefix of the parts of jobs' specifications.
-const SPECIFICATION_PREFIX: &str = "shallotroute/job/specification/";
-
-/// The prefix of jobs' results.
-const RESULT_PREFIX: &str = "shallotroute/job/result/";
-
 /// How long a submission is tried to be written before its caller is told that the outcome is open.
 const ACCEPT_TIME: Duration = Duration::from_millis(1500);
 
@@ -41,9 +33,6 @@
 /// How long a write is tried without an answer before the caller is told so.
 pub(crate) const END_TIME: Duration = Duration::from_millis(1500);
 
-/// The pause between two tries of a write.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
-
 /// How long items are given up later than their limit, because the clock of the node that
 /// accepted the job may differ from that of the node that took it over.
 const CLOCK_MARGIN: Duration = Duration::from_secs(3);
@@ -61,24 +50,6 @@
     Open(String),
 }
 
-/// A job as the store has it.
-pub(crate) struct Stored {
-    pub(crate) head: Head,
-    pub(crate) revision: u64,
-}
-
-/// How a write of a head ended.
-enum Outcome {
-    /// It was written with this revision.
-    Done(u64),
-    /// The head is another.
-    Other,
-    /// Nothing was written.
-    NotDone(String),
-    /// It may have been written.
-    Open(String),
-}
-
 /// Keeps a new job, and has it run by the node that runs the jobs of its route: that node's
 /// connections are open and it knows the load that the route's other jobs make.
 pub(crate) async fn accept(
@@ -94,17 +65,17 @@
     let head = Head {
         owner: Some(owner.clone()),
         nonce: rand::random(),
-        total: count(specification.items.len()),
-        parts: count(parts.len()),
+        total: ledger::count(specification.items.len()),
+        parts: ledger::count(parts.len()),
         submitted: site.wall(),
         ended: false,
     };
     let puts = parts
         .iter()
         .enumerate()
-        .map(|(index, part)| (specification_key(job, index), part.to_vec(), 0))
+        .map(|(index, part)| (ledger::specification_key(job, index), part.to_vec(), 0))
         .collect();
-    match write_head(site, job, &head, 0, puts, ACCEPT_TIME).await {
+    match ledger::write_head(site, job, &head, 0, puts, ACCEPT_TIME).await {
         Outcome::Done(revision) => {
             let stored = Stored { head, revision };
             match home.filter(|home| home.owner != site.owner) {
@@ -166,8 +137,8 @@
     if site.drain.is_cancelled() {
         return false;
     }
-    let decoded = decode::<Head>("head", head).and_then(|head| {
-        let specification: Specification = decode("specification", specification)?;
+    let decoded = ledger::decode::<Head>("head", head).and_then(|head| {
+        let specification: Specification = ledger::decode("specification", specification)?;
         Ok((head, specification))
     });
     match decoded {
@@ -199,7 +170,7 @@
     // A lost write is done within seconds or never.
     let until = Instant::now() + Duration::from_secs(30);
     while Instant::now() < until {
-        if let Ok(stored) = read_head(&site, &job).await
+        if let Ok(stored) = ledger::read_head(&site, &job).await
             && stored.head.nonce == nonce
         {
             spdlog::info!("acceptance was written after all", kv: { job = job.as_str() });
@@ -218,7 +189,7 @@
     if site.jobs.owned(job).is_some() {
         return true;
     }
-    match read_head(site, job).await {
+    match ledger::read_head(site, job).await {
         Ok(stored) => take_over(site, job, stored).await,
         Err(error) => {
             spdlog::warn!("job not taken over", kv: { job = job.as_str(), error = error.to_string() });
@@ -238,11 +209,12 @@
         nonce: rand::random(),
         ..stored.head
     };
-    let outcome = write_head(site, job, &head, stored.revision, Vec::new(), ACCEPT_TIME).await;
+    let outcome =
+        ledger::write_head(site, job, &head, stored.revision, Vec::new(), ACCEPT_TIME).await;
     let Outcome::Done(revision) = outcome else {
         return false;
     };
-    let loaded = load(site, job, &head).await;
+    let loaded = ledger::load(site, job, &head).await;
     let (specification, results) = match loaded {
         Ok(loaded) => loaded,
         Err(error) => {
@@ -276,8 +248,8 @@
 /// Reads a claimed job again until it can be run.
 async fn load_later(site: Arc<Site>, job: Name, head: Head, revision: u64) {
     loop {
-        tokio::time::sleep(RETRY_PAUSE).await;
-        if let Ok((specification, results)) = load(&site, &job, &head).await {
+        tokio::time::sleep(ledger::RETRY_PAUSE).await;
+        if let Ok((specification, results)) = ledger::load(&site, &job, &head).await {
             start(&site, &job, head, revision, specification, results);
             return;
         }
@@ -288,7 +260,7 @@
 pub(crate) async fn resume_own(site: Arc<Site>) {
     let mut failures = 0_u32;
     let heads = loop {
-        match site.store.range(HEAD_PREFIX).await {
+        match site.store.range(ledger::HEAD_PREFIX).await {
             Ok((heads, _)) => break heads,
             Err(error) => {
                 if failures == 0 {
@@ -297,14 +269,14 @@
                     });
                 }
                 failures += 1;
-                tokio::time::sleep(RETRY_PAUSE * 3).await;
+                tokio::time::sleep(ledger::RETRY_PAUSE * 3).await;
             }
         }
     };
     for item in heads {
         let (Some(job), Ok(stored)) = (
-            item.key.strip_prefix(HEAD_PREFIX).map(Name::from),
-            decode_head(&item),
+            item.key.strip_prefix(ledger::HEAD_PREFIX).map(Name::from),
+            ledger::decode_head(&item),
         ) else {
             continue;
         };
@@ -331,12 +303,12 @@
         if Instant::now() >= until {
             return false;
         }
-        tokio::time::sleep(RETRY_PAUSE).await;
+        tokio::time::sleep(ledger::RETRY_PAUSE).await;
     }
 }
 
 async fn try_end(site: &Site, job: &Name) -> Result<bool> {
-    let stored = read_head(site, job).await?;
+    let stored = ledger::read_head(site, job).await?;
     if stored.head.ended {
         return Ok(true);
     }
@@ -345,8 +317,8 @@
         nonce: rand::random(),
         ..stored.head
     };
-    let left = RETRY_PAUSE;
-    let outcome = write_head(site, job, &head, stored.revision, Vec::new(), left).await;
+    let left = ledger::RETRY_PAUSE;
+    let outcome = ledger::write_head(site, job, &head, stored.revision, Vec::new(), left).await;
     match outcome {
         Outcome::Done(revision) => {
             if let Some(owned) = site.jobs.owned(job) {
@@ -374,18 +346,18 @@
         };
         (head, state.revision)
     };
-    let outcome = write_head(site, &owned.id, &head, revision, Vec::new(), END_TIME).await;
+    let outcome = ledger::write_head(site, &owned.id, &head, revision, Vec::new(), END_TIME).await;
     matches!(outcome, Outcome::Done(_))
 }
 
 /// Writes a chunk of results under the owner's claim. Returns false when the claim no longer holds.
 pub(crate) async fn write_chunk(site: &Site, owned: &Owned, chunk: &Chunk) -> bool {
-    let key = result_key(&owned.id, chunk.start);
+    let key = ledger::result_key(&owned.id, chunk.start);
     let value = record::encode(chunk);
     loop {
         let revision = owned.state().revision;
         let write = Write {
-            conditions: vec![(head_key(&owned.id), revision), (key.clone(), 0)],
+            conditions: vec![(ledger::head_key(&owned.id), revision), (key.clone(), 0)],
             puts: vec![(key.clone(), value.clone(), 0)],
             removals: Vec::new(),
         };
@@ -413,7 +385,7 @@
                 });
             }
         }
-        tokio::time::sleep(RETRY_PAUSE).await;
+        tokio::time::sleep(ledger::RETRY_PAUSE).await;
     }
 }
 
@@ -439,7 +411,7 @@
 /// Reads the head and compares its owner with this process.
 async fn reconfirm(site: &Site, owned: &Owned) -> bool {
     let begun = site.now();
-    match read_head(site, &owned.id).await {
+    match ledger::read_head(site, &owned.id).await {
         Ok(stored) if stored.head.owner.as_ref() == Some(&site.owner) => {
             let mut state = owned.state();
             state.confirmed = begun;
@@ -470,86 +442,6 @@
     }
 }
 
-/// Reads a job's head; linearizable.
-pub(crate) async fn read_head(site: &Site, job: &Name) -> Result<Stored> {
-    let item = site.store.get(&head_key(job)).await?;
-    decode_head(&item)
-}
-
-/// Decodes a head.
-pub(crate) fn decode_head(item: &Item) -> Result<Stored> {
-    let head = record::decode("head", &item.value).map_err(|error| {
-        spdlog::error!("record can't be read", kv: { key = item.key.as_str(), error = error.to_string() });
-        Error::Lost(error.to_string())
-    })?;
-    Ok(Stored {
-        head,
-        revision: item.revision,
-    })
-}
-
-/// Reads a job's specification and results.
-pub(crate) async fn load(
-    site: &Site,
-    job: &Name,
-    head: &Head,
-) -> Result<(Arc<Specification>, Vec<Listed>)> {
-    let specification = load_specification(site, job, head).await?;
-    Ok((specification, load_results(site, job).await?))
-}
-
-/// Reads a job's specification.
-pub(crate) async fn load_specification(
-    site: &Site,
-    job: &Name,
-    head: &Head,
-) -> Result<Arc<Specification>> {
-    let mut encoded = Vec::new();
-    for part in 0..head.parts as usize {
-        let item = site.store.get(&specification_key(job, part)).await?;
-        encoded.extend_from_slice(&item.value);
-    }
-    decode("specification", &encoded).map(Arc::new)
-}
-
-async fn load_results(site: &Site, job: &Name) -> Result<Vec<Listed>> {
-    let (items, _) = site.store.range(&format!("{RESULT_PREFIX}{job}/")).await?;
-    let mut results = Vec::new();
-    for item in items {
-        let chunk: Chunk = decode("chunk of results", &item.value)?;
-        if chunk.start as usize != results.len() {
-            return Err(Error::Lost(format!(
-                "results of job {job} have a gap at {}",
-                results.len()
-            )));
-        }
-        results.extend(chunk.results);
-    }
-    Ok(results)
-}
-
-/// Removes all records of a job that nobody reads any more.
-pub(crate) async fn remove(site: &Site, job: &Name, stored: &Stored) -> Result<()> {
-    let (items, _) = site.store.range(&format!("{RESULT_PREFIX}{job}/")).await?;
-    let results = items.into_iter().map(|item| item.key);
-    let parts = (0..stored.head.parts as usize).map(|part| specification_key(job, part));
-    let mut keys: Vec<String> = results.chain(parts).collect();
-    keys.push(head_key(job));
-    // The head goes last, so that an interrupted removal is found again.
-    for removals in keys.chunks(MAX_REMOVALS) {
-        let write = Write {
-            conditions: vec![(head_key(job), stored.revision)],
-            removals: removals.to_vec(),
-            ..Write::default()
-        };
-        site.store.write(&write).await?;
-    }
-    Ok(())
-}
-
-/// The most keys that one write removes; the store takes 32 entries.
-const MAX_REMOVALS: usize = 30;
-
 fn start(
     site: &Arc<Site>,
     job: &Name,
@@ -573,68 +465,3 @@
     site.jobs.insert(Arc::clone(&owned));
     tokio::spawn(runner::run(Arc::clone(site), owned, events));
 }
-
-/// Writes a head until the outcome is known or `limit` is over.
-async fn write_head(
-    site: &Site,
-    job: &Name,
-    head: &Head,
-    expected: u64,
-    puts: Vec<(String, Vec<u8>, u64)>,
-    limit: Duration,
-) -> Outcome {
-    let key = head_key(job);
-    let mut write = Write {
-        conditions: vec![(key.clone(), expected)],
-        puts,
-        removals: Vec::new(),
-    };
-    write.puts.push((key.clone(), record::encode(head), 0));
-    let until = Instant::now() + limit;
-    let mut open = None;
-    loop {
-        match site.store.write(&write).await {
-            Ok(Written::Done(revision)) => return Outcome::Done(revision),
-            Ok(Written::Conflict(items)) => {
-                let stored = items
-                    .iter()
-                    .find(|item| item.key == key)
-                    .and_then(|item| decode_head(item).ok());
-                return match stored {
-                    Some(stored) if stored.head.nonce == head.nonce => {
-                        Outcome::Done(stored.revision)
-                    }
-                    _ => Outcome::Other,
-                };
-            }
-            // No try has reached the store: the caller is told at once, and may ask another node.
-            Err(Error::NotDone(reason)) if open.is_none() => return Outcome::NotDone(reason),
-            Err(Error::NotDone(_)) => {}
-            Err(error) => open = Some(error.to_string()),
-        }
-        if Instant::now() >= until {
-            return Outcome::Open(open.unwrap_or_default());
-        }
-        tokio::time::sleep(RETRY_PAUSE).await;
-    }
-}
-
-fn decode<T: serde::de::DeserializeOwned>(kind: &'static str, bytes: &[u8]) -> Result<T> {
-    record::decode(kind, bytes).map_err(|error| Error::Lost(error.to_string()))
-}
-
-fn head_key(job: &str) -> String {
-    format!("{HEAD_PREFIX}{job}")
-}
-
-fn specification_key(job: &str, part: usize) -> String {
-    format!("{SPECIFICATION_PREFIX}{job}/{part:04}")
-}
-
-fn result_key(job: &str, start: u32) -> String {
-    format!("{RESULT_PREFIX}{job}/{start:08}")
-}
-
-fn count(length: usize) -> u32 {
-    u32::try_from(length).unwrap_or(u32::MAX)
-}
--- a/crates/shallotroute_resident/src/duty.rs
+++ b/crates/shallotroute_resident/src/duty.rs
@@ -28,6 +28,7 @@
 use crate::{
     claim,
     generate::keep_time,
+    ledger,
     member::{DUTY_KEY, Duty, Members},
     metric::Metrics,
     presence::Held,
@@ -288,7 +289,7 @@
         if !settled {
             self.next_sweep = now + UNSETTLED_SWEEP_PAUSE;
         }
-        let heads = match self.site.store.range(claim::HEAD_PREFIX).await {
+        let heads = match self.site.store.range(ledger::HEAD_PREFIX).await {
             Ok((heads, _)) => heads,
             Err(error) => {
                 spdlog::warn!("jobs can't be listed", kv: { error = error.to_string() });
@@ -298,8 +299,8 @@
         let mut taken = 0_u32;
         for item in heads {
             let (Some(job), Ok(stored)) = (
-                item.key.strip_prefix(claim::HEAD_PREFIX).map(Name::from),
-                claim::decode_head(&item),
+                item.key.strip_prefix(ledger::HEAD_PREFIX).map(Name::from),
+                ledger::decode_head(&item),
             ) else {
                 continue;
             };
@@ -323,7 +324,7 @@
         &self,
         members: &Members,
         job: &Name,
-        stored: &claim::Stored,
+        stored: &ledger::Stored,
         settled: bool,
     ) -> bool {
         let Some(owner) = &stored.head.owner else {
@@ -359,12 +360,12 @@
         !lives
     }
 
-    async fn remove_old(&self, job: &Name, stored: &claim::Stored) {
+    async fn remove_old(&self, job: &Name, stored: &ledger::Stored) {
         let age = Duration::from_millis(self.site.wall().saturating_sub(stored.head.submitted));
         if age < self.site.settings.retention {
             return;
         }
-        match claim::remove(&self.site, job, stored).await {
+        match ledger::remove(&self.site, job, stored).await {
             Ok(()) => spdlog::info!("old job removed", kv: { job = job.as_str() }),
             Err(error) => spdlog::warn!("old job not removed", kv: {
                 job = job.as_str(), error = error.to_string(),
--- a/crates/shallotroute_resident/src/lib.rs
+++ b/crates/shallotroute_resident/src/lib.rs
@@ -11,6 +11,7 @@
 mod forward;
 mod generate;
 mod job;
+mod ledger;
 mod log;
 mod member;
 mod metric;
--- a/crates/shallotroute_resident/src/trainer.rs
+++ b/crates/shallotroute_resident/src/trainer.rs
@@ -10,8 +10,9 @@
 use shallotroute_types::name::Name;
 
 use crate::{
-    claim::{self, Acceptance, Stored},
+    claim::{self, Acceptance},
     drain, job,
+    ledger::{self, Stored},
     metric::Metrics,
     peer::Denial,
     refusal,
@@ -107,7 +108,7 @@
     match located {
         Located::Answer(page) => json(page),
         // The store has all results that anybody has seen.
-        Located::Stored(stored) => match claim::load(site, job, &stored.head).await {
+        Located::Stored(stored) => match ledger::load(site, job, &stored.head).await {
             Ok((specification, results)) => json(job::page(&specification, &results, after)),
             Err(error) => unavailable(job, &error),
         },
@@ -126,10 +127,12 @@
     .await;
     match located {
         Located::Answer(content) => bytes_or_not_found(content),
-        Located::Stored(stored) => match claim::load_specification(site, job, &stored.head).await {
-            Ok(specification) => bytes_or_not_found(job::body(&specification, item)),
-            Err(error) => unavailable(job, &error),
-        },
+        Located::Stored(stored) => {
+            match ledger::load_specification(site, job, &stored.head).await {
+                Ok(specification) => bytes_or_not_found(job::body(&specification, item)),
+                Err(error) => unavailable(job, &error),
+            }
+        }
         Located::Nowhere(response) => response,
     }
 }
@@ -188,7 +191,7 @@
             return Located::Answer(answer);
         }
     }
-    let stored = match claim::read_head(site, job).await {
+    let stored = match ledger::read_head(site, job).await {
         Ok(stored) => stored,
         Err(Error::NotFound) => {
             spdlog::info!("job does not exist", kv: { job = job.as_str() });
