resident: jobs run on while the store confirms their claims

Cause: the runner of a job awaited the confirmation of its claim before each pass. While the store takes calls and answers none, each pass took as long as a call may take, so that events were handled and ratings begun late.

Change: the confirmation runs beside the job. A runner that stood still for as long as a claim is trusted, as a frozen process does, still asks first. A test measures the pause between texts and ratings while the store is silent; it failed with 0.5 to 0.8 s before.

Conclusion: the step that is open when the store falls silent is finished; listing its results still waits for the store.

--- a/crates/shallotroute/tests/soak.rs
+++ b/crates/shallotroute/tests/soak.rs
@@ -4,7 +4,10 @@
 use std::{path::Path, time::Duration};
 
 use googletest::prelude::*;
-use shallotroute_soak::soak::{self, Options, Report};
+use shallotroute_soak::{
+    silence,
+    soak::{self, Options, Report},
+};
 
 const OPTIONS: Options = Options {
     seed: 1,
@@ -54,3 +57,19 @@
     expect_no_findings(&report);
     expect_that!(report.answered, ge(20));
 }
+
+/// Guards against jobs that wait for the store to confirm their claims: with a store that is silent,
+/// each pass over a job took as long as a call of the store may take.
+#[gtest]
+#[tokio::test]
+async fn a_job_runs_on_while_the_store_is_silent() {
+    let report = silence::run(Path::new(env!("CARGO_BIN_EXE_shallotroute")))
+        .await
+        .expect("the stand-ins should start and the job should begin");
+    expect_that!(report.pauses.len(), ge(5));
+    expect_that!(
+        report.pauses,
+        each(some(lt(&Duration::from_millis(400)))),
+        "pauses between texts and ratings"
+    );
+}
--- a/crates/shallotroute_resident/src/claim.rs
+++ b/crates/shallotroute_resident/src/claim.rs
@@ -401,11 +401,13 @@
 /// Tells whether this node owns a job, by asking the store if the last confirmation is old. While
 /// the store can't be asked, the claim holds.
 pub(crate) async fn confirm(site: &Site, owned: &Owned) -> bool {
+    is_fresh(site, owned) || reconfirm(site, owned).await
+}
+
+/// Tells whether the last confirmation of a claim is recent enough to rely on it.
+pub(crate) fn is_fresh(site: &Site, owned: &Owned) -> bool {
     let confirmed = owned.state().confirmed;
-    if site.now().saturating_duration_since(confirmed) < CLAIM_TRUST {
-        return true;
-    }
-    reconfirm(site, owned).await
+    site.now().saturating_duration_since(confirmed) < CLAIM_TRUST
 }
 
 /// Reads the head and compares its owner with this process.
--- a/crates/shallotroute_resident/src/runner.rs
+++ b/crates/shallotroute_resident/src/runner.rs
@@ -3,7 +3,10 @@
 
 use std::{
     collections::{BTreeMap, HashMap, VecDeque},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -23,7 +26,7 @@
 
 use crate::{
     claim, generate,
-    job::Owned,
+    job::{CLAIM_TRUST, Owned},
     metric::Metrics,
     rate,
     site::{Running, Site},
@@ -75,6 +78,8 @@
     owned: Arc<Owned>,
     attempts: HashMap<u64, AbortHandle>,
     writing: Option<oneshot::Receiver<bool>>,
+    /// Whether the store is being asked to confirm the claim.
+    confirming: Arc<AtomicBool>,
     /// When the write in progress began.
     writing_since: Instant,
     /// When the job's progress is logged next.
@@ -96,20 +101,26 @@
         owned: Arc::clone(&owned),
         attempts: HashMap::new(),
         writing: None,
+        confirming: Arc::default(),
         writing_since: site.now(),
         next_log: site.now() + LOG_PAUSE,
         shared: BTreeMap::new(),
         next_share: site.now() + SHARE_PAUSE,
     };
     let mut progress = owned.progress.subscribe();
+    let mut last_pass = site.now();
     loop {
         let current = *progress.borrow_and_update();
         if current.lost || current.ended || owned.state().run.finished() {
             break;
         }
-        if !claim::confirm(&site, &owned).await {
+        let frozen = site.now().saturating_duration_since(last_pass) >= CLAIM_TRUST;
+        // Another node may have taken the job while this process stood still.
+        if frozen && !claim::confirm(&site, &owned).await {
             continue;
         }
+        last_pass = site.now();
+        driver.confirm();
         driver.advance();
         driver.write();
         driver.share();
@@ -147,6 +158,25 @@
 }
 
 impl Driver {
+    /// Has the store confirm the claim when the last confirmation is old. The job runs on meanwhile:
+    /// an outage would hold it up otherwise.
+    fn confirm(&self) {
+        if self.confirming.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let (site, owned) = (Arc::clone(&self.site), Arc::clone(&self.owned));
+        let confirming = Arc::clone(&self.confirming);
+        if claim::is_fresh(&site, &owned) {
+            confirming.store(false, Ordering::Relaxed);
+            return;
+        }
+        tokio::spawn(async move {
+            // A claim that no longer holds is told to the runner by the job's progress.
+            claim::confirm(&site, &owned).await;
+            confirming.store(false, Ordering::Relaxed);
+        });
+    }
+
     fn advance(&mut self) {
         let Some(table) = self.site.table() else {
             return;
