fleet: the time of a load is learned from the servers' reports

Cause: a load counted as over after 0.92 s, the time on the two sites. Where a load takes longer, the next orders went out while servers still loaded: orders were refused, and so many servers loaded at once that hardly any served.

Change: when a load should be over, the server is asked; the next order waits for its report. The time is learned from what was seen. A server that already loads gets no order. A third of a model's followers may load at a time, in place of a quarter. Two tests of the planner failed before.

--- a/crates/shallotroute_fleet/src/wave.rs
+++ b/crates/shallotroute_fleet/src/wave.rs
@@ -20,10 +20,23 @@
 const SERVERS_PER_LOAD: usize = 5;
 
 /// One follower of a model of this many may load at a time, so that the others can serve.
-const FOLLOWERS_PER_LOAD: usize = 4;
+const FOLLOWERS_PER_LOAD: usize = 3;
 
-/// The usual time of a load; after it the next server may get its order.
-const LOAD_TIME: Duration = Duration::from_millis(920);
+/// How long a load is taken to last before one was seen; when it is over, the server is asked.
+const FIRST_LOAD_TIME: Duration = Duration::from_millis(900);
+
+/// The shortest time after which a server is asked whether its load has ended.
+const MIN_LOAD_TIME: Duration = Duration::from_millis(100);
+
+/// After a load that was over when its server was asked, the next server is asked sooner, by this part
+/// of the time: the first while no server was asked too early, the second from then on.
+const SHORTENING: [u32; 2] = [8, 128];
+
+/// The pause between two questions about the same load.
+const CHECK_PAUSE: Duration = Duration::from_millis(100);
+
+/// How long a server may leave questions about its load unanswered until it counts as free.
+const SILENCE_LIMIT: Duration = Duration::from_secs(3);
 
 /// How long the host list may lag behind what a server itself said.
 const LIST_LAG: Duration = Duration::from_secs(3);
@@ -65,6 +78,8 @@
     Accepted,
     /// What it asks for held already.
     Held,
+    /// It was not given, because the server carries out another one.
+    Busy,
     /// It was refused or lost, and the count of accepted orders is not known any more.
     Unknown,
 }
@@ -90,15 +105,44 @@
     }
 }
 
+/// An order on its way, or the load that it began.
+#[derive(Debug)]
+struct Load {
+    model: Name,
+    /// When the order was accepted, if this planner gave it.
+    accepted: Option<Instant>,
+    /// When the server is asked next whether the load has ended; none while the order is on its way.
+    check_at: Option<Instant>,
+    /// Whether the server was asked before the load had ended.
+    asked_early: bool,
+    /// When the server counts as free without an answer; none while the order is on its way.
+    limit: Option<Instant>,
+}
+
 /// Decides which server gets which order.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Planner {
-    /// Orders on their way or in progress, with the time at which the load counts as done.
-    loading: BTreeMap<Name, (Name, Option<Instant>)>,
+    loading: BTreeMap<Name, Load>,
+    /// How long a load takes, by the loads that were seen.
+    load_time: Duration,
+    /// Whether a server was asked before its load had ended.
+    asked_early: bool,
     reports: BTreeMap<Name, (Report, Instant)>,
     paused: BTreeMap<Name, Instant>,
 }
 
+impl Default for Planner {
+    fn default() -> Self {
+        Self {
+            loading: BTreeMap::new(),
+            load_time: FIRST_LOAD_TIME,
+            asked_early: false,
+            reports: BTreeMap::new(),
+            paused: BTreeMap::new(),
+        }
+    }
+}
+
 impl Planner {
     /// Returns the orders to give now.
     pub fn plan(
@@ -130,8 +174,14 @@
             };
             let (_, server) = next.servers.remove(0);
             next.loading += 1;
-            self.loading
-                .insert(server.clone(), (next.model.clone(), None));
+            let load = Load {
+                model: next.model.clone(),
+                accepted: None,
+                check_at: None,
+                asked_early: false,
+                limit: None,
+            };
+            self.loading.insert(server.clone(), load);
             orders.push(Order {
                 accepted_before: self.reports.get(&server).map(|(report, _)| report.orders),
                 server,
@@ -159,7 +209,7 @@
             .filter(|(version, _)| *version < target)
             .collect();
         servers.sort();
-        let loading = self.loading.values().filter(|(other, _)| other == model);
+        let loading = self.loading.values().filter(|load| load.model == *model);
         Some(Waiting {
             model: model.clone(),
             target,
@@ -169,30 +219,83 @@
         })
     }
 
+    /// Returns the servers to ask now whether their loads have ended.
+    pub fn checks(&mut self, now: Instant) -> Vec<Name> {
+        let mut servers = Vec::new();
+        for (server, load) in &mut self.loading {
+            if load.check_at.is_some_and(|at| at <= now) {
+                load.check_at = Some(now + CHECK_PAUSE);
+                servers.push(server.clone());
+            }
+        }
+        servers
+    }
+
     /// Notes what a server reported.
     pub fn report(&mut self, server: &Name, report: Report, now: Instant) {
+        self.note_load(server, report.busy, now);
         self.reports.insert(server.clone(), (report, now));
     }
 
+    /// Notes whether a server still loads, and learns from it how long a load takes.
+    fn note_load(&mut self, server: &Name, busy: bool, now: Instant) {
+        let Some(load) = self.loading.get_mut(server) else {
+            return;
+        };
+        if load.check_at.is_none() {
+            return;
+        }
+        if busy {
+            load.asked_early = true;
+            load.check_at = Some(now + CHECK_PAUSE);
+            load.limit = Some(now + SILENCE_LIMIT);
+            return;
+        }
+        if let Some(accepted) = load.accepted {
+            self.asked_early |= load.asked_early;
+            let part = SHORTENING[usize::from(self.asked_early)];
+            self.load_time = match load.asked_early {
+                true => now.saturating_duration_since(accepted),
+                false => (self.load_time - self.load_time / part).max(MIN_LOAD_TIME),
+            };
+        }
+        self.loading.remove(server);
+    }
+
     /// Notes how an order ended.
     pub fn finish(&mut self, order: &Order, end: End, now: Instant) {
-        let done_at = match end {
-            End::Accepted => now + LOAD_TIME,
-            End::Held => now,
+        match end {
+            End::Accepted => {
+                let done_at = now + self.load_time;
+                if let Some(load) = self.loading.get_mut(&order.server) {
+                    load.accepted = Some(now);
+                    load.check_at = Some(done_at);
+                    load.limit = Some(done_at + SILENCE_LIMIT);
+                }
+                if let Some((report, at)) = self.reports.get_mut(&order.server) {
+                    report.orders += 1;
+                    report.models.insert(order.model.clone(), order.version);
+                    *at = done_at;
+                }
+            }
+            End::Held => {
+                self.loading.remove(&order.server);
+                if let Some((report, at)) = self.reports.get_mut(&order.server) {
+                    report.models.insert(order.model.clone(), order.version);
+                    *at = now;
+                }
+            }
+            End::Busy => {
+                if let Some(load) = self.loading.get_mut(&order.server) {
+                    load.check_at = Some(now + CHECK_PAUSE);
+                    load.limit = Some(now + SILENCE_LIMIT);
+                }
+            }
             End::Unknown => {
                 self.loading.remove(&order.server);
                 self.reports.remove(&order.server);
                 self.paused.insert(order.server.clone(), now + RETRY_PAUSE);
-                return;
             }
-        };
-        if let Some((_, until)) = self.loading.get_mut(&order.server) {
-            *until = Some(done_at);
-        }
-        if let Some((report, at)) = self.reports.get_mut(&order.server) {
-            report.orders += u64::from(end == End::Accepted);
-            report.models.insert(order.model.clone(), order.version);
-            *at = done_at;
         }
     }
 
@@ -201,7 +304,7 @@
         self.reports
             .retain(|id, (report, _)| find(id).is_some_and(|server| server.born == report.born));
         self.loading
-            .retain(|id, (_, until)| find(id).is_some() && until.is_none_or(|until| now < until));
+            .retain(|id, load| find(id).is_some() && load.limit.is_none_or(|limit| now < limit));
         self.paused.retain(|_, until| now < *until);
     }
 
--- a/crates/shallotroute_fleet/tests/wave.rs
+++ b/crates/shallotroute_fleet/tests/wave.rs
@@ -12,11 +12,14 @@
 };
 use shallotroute_types::{name::Name, version::Version};
 
-/// Servers whose loads take 0.9 s, as a stand-in for what the planner can't see.
+/// Servers whose loads take some time, as a stand-in for what the planner can't see.
 struct World {
     planner: Planner,
     servers: Vec<Server>,
     loads: Vec<(Instant, Order)>,
+    load_time: Duration,
+    /// Orders to servers that still loaded.
+    early: usize,
     now: Instant,
     most_at_once: usize,
     orders: usize,
@@ -44,6 +47,8 @@
             planner: Planner::default(),
             servers,
             loads: Vec::new(),
+            load_time: Duration::from_millis(900),
+            early: 0,
             now: Instant::now(),
             most_at_once: 0,
             orders: 0,
@@ -64,15 +69,38 @@
                     server.models.insert(order.model, order.version);
                 }
             }
+            for server in self.planner.checks(now) {
+                let report = self.report(&server);
+                self.planner.report(&server, report, now);
+            }
             for order in self.planner.plan(targets, &self.servers, now) {
                 self.orders += 1;
+                if self
+                    .loads
+                    .iter()
+                    .any(|(_, load)| load.server == order.server)
+                {
+                    self.early += 1;
+                    self.planner.finish(&order, End::Unknown, now);
+                    continue;
+                }
                 self.planner.finish(&order, End::Accepted, now);
-                self.loads.push((now + Duration::from_millis(900), order));
+                self.loads.push((now + self.load_time, order));
             }
             self.most_at_once = self.most_at_once.max(self.loads.len());
         }
     }
 
+    fn report(&self, id: &Name) -> Report {
+        let server = self.servers.iter().find(|server| server.id == *id);
+        Report {
+            born: 1,
+            busy: self.loads.iter().any(|(_, load)| load.server == *id),
+            orders: 0,
+            models: server.map_or_else(BTreeMap::new, |server| server.models.clone()),
+        }
+    }
+
     /// Counts the servers that have a model in at least a version.
     fn having(&self, model: &str, version: u64) -> usize {
         self.servers
@@ -101,6 +129,40 @@
     expect_that!(world.orders, eq(6 * 8));
 }
 
+/// Guards against orders to servers whose loads take longer than others did: they were refused, and
+/// more servers loaded at a time than may.
+#[gtest]
+fn loads_of_any_length_are_awaited() {
+    for load_time in [200, 900, 1600, 2500] {
+        let mut world = World::new(8, &["m"]);
+        world.load_time = Duration::from_millis(load_time);
+        let wave = world.load_time.max(Duration::from_millis(900)) * 4 + Duration::from_secs(2);
+        for version in 2..8 {
+            world.run(&targets(&[("m", version)]), wave);
+            expect_that!(
+                world.having("m", version),
+                eq(8),
+                "{load_time} ms, {version}"
+            );
+        }
+        expect_that!(world.most_at_once, le(2), "{load_time} ms");
+        expect_that!(world.early, eq(0), "{load_time} ms");
+    }
+}
+
+/// Guards against waves that are slower than the loads: the time of a load is learned, also when it
+/// is much shorter than supposed.
+#[gtest]
+fn the_time_of_a_load_is_learned() {
+    let mut world = World::new(8, &["m"]);
+    world.load_time = Duration::from_millis(300);
+    for version in 2..12 {
+        world.run(&targets(&[("m", version)]), Duration::from_secs(4));
+    }
+    world.run(&targets(&[("m", 12)]), Duration::from_millis(2200));
+    expect_that!(world.having("m", 12), eq(8));
+}
+
 /// Answers four models that share 38 servers: each keeps servers of its own up to date, and the loads
 /// stay within what the servers bear.
 #[gtest]
--- a/crates/shallotroute_resident/src/duty.rs
+++ b/crates/shallotroute_resident/src/duty.rs
@@ -23,7 +23,7 @@
     wave::{End, Order, Planner, Report},
 };
 use shallotroute_types::{fence::Fence, name::Name};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     claim,
@@ -73,6 +73,8 @@
     retired: BTreeSet<Name>,
     /// Whether a server has seen a higher fencing number.
     fenced: Arc<AtomicBool>,
+    /// Told when a server's load has ended, so that the next order is given at once.
+    reported: Arc<Notify>,
 }
 
 /// Takes the duty when it is vacant, and does it while this node holds it, until the process drains.
@@ -115,8 +117,16 @@
             }
             _ => {}
         }
+        let reported = holder.as_ref().map(|holder| Arc::clone(&holder.reported));
+        let reported = async move {
+            match reported {
+                Some(reported) => reported.notified().await,
+                None => std::future::pending().await,
+            }
+        };
         tokio::select! {
             () = tokio::time::sleep(TICK) => {}
+            () = reported => {}
             _ = members.changed() => {}
             () = site.drain.cancelled() => {}
         }
@@ -194,6 +204,7 @@
             owners: BTreeSet::new(),
             retired: BTreeSet::new(),
             fenced: Arc::default(),
+            reported: Arc::default(),
         }
     }
 
@@ -223,20 +234,34 @@
         }
         let targets = self.site.targets.borrow().clone();
         let servers: Vec<Server> = self.site.roster().servers().cloned().collect();
-        let orders = lock(&self.planner).plan(&targets, &servers, self.site.now());
-        for order in orders {
-            let Some(server) = servers.iter().find(|server| server.id == order.server) else {
-                continue;
-            };
-            let task = OrderTask {
+        let (checks, orders) = {
+            let mut planner = lock(&self.planner);
+            let now = self.site.now();
+            (planner.checks(now), planner.plan(&targets, &servers, now))
+        };
+        let task = |id: &Name| {
+            let server = servers.iter().find(|server| server.id == *id)?;
+            Some(Task {
                 site: Arc::clone(&self.site),
                 server: server.clone(),
-                order,
                 fence: self.fence,
                 planner: Arc::clone(&self.planner),
                 fenced: Arc::clone(&self.fenced),
-            };
-            tokio::spawn(task.run());
+            })
+        };
+        for task in checks.iter().filter_map(task) {
+            // What the server reports is noted there; without an answer it is asked again.
+            let reported = Arc::clone(&self.reported);
+            tokio::spawn(async move {
+                if task.report().await.is_some_and(|report| !report.busy) {
+                    reported.notify_one();
+                }
+            });
+        }
+        for order in orders {
+            if let Some(task) = task(&order.server) {
+                tokio::spawn(task.order(order));
+            }
         }
     }
 
@@ -374,28 +399,44 @@
     }
 }
 
-/// One order to one server.
-struct OrderTask {
+/// One order or question to one server.
+struct Task {
     site: Arc<Site>,
     server: Server,
-    order: Order,
     fence: Fence,
     planner: Arc<Mutex<Planner>>,
     fenced: Arc<AtomicBool>,
 }
 
-impl OrderTask {
-    async fn run(mut self) {
+impl Task {
+    async fn order(self, mut order: Order) {
         let begun = self.site.now();
-        if self.order.accepted_before.is_none() {
+        let mut busy = false;
+        if order.accepted_before.is_none() {
             let report = self.report().await;
-            self.order.accepted_before = report.map(|report| report.orders);
+            busy = report.as_ref().is_some_and(|report| report.busy);
+            order.accepted_before = report.map(|report| report.orders);
         }
-        let reply = match self.order.accepted_before {
-            Some(_) => self.send().await,
+        let (end, reply) = match order.accepted_before {
+            Some(_) if busy => (End::Busy, "not sent: busy"),
+            Some(_) => self.give(&order).await,
             // Without the count, a late order could be carried out after a newer one.
-            None => Reply::Unknown,
+            None => (End::Unknown, "not sent: no report"),
         };
+        spdlog::info!("order to a server", kv: {
+            server = order.server.as_str(),
+            model = order.model.as_str(),
+            version = order.version.0,
+            accepted_before = format!("{:?}", order.accepted_before),
+            fence = self.fence.0,
+            reply,
+            taken_ms = self.site.now().saturating_duration_since(begun).as_millis(),
+        });
+        lock(&self.planner).finish(&order, end, self.site.now());
+    }
+
+    async fn give(&self, order: &Order) -> (End, &'static str) {
+        let reply = self.send(order).await;
         Metrics::count(&self.site.metrics.orders, reply_name(reply));
         let end = match reply {
             Reply::Accepted => End::Accepted,
@@ -406,19 +447,10 @@
             }
             Reply::Conflict | Reply::Unknown | Reply::Misdirected | Reply::Invalid => End::Unknown,
         };
-        spdlog::info!("order to a server", kv: {
-            server = self.order.server.as_str(),
-            model = self.order.model.as_str(),
-            version = self.order.version.0,
-            accepted_before = format!("{:?}", self.order.accepted_before),
-            fence = self.fence.0,
-            reply = reply_name(reply),
-            taken_ms = self.site.now().saturating_duration_since(begun).as_millis(),
-        });
-        lock(&self.planner).finish(&self.order, end, self.site.now());
+        (end, reply_name(reply))
     }
 
-    async fn send(&self) -> Reply {
+    async fn send(&self, order: &Order) -> Reply {
         let single = self
             .site
             .table()
@@ -427,12 +459,12 @@
             true => Mode::Wait,
             false => Mode::Continue,
         };
-        let request = engine::order(&self.order, mode, &self.site.owner.node, self.fence);
+        let request = engine::order(order, mode, &self.site.owner.node, self.fence);
         match self.call(request).await {
             Ok((status, _)) => engine::read_reply(status),
             Err(reason) => {
                 spdlog::warn!("order without an answer", kv: {
-                    server = self.order.server.as_str(), reason = reason.as_str(),
+                    server = self.server.id.as_str(), reason = reason.as_str(),
                 });
                 Reply::Unknown
             }
@@ -445,7 +477,7 @@
             Ok(answer) => answer,
             Err(reason) => {
                 spdlog::info!("no report of a server", kv: {
-                    server = self.order.server.as_str(), reason = reason.as_str(),
+                    server = self.server.id.as_str(), reason = reason.as_str(),
                 });
                 return None;
             }
@@ -457,12 +489,12 @@
                         .roster()
                         .observe_version(&self.server.id, model, *version);
                 }
-                lock(&self.planner).report(&self.order.server, report.clone(), self.site.now());
+                lock(&self.planner).report(&self.server.id, report.clone(), self.site.now());
                 Some(report)
             }
             Err(error) => {
                 spdlog::warn!("report of a server can't be read", kv: {
-                    server = self.order.server.as_str(), error = error.to_string(),
+                    server = self.server.id.as_str(), error = error.to_string(),
                 });
                 None
             }
