fleet: a silent server is asked once at a time about its load

Cause: a question without an answer was repeated after 0.1 s while its call may take 0.8 s, so that up to eight calls to a silent server were open at a time.

Change: the pause after a question is as long as its answer may take.

--- a/crates/shallotroute_fleet/src/wave.rs
+++ b/crates/shallotroute_fleet/src/wave.rs
@@ -32,9 +32,12 @@
 /// of the time: the first while no server was asked too early, the second from then on.
 const SHORTENING: [u32; 2] = [8, 128];
 
-/// The pause between two questions about the same load.
+/// The pause between a report of a load that goes on and the next question about it.
 const CHECK_PAUSE: Duration = Duration::from_millis(100);
 
+/// The pause after a question that is not answered: as long as the answer may take.
+const UNANSWERED_PAUSE: Duration = Duration::from_millis(800);
+
 /// How long a server may leave questions about its load unanswered until it counts as free.
 const SILENCE_LIMIT: Duration = Duration::from_secs(3);
 
@@ -224,7 +227,7 @@
         let mut servers = Vec::new();
         for (server, load) in &mut self.loading {
             if load.check_at.is_some_and(|at| at <= now) {
-                load.check_at = Some(now + CHECK_PAUSE);
+                load.check_at = Some(now + UNANSWERED_PAUSE);
                 servers.push(server.clone());
             }
         }
--- a/crates/shallotroute_fleet/tests/wave.rs
+++ b/crates/shallotroute_fleet/tests/wave.rs
@@ -267,6 +267,22 @@
     Ok(())
 }
 
+/// Guards against a pile of questions to a server that answers none.
+#[gtest]
+fn a_silent_server_is_asked_once_at_a_time() {
+    let mut world = World::new(1, &["m"]);
+    let named = targets(&[("m", 2)]);
+    let orders = world.planner.plan(&named, &world.servers, world.now);
+    world.planner.finish(&orders[0], End::Accepted, world.now);
+    let mut asked = 0;
+    for _ in 0..20 {
+        world.now += Duration::from_millis(100);
+        asked += world.planner.checks(world.now).len();
+    }
+    // From 0.9 s on, one question and, 0.8 s later, the next.
+    expect_that!(asked, eq(2));
+}
+
 /// Guards against a division that moves servers between models for no reason.
 #[gtest]
 fn the_division_stays_when_servers_leave() {
