gateway, sampling: after a start or a pause, work waits for what is read again

Ruled out: a slow publication (0.03 s from the call to the last node).

Change: context::freshness notices a pause of 1 s or more, also at the first look after it. Requests and polls of the scheduler then wait, at most 2 s, until head, host list, engines' states and other nodes' refusals were asked for again; the scheduler forgets its reports. A refused node tells eight others (gateway::leaving). In the measurement, an operator holds the configuration from reading it to the end of the publication; check and bound stay.

--- a/crates/shallotroute/examples/measure/fault.rs
+++ b/crates/shallotroute/examples/measure/fault.rs
@@ -203,6 +203,7 @@
             world.note_leaving(desk.name());
         }
         Fault::OperatorLeaves => {
+            let _edit = world.edits.write().await;
             let name = world.samplers[2].name();
             world.configuration().set_server_state(name, "leaving");
             let text = world.configuration().to_yaml();
--- a/crates/shallotroute/examples/measure/observer.rs
+++ b/crates/shallotroute/examples/measure/observer.rs
@@ -87,6 +87,7 @@
             }
             tokio::time::sleep_until(due.into()).await;
             let nodes = world.fleet.nodes.len();
+            let _edit = world.edits.read().await;
             let first = self.publish_one(world, number % nodes, number);
             if number.is_multiple_of(5) {
                 let second = self.publish_one(world, (number + 1) % nodes, number + 1_000_000);
--- a/crates/shallotroute/examples/measure/world.rs
+++ b/crates/shallotroute/examples/measure/world.rs
@@ -49,6 +49,9 @@
     pub(crate) desks: Vec<Service>,
     pub(crate) trainers: Vec<Trainer>,
     pub(crate) leaving: Mutex<Vec<Leaving>>,
+    /// Held by an operator from reading the configuration to the end of the publication, as a later one
+    /// replaces the whole set; shared by operators who publish at the same moment.
+    pub(crate) edits: tokio::sync::RwLock<()>,
     pub(crate) configuration: Mutex<Configuration>,
     /// The revision of the first configuration.
     pub(crate) first_revision: u64,
@@ -97,6 +100,7 @@
             desks,
             trainers,
             leaving: Mutex::default(),
+            edits: tokio::sync::RwLock::default(),
             configuration: Mutex::default(),
             first_revision: 0,
             _scorer: scorer,
--- a/crates/shallotroute_config/src/adoption.rs
+++ b/crates/shallotroute_config/src/adoption.rs
@@ -85,6 +85,7 @@
     /// No revision below it comes into force.
     floor: Revision,
     started: Instant,
+    resumed: Option<Instant>,
     read_at: Option<Instant>,
     read_failures: u32,
     watching: bool,
@@ -113,6 +114,7 @@
             established: false,
             floor: Revision::default(),
             started: now,
+            resumed: None,
             read_at: None,
             read_failures: 0,
             watching: false,
@@ -156,6 +158,7 @@
                 }
             }
             Event::Reported(report) => drop(self.roster.report(report)),
+            Event::Resumed => self.on_resumed(now),
             Event::Tick => {}
         }
         self.establish(now);
@@ -225,6 +228,12 @@
         }
     }
 
+    /// Returns when the node asked for the head that names its revision in force as the newest one.
+    pub fn current_at(&self) -> Option<Instant> {
+        self.read_at
+            .filter(|_| revision(self.in_force.as_ref()) >= self.floor)
+    }
+
     /// Tells whether the node may take new work.
     pub fn is_confirmed(&self, now: Instant) -> bool {
         self.confirmation_age(now)
@@ -242,6 +251,19 @@
         }
     }
 
+    /// Reads the head at once. A read in progress may have been answered before the pause.
+    fn on_resumed(&mut self, now: Instant) {
+        self.resumed = Some(now);
+        self.reading = false;
+        self.read_failures = 0;
+        self.next_read = now;
+    }
+
+    /// Tells whether the head was not read since the process was resumed.
+    fn is_outdated(&self) -> bool {
+        self.resumed.is_some() && self.read_at < self.resumed
+    }
+
     fn on_head(&mut self, call: Call, version: u64, head: Head, asked: Instant) {
         self.ended(call);
         self.read_at = self.read_at.max(Some(asked));
@@ -336,14 +358,15 @@
                 wait: WATCH_WAIT,
             });
         }
-        let interval = match self.established {
+        let outdated = self.is_outdated();
+        let interval = match self.established && !outdated {
             true => READ_INTERVAL,
             false => START_READ_INTERVAL * (1 << self.read_failures.min(MAX_DOUBLINGS)),
         };
         if read_due {
             self.next_read = now + jitter(interval, rng);
             // A node without a majority can be confirmed only by its own reads.
-            if watcher || !self.established || !self.roster.majority() {
+            if watcher || outdated || !self.established || !self.roster.majority() {
                 self.reading = true;
                 actions.push(Action::Read);
             }
--- a/crates/shallotroute_config/src/adoption/message.rs
+++ b/crates/shallotroute_config/src/adoption/message.rs
@@ -111,6 +111,8 @@
     Published(Bundle),
     /// A node told about itself, in an answer to [`Action::Compare`] or in a call of its own.
     Reported(Report),
+    /// The process was stopped for a while, and what it knows may be old.
+    Resumed,
     /// Time has passed; at least every 200 ms.
     Tick,
 }
--- a/crates/shallotroute_context/src/lib.rs
+++ b/crates/shallotroute_context/src/lib.rs
@@ -1,6 +1,8 @@
 //! What the parts of a node share: identity, clock, configuration in force, members, hosts, shutdown.
 //! Start with [`Context`].
 
+pub mod freshness;
+
 use std::{net::SocketAddr, sync::Arc};
 
 use shallotroute_config::snapshot::Snapshot;
@@ -14,6 +16,8 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+use crate::freshness::Freshness;
+
 /// Shared by all parts of a node.
 #[derive(Clone)]
 pub struct Context {
@@ -29,6 +33,8 @@
     pub members: watch::Receiver<Arc<View>>,
     /// The platform's host list, as last read.
     pub hosts: watch::Receiver<Arc<Vec<Host>>>,
+    /// Whether the node has read these again since it started or was resumed.
+    pub freshness: Arc<Freshness>,
     /// Cancelled when the node stops taking new work.
     pub drain: CancellationToken,
     /// Cancelled when the work in progress is finished.
--- a/crates/shallotroute_control/src/adopter.rs
+++ b/crates/shallotroute_control/src/adopter.rs
@@ -10,7 +10,7 @@
     adoption::{Action, Adoption, Call, Event, Local, Origin, Report},
     bundle::Part,
 };
-use shallotroute_context::Context;
+use shallotroute_context::{Context, freshness::Input};
 use shallotroute_types::revision::Revision;
 
 use crate::{Outputs, health::Health, metric::Metrics, peer, repository::Repository};
@@ -112,6 +112,9 @@
     fn write(&self, adoption: &Adoption, now: Instant) {
         replace(&self.outputs.known, adoption.known());
         replace(&self.outputs.confirmed, adoption.is_confirmed(now));
+        if let Some(asked) = adoption.current_at() {
+            self.context.freshness.note(Input::Configuration, asked);
+        }
         self.metrics.set(adoption, now);
     }
 
--- a/crates/shallotroute_control/src/lib.rs
+++ b/crates/shallotroute_control/src/lib.rs
@@ -10,7 +10,7 @@
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
 use serde_json::json;
 use shallotroute_config::{adoption::Event, snapshot::Snapshot};
-use shallotroute_context::Context;
+use shallotroute_context::{Context, freshness::Input};
 use shallotroute_http::{body::Body, server::Handler};
 use shallotroute_peer::stream::Service;
 use shallotroute_platform::{host, store::Store};
@@ -128,6 +128,7 @@
             () = self.context.stop.cancelled() => {}
             () = self.follow_members() => {}
             () = self.follow_hosts() => {}
+            () = self.follow_pauses() => {}
             () = self.tick() => {}
         }
     }
@@ -169,8 +170,10 @@
 
     async fn follow_hosts(&self) {
         let health = Health::new("the host list");
+        let mut woken = self.context.freshness.woken();
         loop {
             let mut pause = HOSTS_INTERVAL;
+            let asked = self.context.clock.now();
             let read = match timeout(HOSTS_TIMEOUT, self.hosts.hosts()).await {
                 Ok(read) => read.map_err(|report| format!("{report:?}")),
                 Err(_) => Err("it was not read in time".to_owned()),
@@ -184,16 +187,30 @@
                     .map(|host| host.name.clone());
                 self.adopter.feed(Event::Hosts(live.collect()));
                 self.adopter.write_hosts(hosts);
+                self.context.freshness.note(Input::Hosts, asked);
+            }
+            tokio::select! {
+                () = sleep(pause) => {}
+                Ok(()) = woken.changed() => {}
             }
-            sleep(pause).await;
         }
     }
 
+    async fn follow_pauses(&self) {
+        let mut woken = self.context.freshness.woken();
+        while woken.changed().await.is_ok() {
+            self.adopter.feed(Event::Resumed);
+        }
+        // The sender lives as long as the context.
+        std::future::pending().await
+    }
+
     async fn tick(&self) {
         let mut interval = interval(TICK);
         interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             interval.tick().await;
+            self.context.freshness.beat(self.context.clock.now());
             self.adopter.feed(Event::Tick);
         }
     }
--- a/crates/shallotroute_control/tests/support/mod.rs
+++ b/crates/shallotroute_control/tests/support/mod.rs
@@ -16,7 +16,7 @@
 
 use futures::future::BoxFuture;
 use prometheus_client::registry::Registry;
-use shallotroute_context::{Context, Local};
+use shallotroute_context::{Context, Local, freshness::Freshness};
 use shallotroute_control::{Control, Operator, Outputs};
 use shallotroute_http::server::{self, Handler};
 use shallotroute_peer::{service::Kind as ServiceKind, stream};
@@ -143,6 +143,7 @@
             confirmed,
             members,
             hosts,
+            freshness: Arc::new(Freshness::new(Instant::now())),
             drain: stop.clone(),
             stop: stop.clone(),
         };
--- a/crates/shallotroute_gateway/src/dispatch.rs
+++ b/crates/shallotroute_gateway/src/dispatch.rs
@@ -1,13 +1,14 @@
 //! Attempts at a request until one gives a response.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use http::{Response, StatusCode};
 use shallotroute_http::body::Body;
 use shallotroute_routing::{
-    outcome,
+    outcome::{self, Evidence, Refusal},
     pool::Query,
     retry::{self, Attempt},
+    server::Leaving,
 };
 use shallotroute_types::{name::Name, outcome::Outcome};
 
@@ -30,11 +31,12 @@
     let mut outcome = Outcome::NotRun;
     let mut last = None;
     loop {
+        gateway.catch_up().await;
         let Some(sent) = choose(gateway, call, &permit, &mut tried) else {
             let failure = last.unwrap_or_else(|| no_server(call));
             return Err(failure.with_outcome(outcome));
         };
-        let server = sent.choice.name.clone();
+        let (server, address) = (sent.choice.name.clone(), sent.choice.address);
         let result = attempt::run(&gateway.client, clock, call, tried.len(), sent).await?;
         let broken = match result {
             Ok(response) => return Ok(response),
@@ -42,6 +44,14 @@
         };
         permit.progress.fail(broken.evidence);
         spdlog::debug!("request {} at {}: {}", call.id, server, broken.evidence);
+        if broken.evidence == Evidence::Refused(Refusal::Leaving) {
+            gateway.leaving.tell(&[Leaving {
+                pool: call.route.pool.clone(),
+                server,
+                address,
+                age: Duration::ZERO,
+            }]);
+        }
         outcome = outcome::combine(outcome, broken.evidence.outcome());
         let attempt = Attempt {
             evidence: broken.evidence,
--- a/crates/shallotroute_gateway/src/lib.rs
+++ b/crates/shallotroute_gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod failure;
 mod forward;
 mod journal;
+mod leaving;
 mod metrics;
 mod peer;
 mod poll;
@@ -45,8 +46,9 @@
     client: Client,
     engine: Arc<dyn Engine>,
     random: Mutex<ChaCha8Rng>,
-    runtime: runtime::Holder,
+    runtime: Arc<runtime::Holder>,
     quotas: quota::Quotas,
+    leaving: leaving::Exchange,
     records: Arc<records::Records>,
     journal: Arc<journal::Journal>,
     node_header: HeaderValue,
@@ -71,13 +73,20 @@
         let random = distinct(random, &context.local);
         let node_header = HeaderValue::from_str(&context.local.id)
             .unwrap_or_else(|_| HeaderValue::from_static("unnamed"));
+        let runtime = Arc::new(runtime::Holder::default());
+        let leaving = leaving::Exchange {
+            context: context.clone(),
+            runtime: Arc::clone(&runtime),
+            peers: Arc::default(),
+        };
         Arc::new(Self {
             client: Client::new(CONNECT_TIMEOUT),
             engine,
             random: Mutex::new(random),
-            runtime: runtime::Holder::default(),
+            runtime,
             quotas: quota::Quotas::default(),
-            records: records::Records::new(context.clone()),
+            leaving: leaving.clone(),
+            records: records::Records::new(context.clone(), leaving.clone()),
             journal: journal::Journal::new(
                 metrics::Metrics::new(registry),
                 Arc::clone(&context.clock),
@@ -113,6 +122,18 @@
         }))
     }
 
+    /// Waits until what the choice of a server rests on was read since the process started or was
+    /// resumed, and takes over the configuration in force.
+    async fn catch_up(&self) {
+        let Context {
+            freshness, clock, ..
+        } = &self.context;
+        if !freshness.is_fresh(clock.now()) {
+            freshness.wait(&**clock).await;
+            self.runtime();
+        }
+    }
+
     /// Makes the identity of a request, a UUID of version 7.
     fn identity(&self) -> Uuid {
         let mut random = [0; 10];
--- a/crates/shallotroute_gateway/src/peer.rs
+++ b/crates/shallotroute_gateway/src/peer.rs
@@ -18,6 +18,7 @@
 use shallotroute_routing::{
     identity::{Begin, Export, Finish, Reply, Store},
     quota::{Ask, Ledger},
+    server::Leaving,
 };
 use shallotroute_types::{clock::Clock, member::View, node::Id};
 use tarpc::{
@@ -27,7 +28,7 @@
 };
 use tokio::{net::TcpStream, sync::watch};
 
-use crate::quota::MAX_ASKS;
+use crate::{leaving::Exchange, quota::MAX_ASKS};
 
 /// The result of a call to another node.
 pub(crate) type Result<T> = std::result::Result<T, Report<Error>>;
@@ -48,6 +49,10 @@
     async fn finish(finish: Finish);
     /// Returns all records without their responses.
     async fn records() -> Export;
+    /// Returns the servers that the node knows to refuse requests as leaving.
+    async fn leaving() -> Vec<Leaving>;
+    /// Takes note of servers that refuse requests as leaving.
+    async fn tell(servers: Vec<Leaving>);
     /// Returns the node's parts of the limits of callers that it asks for.
     async fn divide(node: Id, asks: Vec<Ask>) -> Vec<f32>;
 }
@@ -59,6 +64,7 @@
     pub(crate) ledger: Arc<Mutex<Ledger>>,
     pub(crate) members: watch::Receiver<Arc<View>>,
     pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) exchange: Exchange,
 }
 
 impl Local {
@@ -98,6 +104,14 @@
         self.with(|store| store.export())
     }
 
+    async fn leaving(self, _: Context) -> Vec<Leaving> {
+        self.exchange.known()
+    }
+
+    async fn tell(self, _: Context, servers: Vec<Leaving>) {
+        self.exchange.hear(servers);
+    }
+
     async fn divide(self, _: Context, node: Id, asks: Vec<Ask>) -> Vec<f32> {
         self.grant(&node, &asks)
     }
@@ -148,6 +162,27 @@
         self.check(address, result)
     }
 
+    pub(crate) async fn leaving(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Vec<Leaving>> {
+        let client = self.client(address).await?;
+        let result = client.leaving(context(timeout)).await;
+        self.check(address, result)
+    }
+
+    pub(crate) async fn tell(
+        &self,
+        address: SocketAddr,
+        servers: Vec<Leaving>,
+        timeout: Duration,
+    ) -> Result<()> {
+        let client = self.client(address).await?;
+        let result = client.tell(context(timeout), servers).await;
+        self.check(address, result)
+    }
+
     pub(crate) async fn divide(
         &self,
         address: SocketAddr,
--- a/crates/shallotroute_gateway/src/records.rs
+++ b/crates/shallotroute_gateway/src/records.rs
@@ -16,13 +16,16 @@
 use tokio::{sync::mpsc, time::timeout};
 use uuid::Uuid;
 
-use crate::peer::{Local, Peers};
+use crate::{
+    leaving::Exchange,
+    peer::{Local, Peers},
+};
 
 /// The records of this node and the way to those of others.
 pub(crate) struct Records {
     pub(crate) context: Context,
     pub(crate) local: Local,
-    pub(crate) peers: Peers,
+    pub(crate) peers: Arc<Peers>,
 }
 
 /// Where a copy of a record is.
@@ -42,7 +45,7 @@
 }
 
 impl Records {
-    pub(crate) fn new(context: Context) -> Arc<Self> {
+    pub(crate) fn new(context: Context, exchange: Exchange) -> Arc<Self> {
         let store = Store::new(context.clock.wall());
         Arc::new(Self {
             local: Local {
@@ -50,8 +53,9 @@
                 ledger: Arc::new(Mutex::new(Ledger::new(context.clock.now()))),
                 members: context.members.clone(),
                 clock: Arc::clone(&context.clock),
+                exchange: exchange.clone(),
             },
-            peers: Peers::default(),
+            peers: exchange.peers,
             context,
         })
     }
--- a/crates/shallotroute_gateway/src/runtime.rs
+++ b/crates/shallotroute_gateway/src/runtime.rs
@@ -17,6 +17,7 @@
 use shallotroute_routing::{
     admission::Queue,
     pool::{Choice, Pool, Query},
+    server::Leaving,
     table::Table,
 };
 use shallotroute_types::{name::Name, revision::Revision, version::Version};
@@ -88,6 +89,12 @@
 }
 
 impl Holder {
+    /// Returns the runtime of the newest revision that a request has seen.
+    pub(crate) fn current(&self) -> Option<Arc<Runtime>> {
+        let current = self.current.read().unwrap_or_else(PoisonError::into_inner);
+        current.clone()
+    }
+
     /// Returns the runtime of `snapshot`, made when it is not the current one. New pools get their
     /// random numbers from `random`.
     pub(crate) fn get(
@@ -122,6 +129,41 @@
         self.snapshot.revision()
     }
 
+    /// Returns the servers that refused requests as leaving.
+    pub(crate) fn leaving(&self, now: Instant) -> Vec<Leaving> {
+        let pools = self.pools.iter();
+        let leaving = pools.flat_map(|(pool, cell)| {
+            let state = cell.state();
+            let leaving = state.pool.leaving(now).map(|(server, age)| Leaving {
+                pool: pool.clone(),
+                server: server.name.clone(),
+                address: server.address,
+                age,
+            });
+            leaving.collect::<Vec<_>>()
+        });
+        leaving.collect()
+    }
+
+    /// Takes note of a server that refused another node as leaving; tells whether this is news.
+    pub(crate) fn refuse_leaving(&self, leaving: &Leaving, now: Instant) -> bool {
+        let at = now.checked_sub(leaving.age).unwrap_or(now);
+        let cell = self.pools.get(&leaving.pool);
+        let is_news = cell.is_some_and(|cell| {
+            let pool = &mut cell.state().pool;
+            pool.refuse_leaving(&leaving.server, leaving.address, at, now)
+        });
+        if is_news {
+            spdlog::info!(
+                "server {} of pool {} leaves, as it told another node {:?} ago",
+                leaving.server,
+                leaving.pool,
+                leaving.age
+            );
+        }
+        is_news
+    }
+
     fn new(
         snapshot: &Arc<Snapshot>,
         before: Option<&Self>,
--- a/crates/shallotroute_gateway/tests/leaving.rs
+++ b/crates/shallotroute_gateway/tests/leaving.rs
@@ -17,6 +17,7 @@
     object::{Object, ServerState},
     set::Set,
 };
+use shallotroute_context::freshness::{Input, LIMIT};
 use shallotroute_platform::{
     engine::State,
     host::{self, Host},
@@ -144,6 +145,132 @@
     fixture.check().await;
 }
 
+impl Fixture {
+    async fn check_after_a_pause(&self) {
+        let requests = (0..4).map(|_| self.node.completion(false));
+        for response in futures::future::join_all(requests).await {
+            expect_that!(response.status(), eq(StatusCode::OK));
+        }
+        expect_that!(self.leaving.count(), eq(2));
+    }
+}
+
+/// Makes the node take its next look for the first one after a pause of two seconds. From then on it
+/// beats.
+fn pause(node: &Node) {
+    let freshness = Arc::clone(&node.context.freshness);
+    freshness.beat(Instant::now() - Duration::from_secs(2));
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            freshness.beat(Instant::now());
+        }
+    });
+}
+
+/// Notes that a node has read the platform after a pause.
+fn read_platform(node: &Node) {
+    let freshness = &node.context.freshness;
+    for input in [Input::Configuration, Input::Hosts] {
+        expect_true!(freshness.needs(input, Instant::now()));
+        freshness.note(input, Instant::now());
+    }
+}
+
+/// Guards against new work, after a pause of the process, for a server that left meanwhile and that
+/// the host list of before does not call leaving.
+#[gtest]
+#[tokio::test]
+async fn by_the_host_list_after_a_pause() {
+    let fixture = fixture().await;
+    pause(&fixture.node);
+    let read = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let host = Host {
+            name: Name::from("leaving"),
+            state: host::State::Leaving,
+        };
+        fixture.node.hosts.send_replace(Arc::new(vec![host]));
+        read_platform(&fixture.node);
+    };
+    tokio::join!(fixture.check_after_a_pause(), read);
+}
+
+/// Guards against new work, after a pause of the process, for a server whose last report is from
+/// before.
+#[gtest]
+#[tokio::test]
+async fn by_the_state_report_after_a_pause() {
+    let fixture = fixture().await;
+    let state = State {
+        leaving: true,
+        ..State::default()
+    };
+    let states = &fixture.node.engines.states;
+    states
+        .lock()
+        .unwrap()
+        .insert(fixture.leaving.address, state);
+    *fixture.node.engines.delay.lock().unwrap() = Duration::from_millis(300);
+    pause(&fixture.node);
+    read_platform(&fixture.node);
+    fixture.check_after_a_pause().await;
+}
+
+/// Guards against a leaving server that the host list does not show yet and that each node tries for
+/// itself.
+#[gtest]
+#[tokio::test]
+async fn by_its_refusals_of_another_node() {
+    let fixture = fixture().await;
+    let set = Set::new(fixture.objects.clone());
+    let other = Node::start_as("node-2", set, Duration::ZERO).await;
+    expect_that!(other.completion(false).await.status(), eq(StatusCode::OK));
+    let view = Arc::new(support::view(&[&fixture.node, &other]));
+    fixture.node.members.send_replace(view);
+    fixture.refuses.store(true, Ordering::Relaxed);
+    fixture.check().await;
+    let refused = fixture.leaving.count();
+    for _ in 0..4 {
+        expect_that!(other.completion(false).await.status(), eq(StatusCode::OK));
+    }
+    expect_that!(fixture.leaving.count(), eq(refused));
+}
+
+/// Guards against new work, after a pause or a start, for a server that refused another node as leaving
+/// and that the host list does not show yet.
+#[gtest]
+#[tokio::test]
+async fn by_its_refusals_of_another_node_after_a_pause() {
+    let fixture = fixture().await;
+    fixture.refuses.store(true, Ordering::Relaxed);
+    fixture.check().await;
+    expect_that!(fixture.leaving.count(), eq(3));
+    let set = Set::new(fixture.objects.clone());
+    let other = Node::start_as("node-2", set, Duration::ZERO).await;
+    let view = Arc::new(support::view(&[&fixture.node, &other]));
+    other.members.send_replace(view);
+    pause(&other);
+    read_platform(&other);
+    for _ in 0..4 {
+        expect_that!(other.completion(false).await.status(), eq(StatusCode::OK));
+    }
+    expect_that!(fixture.leaving.count(), eq(3));
+}
+
+/// Guards against a node that serves nothing while the platform is away after a pause.
+#[gtest]
+#[tokio::test]
+async fn a_pause_in_an_outage_of_the_platform_delays_requests_by_the_limit() {
+    let fixture = fixture().await;
+    pause(&fixture.node);
+    let started = Instant::now();
+    let response = fixture.node.completion(false).await;
+    expect_that!(response.status(), eq(StatusCode::OK));
+    expect_that!(started.elapsed(), ge(LIMIT));
+    expect_that!(started.elapsed(), lt(LIMIT + Duration::from_secs(1)));
+}
+
 /// Guards against new work for an engine that reports a withdrawn version of the model.
 #[tokio::test]
 async fn by_a_withdrawn_version() {
--- a/crates/shallotroute_gateway/tests/support/mod.rs
+++ b/crates/shallotroute_gateway/tests/support/mod.rs
@@ -31,7 +31,10 @@
     set::Set,
     snapshot::Snapshot,
 };
-use shallotroute_context::{Context, Local};
+use shallotroute_context::{
+    Context, Local,
+    freshness::{Freshness, Input},
+};
 use shallotroute_gateway::Gateway;
 use shallotroute_http::{
     body::{self, Body},
@@ -157,6 +160,8 @@
 #[derive(Default)]
 pub struct Engines {
     pub states: Mutex<HashMap<SocketAddr, State>>,
+    /// How long an answer takes.
+    pub delay: Mutex<Duration>,
 }
 
 impl Engine for Engines {
@@ -171,7 +176,11 @@
     fn state(&self, address: SocketAddr) -> BoxFuture<'_, Result<State>> {
         let state = self.states.lock().unwrap().get(&address).cloned();
         let lost = error::Error::new("state", address.to_string(), error::Kind::Lost);
-        Box::pin(async move { state.ok_or_else(|| lost.into()) })
+        let delay = *self.delay.lock().unwrap();
+        Box::pin(async move {
+            tokio::time::sleep(delay).await;
+            state.ok_or_else(|| lost.into())
+        })
     }
 
     fn load(&self, _: SocketAddr, _: Load, _: Duration) -> BoxFuture<'_, Result<()>> {
@@ -229,6 +238,10 @@
         let members = watch::Sender::<Arc<View>>::default();
         let hosts = watch::Sender::<Arc<Vec<Host>>>::default();
         let clock = Arc::new(Shifted(Mutex::new(shift)));
+        let freshness = Arc::new(Freshness::new(Instant::now()));
+        for input in [Input::Configuration, Input::Hosts] {
+            freshness.note(input, Instant::now());
+        }
         let context = Context {
             local: Local {
                 id: Name::from(id),
@@ -242,6 +255,7 @@
             confirmed: confirmed.subscribe(),
             members: members.subscribe(),
             hosts: hosts.subscribe(),
+            freshness: Arc::clone(&freshness),
             drain: CancellationToken::new(),
             stop: CancellationToken::new(),
         };
--- a/crates/shallotroute_node/src/admin.rs
+++ b/crates/shallotroute_node/src/admin.rs
@@ -44,7 +44,8 @@
 impl Entry {
     fn readiness(&self) -> Response<Body> {
         let leaving = self.leaving.is_cancelled();
-        let ready = self.context.ready() && !leaving;
+        let fresh = self.context.freshness.is_fresh(self.context.clock.now());
+        let ready = self.context.ready() && fresh && !leaving;
         let status = match ready {
             true => StatusCode::OK,
             false => StatusCode::SERVICE_UNAVAILABLE,
@@ -58,6 +59,7 @@
         let confirmed = *self.context.confirmed.borrow();
         let value = json!({
             "ready": ready, "leaving": leaving, "in_force": in_force, "confirmed": confirmed,
+            "fresh": fresh,
         });
         body::json(status, &value)
     }
--- a/crates/shallotroute_node/src/parts.rs
+++ b/crates/shallotroute_node/src/parts.rs
@@ -9,7 +9,7 @@
 use error_stack::ResultExt;
 use prometheus_client::registry::Registry;
 use serde_json::{Value, json};
-use shallotroute_context::{Context, Local};
+use shallotroute_context::{Context, Local, freshness::Freshness};
 use shallotroute_control::{Control, Dump, Operator, Outputs};
 use shallotroute_gateway::Gateway;
 use shallotroute_http::{client::Client, server};
@@ -162,6 +162,7 @@
     let (hosts, hosts_receiver) = watch::channel(Arc::new(Vec::new()));
     let (known, known_receiver) = watch::channel(Revision::default());
     let clock = System;
+    let freshness = Freshness::new(clock.now());
     let started = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
     let context = Context {
         local: Local {
@@ -176,6 +177,7 @@
         confirmed: confirmed_receiver,
         members: members_receiver,
         hosts: hosts_receiver,
+        freshness: Arc::new(freshness),
         drain: CancellationToken::new(),
         stop: CancellationToken::new(),
     };
--- a/crates/shallotroute_rollout/src/scheduler.rs
+++ b/crates/shallotroute_rollout/src/scheduler.rs
@@ -139,6 +139,10 @@
             Event::Scored(key, position, attempt, score) => {
                 self.scored(now, &key, position, attempt, score);
             }
+            Event::Resumed => {
+                self.engines.values_mut().for_each(Engine::forget);
+                self.poll(now);
+            }
             Event::Tick => self.tick(now),
         }
         mem::take(&mut self.actions)
--- a/crates/shallotroute_rollout/src/scheduler/event.rs
+++ b/crates/shallotroute_rollout/src/scheduler/event.rs
@@ -45,6 +45,8 @@
     Failed(Attempt, Outcome),
     /// The scorer answered, or none when it failed.
     Scored(Key, u32, Attempt, Option<f64>),
+    /// The process was stopped for a while, and the engines' reports may be old.
+    Resumed,
     /// Time passed.
     Tick,
 }
--- a/crates/shallotroute_rollout/tests/scheduler.rs
+++ b/crates/shallotroute_rollout/tests/scheduler.rs
@@ -114,3 +114,26 @@
     let answer = bench.answers[&pull].as_ref().unwrap();
     expect_that!(answer.groups[0].samples[0].score, some(eq(2.0)));
 }
+
+/// Guards against attempts by reports from before a pause of the process, and against the answer to a
+/// poll from before it.
+#[gtest]
+fn a_pause_makes_the_engines_states_unknown() {
+    let mut bench = bench();
+    bench.pass(std::time::Duration::from_millis(500), 5);
+    bench.now += std::time::Duration::from_millis(250);
+    bench.event(Event::Tick);
+    let before = std::mem::take(&mut bench.polls);
+    expect_that!(before, len(eq(2)));
+    bench.event(Event::Resumed);
+    let after = std::mem::take(&mut bench.polls);
+    expect_that!(after, len(eq(2)));
+    bench.event(Event::Submitted(key("a", 0), specification(1, 2)));
+    for (server, number) in before {
+        bench.event(Event::Polled(server, number, Some(support::loaded(5))));
+    }
+    expect_that!(bench.started, eq(0));
+    bench.polls = after;
+    bench.report(5);
+    expect_that!(bench.started, eq(2));
+}
--- a/crates/shallotroute_routing/src/pool.rs
+++ b/crates/shallotroute_routing/src/pool.rs
@@ -203,6 +203,27 @@
         self.estimate.learn(prefix, name, cached, now);
     }
 
+    /// Returns the servers that refused this node as leaving, or others that told of it, with the times
+    /// since.
+    pub fn leaving(&self, now: Instant) -> impl Iterator<Item = (&object::Server, Duration)> {
+        let servers = self.servers.iter();
+        servers.filter_map(move |server| Some((&server.object, server.refused_leaving(now)?)))
+    }
+
+    /// Takes note that a server refused another node at `at` as leaving; tells whether this is news.
+    pub fn refuse_leaving(
+        &mut self,
+        name: &Name,
+        address: SocketAddr,
+        at: Instant,
+        now: Instant,
+    ) -> bool {
+        let server = self.server(name);
+        server
+            .filter(|it| it.object.address == address)
+            .is_some_and(|it| it.refuse_leaving(at, now))
+    }
+
     /// Counts a request at a server as finished.
     pub fn finish(&mut self, name: &Name) {
         if let Some(server) = self.server(name) {
--- a/crates/shallotroute_routing/src/server.rs
+++ b/crates/shallotroute_routing/src/server.rs
@@ -2,11 +2,12 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     time::{Duration, Instant},
 };
 
 use derive_more::Display;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use shallotroute_config::object;
 use shallotroute_types::{name::Name, version::Version};
 
@@ -114,6 +115,19 @@
     pub weights: Weights,
 }
 
+/// A server that refused a request as leaving, as one node tells it to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Leaving {
+    /// The pool.
+    pub pool: Name,
+    /// The server.
+    pub server: Name,
+    /// Where it listened.
+    pub address: SocketAddr,
+    /// How long ago it refused.
+    pub age: Duration,
+}
+
 /// The counters at the time when a report was asked for.
 #[derive(Clone, Copy, Debug)]
 pub struct Mark {
@@ -312,6 +326,24 @@
         }
     }
 
+    /// Returns how long ago the server refused as leaving, while that holds.
+    pub fn refused_leaving(&self, now: Instant) -> Option<Duration> {
+        self.refused_leaving
+            .map(|at| now.saturating_duration_since(at))
+            .filter(|age| *age < LEAVING_HOLD)
+    }
+
+    /// Takes note that the server refused another node at `at` as leaving; tells whether this is news. A
+    /// report that was asked for later is newer and stays.
+    pub fn refuse_leaving(&mut self, at: Instant, now: Instant) -> bool {
+        let is_known = self.refused_leaving(now).is_some();
+        if self.report.is_some_and(|it| it.mark.at >= at) {
+            return false;
+        }
+        self.refused_leaving = self.refused_leaving.max(Some(at));
+        !is_known && self.refused_leaving(now).is_some()
+    }
+
     /// Takes note that the server can't be reached.
     pub fn fail(&mut self, now: Instant) {
         self.failures = self.failures.saturating_add(1);
--- a/crates/shallotroute_sampling/src/pool.rs
+++ b/crates/shallotroute_sampling/src/pool.rs
@@ -89,6 +89,7 @@
             attempts: HashMap::new(),
             pulls: HashMap::new(),
             next_pull: 0,
+            woken: context.freshness.woken(),
             state,
             dumped: None,
         };
@@ -151,6 +152,8 @@
     attempts: HashMap<Attempt, AbortHandle>,
     pulls: HashMap<u64, Open>,
     next_pull: u64,
+    /// When the process started or was last resumed, as far as the scheduler knows.
+    woken: watch::Receiver<Instant>,
     state: watch::Sender<Value>,
     dumped: Option<Instant>,
 }
@@ -241,7 +244,17 @@
     }
 
     fn handle(&mut self, event: Event) {
-        let now: Instant = self.context.clock.now();
+        let now = self.context.clock.now();
+        // The look notices a pause that ended just now.
+        self.context.freshness.is_fresh(now);
+        if self.woken.has_changed().unwrap_or(false) {
+            self.woken.mark_unchanged();
+            self.give(Event::Resumed, now);
+        }
+        self.give(event, now);
+    }
+
+    fn give(&mut self, event: Event, now: Instant) {
         for action in self.scheduler.handle(now, event) {
             self.perform(action);
         }
@@ -274,13 +287,14 @@
                 number,
             } => {
                 let engine = Arc::clone(&self.edges.engine);
-                tokio::spawn(attempt::poll(
-                    engine,
-                    self.outlet.clone(),
-                    server,
-                    address,
-                    number,
-                ));
+                let outlet = self.outlet.clone();
+                let context = self.context.clone();
+                tokio::spawn(async move {
+                    // No attempt starts before the report, so that none goes to a server that left
+                    // while the process was stopped.
+                    context.freshness.wait(&*context.clock).await;
+                    attempt::poll(engine, outlet, server, address, number).await;
+                });
             }
         }
     }
--- a/crates/shallotroute_sampling/tests/support/mod.rs
+++ b/crates/shallotroute_sampling/tests/support/mod.rs
@@ -5,7 +5,7 @@
     collections::BTreeMap,
     net::{Ipv4Addr, SocketAddr},
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -19,7 +19,10 @@
     set::Set,
     snapshot::{Changes, Record, Snapshot},
 };
-use shallotroute_context::{Context, Local};
+use shallotroute_context::{
+    Context, Local,
+    freshness::{Freshness, Input},
+};
 use shallotroute_http::{body, client::Client, server};
 use shallotroute_peer::{
     service::Kind as ServiceKind,
@@ -392,6 +395,15 @@
     }
 }
 
+/// Returns the state of a node that has read everything.
+fn fresh() -> Arc<Freshness> {
+    let freshness = Freshness::new(Instant::now());
+    for input in [Input::Configuration, Input::Hosts, Input::Servers] {
+        freshness.note(input, Instant::now());
+    }
+    Arc::new(freshness)
+}
+
 async fn node(
     platform: &Arc<Platform>,
     snapshot: &Arc<Snapshot>,
@@ -421,6 +433,7 @@
         confirmed: watch::channel(true).1,
         members: members_receiver,
         hosts: watch::channel(Arc::default()).1,
+        freshness: fresh(),
         drain: CancellationToken::new(),
         stop: stop.clone(),
     };
