resident, peer: ended jobs and long frames no longer hold memory

An ended job stays for 20 s with the bodies of its items (0.5 MB a job), and each connection between nodes kept a buffer as long as the longest frame, a job's specification. Ruled out: the log's queue (13.7 MB with the level error), buffers to servers of half the size, and drafts (no difference).

Change: a job that ended frees texts, bodies, headers and ratings; asked for a body, its owner lets the store answer. The frames between nodes have a codec of their own whose buffers shrink after a frame of more than 64 KB.

--- a/crates/shallotroute_batch/src/item.rs
+++ b/crates/shallotroute_batch/src/item.rs
@@ -87,6 +87,12 @@
         }
     }
 
+    /// Frees the text.
+    pub fn release(&mut self) {
+        self.text = String::new();
+        self.phase = Phase::Listed;
+    }
+
     /// Returns the run at a server, if there is one.
     pub fn attempt(&self) -> Option<&Attempt> {
         match &self.phase {
--- a/crates/shallotroute_batch/src/run.rs
+++ b/crates/shallotroute_batch/src/run.rs
@@ -62,6 +62,7 @@
     order: Vec<usize>,
     give_up_at: Instant,
     ended: bool,
+    released: bool,
 }
 
 impl Run {
@@ -97,6 +98,7 @@
             order,
             give_up_at,
             ended: false,
+            released: false,
         }
     }
 
@@ -157,6 +159,35 @@
         self.results.len() == self.items.len()
     }
 
+    /// Frees what only items in work need: texts, bodies, headers, ratings. The job has ended, and readers
+    /// still get its results.
+    pub fn release(&mut self) {
+        let slim = |item: &crate::record::Item| crate::record::Item {
+            id: item.id.clone(),
+            group: item.group.clone(),
+            path: String::new(),
+            headers: Vec::new(),
+            body: Vec::new(),
+            expected_tokens: item.expected_tokens,
+            reward: None,
+        };
+        let specification = &self.specification;
+        self.specification = Arc::new(Specification {
+            host: specification.host.clone(),
+            path: specification.path.clone(),
+            model: specification.model.clone(),
+            items: specification.items.iter().map(slim).collect(),
+            ..**specification
+        });
+        self.items.iter_mut().for_each(Item::release);
+        self.released = true;
+    }
+
+    /// Tells whether the bodies of the items are gone.
+    pub fn is_released(&self) -> bool {
+        self.released
+    }
+
     /// Returns the numbers of the runs and ratings in progress.
     pub fn attempts(&self) -> Vec<u64> {
         self.attempts.keys().copied().collect()
--- a/crates/shallotroute_batch/tests/run.rs
+++ b/crates/shallotroute_batch/tests/run.rs
@@ -501,3 +501,35 @@
     expect_that!(results, len(eq(1)));
     expect_that!(run.drafts(&mut shared, true), is_empty());
 }
+
+/// Guards against ended jobs that hold what only work needs while readers still come, and against results
+/// that are lost with it.
+#[gtest]
+fn a_released_job_keeps_its_results() {
+    let now = Instant::now();
+    let results = vec![Listed {
+        item: 1,
+        outcome: Outcome::Completed(Sample {
+            text: "a text".to_owned(),
+            versions: vec![Version(4)],
+            score: None,
+        }),
+    }];
+    let mut whole = Specification::clone(&specification(2, true));
+    for item in &mut whole.items {
+        item.body = b"a prompt".to_vec();
+    }
+    let give_up_at = now + Duration::from_secs(20);
+    let mut run = Run::new(Arc::new(whole.clone()), results.clone(), give_up_at);
+    expect_false!(run.is_released());
+    run.release();
+    expect_true!(run.is_released());
+    expect_that!(run.results(), eq(&results));
+    let kept = run.specification();
+    expect_that!((&kept.host, &kept.path), eq((&whole.host, &whole.path)));
+    for (kept, item) in kept.items.iter().zip(&whole.items) {
+        expect_that!((&kept.id, &kept.group), eq((&item.id, &item.group)));
+        expect_that!(kept.body, is_empty());
+        expect_that!(kept.reward, none());
+    }
+}
--- a/crates/shallotroute_peer/src/codec.rs
+++ b/crates/shallotroute_peer/src/codec.rs
@@ -1,10 +1,56 @@
-//! The `postcard` codec of `tarpc` transports, which `tarpc` itself does not have.
+//! The frames between nodes, and the `postcard` codec of their content, which `tarpc` does not have.
 
 use std::{io, marker::PhantomData, pin::Pin};
 
 use bytes::{Bytes, BytesMut};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio_serde::{Deserializer, Serializer};
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+/// The longest frame between nodes, in bytes; a step's specification is the largest message.
+pub const MAX_FRAME_BYTES: usize = 32 << 20;
+
+/// The most bytes that a connection's buffer keeps after a frame. A batch job's specification takes half
+/// a megabyte, and a node has connections to all others.
+pub const MAX_KEPT_BYTES: usize = 64 << 10;
+
+/// Frames with their lengths before them.
+#[derive(Debug)]
+pub struct Frames(LengthDelimitedCodec);
+
+impl Default for Frames {
+    fn default() -> Self {
+        let codec = LengthDelimitedCodec::builder()
+            .max_frame_length(MAX_FRAME_BYTES)
+            .new_codec();
+        Self(codec)
+    }
+}
+
+impl Decoder for Frames {
+    type Item = BytesMut;
+    type Error = io::Error;
+
+    fn decode(&mut self, buffer: &mut BytesMut) -> io::Result<Option<BytesMut>> {
+        let frame = self.0.decode(buffer)?;
+        if frame.as_ref().is_some_and(|it| it.len() > MAX_KEPT_BYTES) {
+            // The rest of the buffer would keep the memory of the frame.
+            *buffer = BytesMut::from(&buffer[..]);
+        }
+        Ok(frame)
+    }
+}
+
+impl Encoder<Bytes> for Frames {
+    type Error = io::Error;
+
+    fn encode(&mut self, frame: Bytes, buffer: &mut BytesMut) -> io::Result<()> {
+        if buffer.is_empty() && buffer.capacity() > MAX_KEPT_BYTES {
+            *buffer = BytesMut::new();
+        }
+        self.0.encode(frame, buffer)
+    }
+}
 
 /// Encodes `Out` and decodes `In`.
 #[derive(Debug)]
--- a/crates/shallotroute_peer/src/stream.rs
+++ b/crates/shallotroute_peer/src/stream.rs
@@ -3,27 +3,25 @@
 use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use serde::{Serialize, de::DeserializeOwned};
-use tarpc::serde_transport::Transport;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     time::timeout,
 };
-use tokio_util::{
-    codec::{Decoder, LengthDelimitedCodec},
-    sync::CancellationToken,
-};
-
-use crate::{codec::Postcard, service::Kind};
+use tokio_util::{codec::Decoder, sync::CancellationToken};
 
-/// The longest frame between nodes, in bytes; a step's specification is the largest message.
-pub const MAX_FRAME_BYTES: usize = 32 << 20;
+pub use crate::codec::MAX_FRAME_BYTES;
+use crate::{
+    codec::{Frames, Postcard},
+    service::Kind,
+};
 
 /// How long a peer may take to accept a connection and to name a service.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A framed connection that carries `In` and `Out` as `postcard`.
-pub type Framed<In, Out> = Transport<TcpStream, In, Out, Postcard<In, Out>>;
+pub type Framed<In, Out> =
+    tokio_serde::Framed<tokio_util::codec::Framed<TcpStream, Frames>, In, Out, Postcard<In, Out>>;
 
 /// Serves connections to one service.
 pub trait Service: Send + Sync + 'static {
@@ -51,10 +49,7 @@
 
 /// Frames a connection for `tarpc`.
 pub fn frame<In: DeserializeOwned, Out: Serialize>(stream: TcpStream) -> Framed<In, Out> {
-    let codec = LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME_BYTES)
-        .new_codec();
-    tarpc::serde_transport::new(codec.framed(stream), Postcard::default())
+    tokio_serde::Framed::new(Frames::default().framed(stream), Postcard::default())
 }
 
 /// Accepts connections of other nodes until `stop` is cancelled.
--- a/crates/shallotroute_resident/src/job.rs
+++ b/crates/shallotroute_resident/src/job.rs
@@ -14,7 +14,7 @@
 use shallotroute_types::name::Name;
 use tokio::sync::{mpsc, watch};
 
-use crate::{claim, site::Site};
+use crate::{claim, peer::Denial, site::Site};
 
 /// The most owners of other nodes' jobs that are remembered.
 const MAX_OWNERS: usize = 1024;
@@ -163,10 +163,19 @@
         Some(page(state.run.specification(), state.run.results(), after))
     }
 
-    /// Returns the body of an item.
-    pub(crate) fn body(&self, item: &str) -> Option<Vec<u8>> {
-        let specification = Arc::clone(self.state().run.specification());
-        body(&specification, item)
+    /// Returns the body of an item; none when the job has no such item.
+    ///
+    /// # Errors
+    ///
+    /// The job has ended, and only the store has the bodies.
+    pub(crate) fn body(&self, item: &str) -> Result<Option<Vec<u8>>, Denial> {
+        let state = self.state();
+        if state.run.is_released() {
+            return Err(Denial::NotOwner);
+        }
+        let specification = Arc::clone(state.run.specification());
+        drop(state);
+        Ok(body(&specification, item))
     }
 
     /// Ends the job: its runs stop at once. Returns whether the store keeps the end.
--- a/crates/shallotroute_resident/src/peer.rs
+++ b/crates/shallotroute_resident/src/peer.rs
@@ -82,7 +82,7 @@
 
     async fn body(self, _: Context, job: Name, item: Name) -> Result<Option<Vec<u8>>, Denial> {
         let owned = self.0.jobs.owned(&job).ok_or(Denial::NotOwner)?;
-        Ok(owned.body(&item))
+        owned.body(&item)
     }
 
     async fn end(self, _: Context, job: Name) -> Result<bool, Denial> {
--- a/crates/shallotroute_resident/src/runner.rs
+++ b/crates/shallotroute_resident/src/runner.rs
@@ -145,6 +145,7 @@
     let ended = progress.wait_for(|progress| progress.ended || progress.lost);
     // The job itself holds the sender, so that the wait can't fail.
     let _ = ended.await;
+    owned.state().run.release();
     tokio::time::sleep(ENDED_TIME).await;
     site.jobs.remove(&owned.id);
 }
--- a/crates/shallotroute_resident/src/trainer.rs
+++ b/crates/shallotroute_resident/src/trainer.rs
@@ -117,8 +117,10 @@
 }
 
 async fn item_body(site: &Arc<Site>, job: &Name, item: &Name) -> Response<Body> {
-    if let Some(owned) = site.jobs.owned(job) {
-        return bytes_or_not_found(owned.body(item));
+    if let Some(owned) = site.jobs.owned(job)
+        && let Ok(content) = owned.body(item)
+    {
+        return bytes_or_not_found(content);
     }
     let located = locate(site, job, Duration::ZERO, |client, context| {
         let (job, item) = (job.clone(), item.clone());
