ctl: shallotctl site shows a system on the users' platform

Cause: on the platform operators had only the dump of one node as JSON; who owns a job and which versions the servers have had to be put together by hand.

Change: site prints the holder of the duty with its fencing number, named versions, servers with their versions, and for each node that is asked the configuration with its age and its jobs. The dump tells the age.

--- a/crates/shallotroute_ctl/src/arguments.rs
+++ b/crates/shallotroute_ctl/src/arguments.rs
@@ -47,6 +47,7 @@
     Show(Show),
     Audit(Audit),
     Dump(Dump),
+    Site(Site),
     HashKey(HashKey),
 }
 
@@ -136,6 +137,15 @@
 #[argh(subcommand, name = "dump")]
 pub(crate) struct Dump {}
 
+/// Shows a system on the users' platform: orders, versions of servers, and each node's jobs.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "site")]
+pub(crate) struct Site {
+    /// addresses of more nodes' metrics listeners, to show their jobs too
+    #[argh(positional)]
+    pub(crate) nodes: Vec<SocketAddr>,
+}
+
 /// Prints the hash of the key that is given, for a node's settings or a caller object.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "hash-key")]
--- a/crates/shallotroute_ctl/src/command.rs
+++ b/crates/shallotroute_ctl/src/command.rs
@@ -12,10 +12,11 @@
 use shallotroute_types::{member::State, revision::Revision};
 
 use crate::{
-    arguments::{Arguments, Audit, Check, Command, History, Publish, Show, Status},
+    arguments::{Arguments, Audit, Check, Command, History, Publish, Show, Site, Status},
     client::{Error, Node, Result},
     input,
     output::{self, Report},
+    site,
 };
 
 /// The time between looks at the status while waiting.
@@ -46,9 +47,29 @@
             let value: Value = node.get("/admin/v1/dump").await?;
             Ok(Report::new(output::pretty(&value), &value))
         }
+        Command::Site(more) => site_of(&node, key.as_ref(), &more).await,
     }
 }
 
+async fn site_of(node: &Node, key: Option<&String>, more: &Site) -> Result<Report> {
+    let first: site::Dump = node.get("/admin/v1/dump").await?;
+    let others = more.nodes.iter().map(|address| async move {
+        let node = Node::new(*address, key.cloned());
+        let dump = node.get::<site::Dump>("/admin/v1/dump").await;
+        dump.map_err(|report| report.current_context().to_string())
+    });
+    let mut dumps = vec![first];
+    let mut errors = Vec::new();
+    for dump in futures::future::join_all(others).await {
+        match dump {
+            Ok(dump) => dumps.push(dump),
+            Err(error) => errors.push(error),
+        }
+    }
+    let refusal = (!errors.is_empty()).then(|| errors.join("; "));
+    Ok(Report::new(site::text(&dumps), &dumps).with_refusal(refusal))
+}
+
 fn hash(key: Option<&str>) -> Result<Report> {
     match key {
         Some(key) => {
--- a/crates/shallotroute_ctl/src/lib.rs
+++ b/crates/shallotroute_ctl/src/lib.rs
@@ -7,6 +7,7 @@
 mod command;
 mod input;
 mod output;
+mod site;
 
 use arguments::{Arguments, Parsed};
 
--- a/crates/shallotroute_ctl/tests/command.rs
+++ b/crates/shallotroute_ctl/tests/command.rs
@@ -394,3 +394,13 @@
     expect_that!(plain(&["hash-key"]).await.exit.code(), eq(2));
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_node_that_is_not_on_the_platform_shows_no_system() -> Result<()> {
+    // Guards against an empty system shown for an answer that can't be understood.
+    let fleet = Fleet::start(1).await;
+    let ended = ctl(&fleet, &["site"]).await;
+    verify_that!(ended.exit, eq(Exit::Refused))?;
+    verify_that!(ended.out, eq(""))?;
+    verify_that!(ended.err, contains_substring("can't be understood"))
+}
--- a/crates/shallotroute_resident/src/dump.rs
+++ b/crates/shallotroute_resident/src/dump.rs
@@ -21,6 +21,7 @@
         },
         "configuration": site.table().map(|table| json!({
             "version": table.version(),
+            "in_force_ms": site.in_force_since().map(age),
             "routes": table.routes().map(|route| json!({
                 "name": route.name,
                 "host": route.host,
--- a/crates/shallotroute_resident/src/follow.rs
+++ b/crates/shallotroute_resident/src/follow.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     member,
-    site::Site,
+    site::{InForce, Site},
     store::{Error, Result},
 };
 
@@ -308,7 +308,10 @@
             });
             let version = i64::try_from(table.version()).unwrap_or(i64::MAX);
             site.metrics.configuration_version.set(version);
-            site.table.send_replace(Some(Arc::new(table)));
+            site.table.send_replace(Some(InForce {
+                table: Arc::new(table),
+                since: site.now(),
+            }));
         }
         Ok(Object::Version { model, version }) => site.targets.send_modify(|targets| {
             let target = targets.entry(model.clone()).or_default();
--- a/crates/shallotroute_resident/src/site.rs
+++ b/crates/shallotroute_resident/src/site.rs
@@ -38,7 +38,7 @@
     pub(crate) store: Store,
     pub(crate) pool: Arc<Pool>,
     /// The configuration in force.
-    pub(crate) table: watch::Sender<Option<Arc<Table>>>,
+    pub(crate) table: watch::Sender<Option<InForce>>,
     pub(crate) targets: watch::Sender<Targets>,
     /// The nodes whose hosts an operator wants to empty.
     pub(crate) retirements: watch::Sender<BTreeSet<Name>>,
@@ -62,6 +62,13 @@
     outcome: Outcome,
 }
 
+/// A configuration that requests use.
+#[derive(Clone, Debug)]
+pub(crate) struct InForce {
+    pub(crate) table: Arc<Table>,
+    pub(crate) since: Instant,
+}
+
 impl Site {
     /// Makes the shared parts, without any knowledge of the platform.
     pub(crate) fn new(settings: Settings, clock: Arc<dyn Clock>) -> Arc<Self> {
@@ -99,7 +106,13 @@
 
     /// Returns the configuration in force.
     pub(crate) fn table(&self) -> Option<Arc<Table>> {
-        self.table.borrow().clone()
+        let in_force = self.table.borrow();
+        in_force.as_ref().map(|it| Arc::clone(&it.table))
+    }
+
+    /// Returns when the configuration came into force at this node.
+    pub(crate) fn in_force_since(&self) -> Option<Instant> {
+        self.table.borrow().as_ref().map(|it| it.since)
     }
 
     /// Returns the backend servers.
