gateway: a request waits for fresh reads at most half of its time

After a pause of the process a request with less than 2 s left was sent when its time was nearly over, or answered after its caller had gone.

Change: it waits as long as a request may wait in the queue, half of its time, and is then refused as not run with a time to come back. Test: a_request_with_little_time_is_refused_while_servers_are_unknown.

--- a/crates/shallotroute_batch/src/run.rs
+++ b/crates/shallotroute_batch/src/run.rs
@@ -15,7 +15,7 @@
 pub use self::event::{Action, Close, Event, Limits, Rating, Tally, Wish};
 use crate::{
     item::{Attempt, Item, Phase},
-    record::{Chunk, Draft, DraftState, Listed, Outcome, Specification},
+    record::{self, Chunk, Draft, DraftState, Listed, Outcome, Specification},
 };
 
 /// How long a result waits for others to be written with it. Trainers read about twice a second, and
@@ -162,7 +162,7 @@
     /// Frees what only items in work need: texts, bodies, headers, ratings. The job has ended, and readers
     /// still get its results.
     pub fn release(&mut self) {
-        let slim = |item: &crate::record::Item| crate::record::Item {
+        let slim = |item: &record::Item| record::Item {
             id: item.id.clone(),
             group: item.group.clone(),
             path: String::new(),
--- a/crates/shallotroute_gateway/src/dispatch.rs
+++ b/crates/shallotroute_gateway/src/dispatch.rs
@@ -3,8 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use http::{Response, StatusCode};
+use shallotroute_context::freshness;
 use shallotroute_http::body::Body;
 use shallotroute_routing::{
+    admission,
     outcome::{self, Evidence, Refusal},
     pool::Query,
     retry::{self, Attempt},
@@ -31,7 +33,11 @@
     let mut outcome = Outcome::NotRun;
     let mut last = None;
     loop {
-        gateway.catch_up().await;
+        let until = admission::wait_until(clock.now(), call.deadline);
+        if !gateway.catch_up(until).await {
+            let failure = last.unwrap_or_else(outdated);
+            return Err(failure.with_outcome(outcome));
+        }
         let Some(sent) = choose(gateway, call, &permit, &mut tried) else {
             let failure = last.unwrap_or_else(|| no_server(call));
             return Err(failure.with_outcome(outcome));
@@ -92,6 +98,13 @@
     Some(Sent::new(&call.pool, choice, now, Arc::clone(permit)))
 }
 
+fn outdated() -> Box<Failure> {
+    let message = "this node was stopped and has not yet read again which servers take work";
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    Failure::not_run(status, "not_ready", Step::Selection, message)
+        .with_retry_after(freshness::LIMIT)
+}
+
 fn no_server(call: &Call) -> Box<Failure> {
     let message = format!(
         "no backend server of the pool `{}` takes work",
--- a/crates/shallotroute_gateway/src/lib.rs
+++ b/crates/shallotroute_gateway/src/lib.rs
@@ -22,7 +22,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use futures::future::BoxFuture;
@@ -35,6 +35,7 @@
 use shallotroute_http::{body::Body, client::Client, server::Handler};
 use shallotroute_peer::stream::Service;
 use shallotroute_platform::engine::Engine;
+use tokio::time::timeout_at;
 use uuid::Uuid;
 
 /// How long a backend server may take to accept a connection.
@@ -123,15 +124,17 @@
     }
 
     /// Waits until what the choice of a server rests on was read since the process started or was
-    /// resumed, and takes over the configuration in force.
-    async fn catch_up(&self) {
+    /// resumed, and takes over the configuration in force; tells whether that was so by `until`.
+    async fn catch_up(&self, until: Instant) -> bool {
         let Context {
             freshness, clock, ..
         } = &self.context;
-        if !freshness.is_fresh(clock.now()) {
-            freshness.wait(&**clock).await;
-            self.runtime();
+        if freshness.is_fresh(clock.now()) {
+            return true;
         }
+        let read = timeout_at(until.into(), freshness.wait(&**clock)).await;
+        self.runtime();
+        read.is_ok()
     }
 
     /// Makes the identity of a request, a UUID of version 7.
--- a/crates/shallotroute_gateway/tests/leaving.rs
+++ b/crates/shallotroute_gateway/tests/leaving.rs
@@ -11,13 +11,14 @@
 };
 
 use googletest::prelude::*;
-use http::StatusCode;
+use http::{Method, StatusCode};
 use serde_json::json;
 use shallotroute_config::{
     object::{Object, ServerState},
     set::Set,
 };
 use shallotroute_context::freshness::{Input, LIMIT};
+use shallotroute_http::body;
 use shallotroute_platform::{
     engine::State,
     host::{self, Host},
@@ -271,6 +272,30 @@
     expect_that!(started.elapsed(), lt(LIMIT + Duration::from_secs(1)));
 }
 
+/// Guards against a request that is sent when its time is nearly over, and against a refusal that comes
+/// when the caller has gone.
+#[gtest]
+#[tokio::test]
+async fn a_request_with_little_time_is_refused_while_servers_are_unknown() {
+    let fixture = fixture().await;
+    pause(&fixture.node);
+    let text = format!(r#"{{"model":"{}","prompt":"leek price?"}}"#, support::MODEL);
+    let request = fixture.node.request(Method::POST, "/v1/completions");
+    let request = request.header("x-request-timeout-ms", "800");
+    let started = Instant::now();
+    let response = fixture
+        .node
+        .send(request.body(body::full(text)).unwrap())
+        .await;
+    expect_that!(started.elapsed(), lt(Duration::from_millis(700)));
+    expect_that!(response.status(), eq(StatusCode::SERVICE_UNAVAILABLE));
+    expect_true!(response.headers().contains_key("retry-after"));
+    let error = support::error(response).await;
+    expect_that!(error["code"].as_str(), some(eq("not_ready")));
+    expect_that!(error["outcome"].as_str(), some(eq("not_run")));
+    expect_that!(fixture.leaving.count(), eq(2));
+}
+
 /// Guards against new work for an engine that reports a withdrawn version of the model.
 #[tokio::test]
 async fn by_a_withdrawn_version() {
