resident: log how a job starts at a node and what an empty page rests on

Cause: of the hypotheses of docs/incidents/lost-position.md, the logs told none from the others: nothing was logged when an assigned node started a job, nor when an owner answered that a position is empty. Change: `job started at this node` with the way in which the node became the owner, `no result at this position` with the age of the claim's confirmation and whether a write is in progress; the counter `pages_total` by outcome.

--- a/crates/shallotroute_resident/src/claim.rs
+++ b/crates/shallotroute_resident/src/claim.rs
@@ -52,15 +52,39 @@
     Unknown(String),
 }
 
-/// What former owners of a job have done; empty for a new job.
-#[derive(Default)]
+/// How this node has become the owner of a job.
+#[derive(Clone, Copy, Debug, derive_more::Display)]
+enum Origin {
+    /// It has accepted the job.
+    #[display("accepted")]
+    Accepted,
+    /// Another node has accepted the job on its behalf.
+    #[display("assigned")]
+    Assigned,
+    /// It has claimed a job that another process owned.
+    #[display("taken_over")]
+    TakenOver,
+}
+
+/// What a job starts from at this node: what former owners have done, nothing for a new job.
 struct Progress {
+    origin: Origin,
     /// The committed results.
     results: Vec<ItemResult>,
     /// The progress of other items.
     checkpoints: Vec<Checkpoint>,
 }
 
+impl Progress {
+    fn new(origin: Origin) -> Self {
+        Self {
+            origin,
+            results: Vec::new(),
+            checkpoints: Vec::new(),
+        }
+    }
+}
+
 /// Stores a new job and starts it at the node that runs the jobs of its route: that node has open
 /// connections and knows the load of the route's other jobs.
 pub(crate) async fn accept(
@@ -106,7 +130,12 @@
                     // Without a reservation, a task has seen the new head and takes the job over.
                     if let Some(reservation) = Reservation::new(shared, job) {
                         let specification = Arc::new(specification);
-                        start(&reservation, stored, specification, Progress::default());
+                        start(
+                            &reservation,
+                            stored,
+                            specification,
+                            Progress::new(Origin::Accepted),
+                        );
                     }
                 }
             }
@@ -179,7 +208,12 @@
             if let Some(reservation) = Reservation::new(shared, job) {
                 let stored = StoredHead { head, revision };
                 let specification = Arc::new(specification);
-                start(&reservation, stored, specification, Progress::default());
+                start(
+                    &reservation,
+                    stored,
+                    specification,
+                    Progress::new(Origin::Assigned),
+                );
             }
             true
         }
@@ -286,6 +320,7 @@
     });
     let stored = StoredHead { head, revision };
     let progress = Progress {
+        origin: Origin::TakenOver,
         results,
         checkpoints,
     };
@@ -306,6 +341,7 @@
         if let Ok((specification, results)) = ledger::load(shared, job, &head).await {
             let stored = StoredHead { head, revision };
             let progress = Progress {
+                origin: Origin::TakenOver,
                 results,
                 checkpoints,
             };
@@ -539,6 +575,14 @@
         })
         .map_or(Duration::from_secs(60), |batch| batch.abandon_after);
     let age = Duration::from_millis(shared.unix_ms().saturating_sub(head.submitted_ms));
+    spdlog::info!("job started at this node", kv: {
+        job = job.as_str(),
+        origin = progress.origin.to_string(),
+        revision,
+        listed = progress.results.len(),
+        total = specification.items.len(),
+        age_ms = age.as_millis(),
+    });
     let remaining = (abandon_after + CLOCK_SKEW_MARGIN).saturating_sub(age.min(abandon_after));
     let mut state_machine = Job::new(specification, progress.results, now + remaining);
     state_machine.restore(progress.checkpoints, now);
--- a/crates/shallotroute_resident/src/job.rs
+++ b/crates/shallotroute_resident/src/job.rs
@@ -17,7 +17,7 @@
 use shallotroute_types::name::Name;
 use tokio::sync::{mpsc, watch};
 
-use crate::{claim, peer::CallError, shared::Shared};
+use crate::{claim, metric::Metrics, peer::CallError, shared::Shared};
 
 /// The maximum number of cached owners of other nodes' jobs; the cache is cleared when it is full.
 const MAX_KNOWN_OWNERS: usize = 1024;
@@ -263,15 +263,38 @@
             && !is_complete
             && !claim::confirm(shared, self, EMPTY_PAGE_CLAIM_TTL).await
         {
+            Metrics::count(&shared.metrics.pages, "not_owner");
             return None;
         }
         if self.progress.borrow().is_lost {
+            Metrics::count(&shared.metrics.pages, "not_owner");
             return None;
         }
         let state = self.state();
+        self.log_page(shared, &state, after);
         Some(page(state.job.specification(), state.job.results(), after))
     }
 
+    /// Counts a page with the results after the first `after` ones, and logs on what evidence an empty
+    /// page rests.
+    fn log_page(&self, shared: &Shared, state: &State, after: usize) {
+        let committed = state.job.results().len();
+        if committed > after {
+            Metrics::count(&shared.metrics.pages, "results");
+            return;
+        }
+        Metrics::count(&shared.metrics.pages, "none");
+        let age = shared.now().saturating_duration_since(state.confirmed_at);
+        spdlog::info!("no result at this position", kv: {
+            job = self.id.as_str(),
+            after,
+            listed = committed,
+            revision = state.revision,
+            confirmed_ms_ago = age.as_millis(),
+            writing = state.job.is_writing(),
+        });
+    }
+
     /// Returns the body of an item, or `None` if the job has no such item.
     ///
     /// # Errors
--- a/crates/shallotroute_resident/src/metric.rs
+++ b/crates/shallotroute_resident/src/metric.rs
@@ -54,6 +54,8 @@
     pub(crate) attempts: Family<Label, Counter>,
     /// Batch jobs by event.
     pub(crate) jobs: Family<Label, Counter>,
+    /// Reads of results that this node served as the owner of the job, by what they returned.
+    pub(crate) pages: Family<Label, Counter>,
     /// Runs of items at model servers, by outcome.
     pub(crate) runs: Family<Label, Counter>,
     /// Requests to scorers, by outcome.
@@ -87,6 +89,7 @@
             request_seconds: histogram(),
             attempts: Family::default(),
             jobs: Family::default(),
+            pages: Family::default(),
             runs: Family::default(),
             scorings: Family::default(),
             job_seconds: histogram(),
@@ -116,6 +119,11 @@
             self.attempts.clone(),
         );
         registry.register("jobs", "Batch jobs by event", self.jobs.clone());
+        registry.register(
+            "pages",
+            "Reads of results at the owner of their job",
+            self.pages.clone(),
+        );
         registry.register("runs", "Runs of items at model servers", self.runs.clone());
         registry.register("ratings", "Ratings of texts", self.scorings.clone());
         registry.register(
