batch, resident: an empty page needs evidence whose age is known

Cause: an owner says from its memory that a position is empty, and the age of its evidence was wrong. A node to which a job was assigned counted its claim as confirmed when the call that starts the job arrived, which a cut or a pause delays by seconds; meanwhile another node had taken the job over and committed results. Other confirmations counted from the arrival of the store's response, by a clock that stands still while the host is suspended, and the answer could take 1.4 s to the node that relays it. Change: batch::claim decides whether an owner answers from its memory. A claim that is known from another node is unconfirmed; a confirmation counts from the sending of the call, in time since boot; evidence is at most 0.5 s old at the owner, which returns an empty page after the reader's whole wait, so that the relay's timeout of 0.4 s more bounds its age below the second in which results settle. A reader's call asks each likely owner once, within the reader's wait.

--- a/crates/shallotroute_batch/src/lib.rs
+++ b/crates/shallotroute_batch/src/lib.rs
@@ -2,6 +2,7 @@
 //! [`job::Job`].
 
 pub mod checkpoint;
+pub mod claim;
 pub mod item;
 pub mod job;
 pub mod record;
--- a/crates/shallotroute_gateway/tests/support/mod.rs
+++ b/crates/shallotroute_gateway/tests/support/mod.rs
@@ -202,6 +202,10 @@
         Instant::now()
     }
 
+    fn boot_time(&self) -> Duration {
+        Duration::ZERO
+    }
+
     fn wall_time(&self) -> SystemTime {
         SystemTime::now() + *self.0.lock().unwrap()
     }
--- a/crates/shallotroute_platform/tests/throttle.rs
+++ b/crates/shallotroute_platform/tests/throttle.rs
@@ -31,6 +31,10 @@
         self.0
     }
 
+    fn boot_time(&self) -> Duration {
+        Duration::ZERO
+    }
+
     fn wall_time(&self) -> SystemTime {
         SystemTime::UNIX_EPOCH
     }
--- a/crates/shallotroute_resident/src/checkpoint.rs
+++ b/crates/shallotroute_resident/src/checkpoint.rs
@@ -158,12 +158,11 @@
 /// nothing if this process no longer owns the job.
 pub(crate) async fn store(shared: &Shared, owned: &Owned, checkpoints: &[Checkpoint]) {
     let revision = owned.state().revision;
-    let started_at = shared.now();
+    let requested_at = shared.boot_time();
     match ledger::write_checkpoints(shared, &owned.id, revision, checkpoints).await {
         // The store has confirmed the claim, which saves a read of the head.
         Ok(true) => {
-            let mut state = owned.state();
-            state.confirmed_at = state.confirmed_at.max(started_at);
+            owned.state().claim.confirm(requested_at);
         }
         // The runner finds out who owns the job now.
         Ok(false) => {}
--- a/crates/shallotroute_resident/src/claim.rs
+++ b/crates/shallotroute_resident/src/claim.rs
@@ -8,6 +8,7 @@
 
 use shallotroute_adapter::store::{Write, WriteOutcome};
 use shallotroute_batch::{
+    claim::Claim,
     job::Job,
     record::{self, Checkpoint, Chunk, Head, ItemResult, MAX_PART_BYTES, Specification},
 };
@@ -69,6 +70,7 @@
 /// What a job starts from at this node: what former owners have done, nothing for a new job.
 struct Progress {
     origin: Origin,
+    claim: Claim,
     /// The committed results.
     results: Vec<ItemResult>,
     /// The progress of other items.
@@ -76,9 +78,10 @@
 }
 
 impl Progress {
-    fn new(origin: Origin) -> Self {
+    fn new(origin: Origin, claim: Claim) -> Self {
         Self {
             origin,
+            claim,
             results: Vec::new(),
             checkpoints: Vec::new(),
         }
@@ -114,6 +117,7 @@
         .enumerate()
         .map(|(index, part)| (ledger::specification_key(job, index), part.to_vec(), 0))
         .collect();
+    let claim = Claim::new(shared.boot_time());
     match ledger::write_head(shared, job, &head, 0, puts, CLAIM_TIMEOUT).await {
         ledger::Outcome::Done(revision) => {
             let stored = StoredHead { head, revision };
@@ -129,13 +133,8 @@
                 None => {
                     // Without a reservation, a task has seen the new head and takes the job over.
                     if let Some(reservation) = Reservation::new(shared, job) {
-                        let specification = Arc::new(specification);
-                        start(
-                            &reservation,
-                            stored,
-                            specification,
-                            Progress::new(Origin::Accepted),
-                        );
+                        let progress = Progress::new(Origin::Accepted, claim);
+                        start(&reservation, stored, Arc::new(specification), progress);
                     }
                 }
             }
@@ -212,7 +211,7 @@
                     &reservation,
                     stored,
                     specification,
-                    Progress::new(Origin::Assigned),
+                    Progress::new(Origin::Assigned, Claim::unconfirmed()),
                 );
             }
             true
@@ -277,26 +276,12 @@
         return false;
     }
     let former_owner = stored.head.owner.clone();
-    let head = Head {
-        owner: Some(shared.owner.clone()),
-        nonce: rand::random(),
-        ..stored.head
-    };
-    let outcome = ledger::write_head(
-        shared,
-        job,
-        &head,
-        stored.revision,
-        Vec::new(),
-        CLAIM_TIMEOUT,
-    )
-    .await;
-    let ledger::Outcome::Done(revision) = outcome else {
+    let Some((stored, claim)) = claim_head(shared, job, stored).await else {
         return false;
     };
     // An item that has started without its checkpoint would generate from its first event again.
     let (records, checkpoints) = tokio::join!(
-        ledger::load(shared, job, &head),
+        ledger::load(shared, job, &stored.head),
         checkpoint::collect(shared, job)
     );
     let (specification, results) = match records {
@@ -305,7 +290,7 @@
             spdlog::warn!("failed to load claimed job; retrying", kv: {
                 job = job.as_str(), error = error.to_string(),
             });
-            tokio::spawn(retry_load(reservation, head, revision, checkpoints));
+            tokio::spawn(retry_load(reservation, stored, claim, checkpoints));
             return true;
         }
     };
@@ -313,14 +298,14 @@
     spdlog::info!("job taken over", kv: {
         job = job.as_str(),
         from = former_owner.map_or_else(|| "none".to_owned(), |owner| owner.to_string()),
-        revision,
+        revision = stored.revision,
         listed = results.len(),
         total = specification.items.len(),
         drafts = checkpoints.len(),
     });
-    let stored = StoredHead { head, revision };
     let progress = Progress {
         origin: Origin::TakenOver,
+        claim,
         results,
         checkpoints,
     };
@@ -328,20 +313,48 @@
     true
 }
 
+/// Writes this process as the owner into a job's head. Returns the new head and the claim, or `None` if
+/// another process has changed the head or the outcome of the write stays unknown.
+async fn claim_head(
+    shared: &Shared,
+    job: &Name,
+    stored: StoredHead,
+) -> Option<(StoredHead, Claim)> {
+    let head = Head {
+        owner: Some(shared.owner.clone()),
+        nonce: rand::random(),
+        ..stored.head
+    };
+    let claim = Claim::new(shared.boot_time());
+    let outcome = ledger::write_head(
+        shared,
+        job,
+        &head,
+        stored.revision,
+        Vec::new(),
+        CLAIM_TIMEOUT,
+    )
+    .await;
+    match outcome {
+        ledger::Outcome::Done(revision) => Some((StoredHead { head, revision }, claim)),
+        _ => None,
+    }
+}
+
 /// Loads a claimed job, retrying until it succeeds, and starts it.
 async fn retry_load(
     reservation: Reservation,
-    head: Head,
-    revision: u64,
+    stored: StoredHead,
+    claim: Claim,
     checkpoints: Vec<Checkpoint>,
 ) {
     let (shared, job) = (reservation.shared(), reservation.job());
     loop {
         tokio::time::sleep(ledger::RETRY_DELAY).await;
-        if let Ok((specification, results)) = ledger::load(shared, job, &head).await {
-            let stored = StoredHead { head, revision };
+        if let Ok((specification, results)) = ledger::load(shared, job, &stored.head).await {
             let progress = Progress {
                 origin: Origin::TakenOver,
+                claim,
                 results,
                 checkpoints,
             };
@@ -406,6 +419,7 @@
 
 /// Writes the end once. Returns `false` if another process has changed the head since it was read.
 async fn try_end(shared: &Shared, job: &Name) -> Result<bool> {
+    let requested_at = shared.boot_time();
     let stored = ledger::read_head(shared, job).await?;
     if stored.head.ended {
         return Ok(true);
@@ -424,7 +438,7 @@
                 let mut state = owned.state();
                 state.head = head;
                 state.revision = revision;
-                state.confirmed_at = shared.now();
+                state.claim.confirm(requested_at);
             }
             Ok(true)
         }
@@ -463,9 +477,10 @@
             puts: vec![(key.clone(), value.clone(), 0)],
             removals: Vec::new(),
         };
+        let requested_at = shared.boot_time();
         match shared.store.write(&write).await {
             Ok(WriteOutcome::Applied(_)) => {
-                owned.state().confirmed_at = shared.now();
+                owned.state().claim.confirm(requested_at);
                 return true;
             }
             Ok(WriteOutcome::Conflict(items)) => {
@@ -511,18 +526,18 @@
 
 /// Returns whether the store has confirmed a claim within `max_age`.
 pub(crate) fn is_confirmed(shared: &Shared, owned: &Owned, max_age: Duration) -> bool {
-    let confirmed = owned.state().confirmed_at;
-    shared.now().saturating_duration_since(confirmed) < max_age
+    let claim = owned.state().claim;
+    claim.is_confirmed(max_age, shared.boot_time())
 }
 
 /// Reads the head and returns whether it names this process as the owner. If the store can't be
 /// read, the claim is taken to hold.
 async fn confirm_with_store(shared: &Shared, owned: &Owned) -> bool {
-    let started_at = shared.now();
+    let requested_at = shared.boot_time();
     match ledger::read_head(shared, &owned.id).await {
         Ok(stored) if stored.head.owner.as_ref() == Some(&shared.owner) => {
             let mut state = owned.state();
-            state.confirmed_at = started_at;
+            state.claim.confirm(requested_at);
             state.revision = stored.revision;
             if stored.head.ended {
                 owned
@@ -586,7 +601,14 @@
     let remaining = (abandon_after + CLOCK_SKEW_MARGIN).saturating_sub(age.min(abandon_after));
     let mut state_machine = Job::new(specification, progress.results, now + remaining);
     state_machine.restore(progress.checkpoints, now);
-    let (owned, events) = Owned::new(job.clone(), state_machine, head, revision, now);
+    let (owned, events) = Owned::new(
+        job.clone(),
+        state_machine,
+        head,
+        revision,
+        progress.claim,
+        now,
+    );
     shared.jobs.insert(Arc::clone(&owned));
     tokio::spawn(runner::run(Arc::clone(shared), owned, events));
 }
--- a/crates/shallotroute_resident/src/dump.rs
+++ b/crates/shallotroute_resident/src/dump.rs
@@ -1,6 +1,6 @@
 //! The state of a node as JSON, for operators and audits.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 use shallotroute_batch::record::Owner;
@@ -34,7 +34,7 @@
         "members": members(shared),
         "named_versions": *shared.targets.borrow(),
         "servers": servers(shared),
-        "jobs": shared.jobs.all_owned().iter().map(|owned| job(owned, now)).collect::<Vec<_>>(),
+        "jobs": shared.jobs.all_owned().iter().map(|owned| job(owned, shared.boot_time())).collect::<Vec<_>>(),
     })
 }
 
@@ -94,14 +94,14 @@
         .collect()
 }
 
-fn job(owned: &Owned, now: Instant) -> Value {
+fn job(owned: &Owned, boot_time: Duration) -> Value {
     let progress = *owned.progress.borrow();
     let state = owned.state();
     let counts = state.job.item_counts();
     json!({
         "id": owned.id,
         "revision": state.revision,
-        "confirmed_ms_ago": now.saturating_duration_since(state.confirmed_at).as_millis(),
+        "confirmed_ms_ago": state.claim.age(boot_time).map(|age| age.as_millis()),
         "oldest_version": state.job.specification().min_version,
         "ended": progress.is_ended,
         "waiting": counts.waiting,
--- a/crates/shallotroute_resident/src/job.rs
+++ b/crates/shallotroute_resident/src/job.rs
@@ -11,6 +11,7 @@
 
 use shallotroute_adapter::{backend, job};
 use shallotroute_batch::{
+    claim::{Claim, MAX_EVIDENCE_AGE, Source},
     job::{Event, Job},
     record::{Head, ItemResult, Owner, Specification},
 };
@@ -28,10 +29,6 @@
 /// The time after a confirmation by the store from which on an owner has its claim confirmed again.
 pub(crate) const CLAIM_TTL: Duration = Duration::from_millis(1500);
 
-/// The same for an answer that no further result exists. A trainer that has read a result from a new
-/// owner may ask the former owner a second later and must not get that answer.
-const EMPTY_PAGE_CLAIM_TTL: Duration = Duration::from_millis(800);
-
 /// The jobs that this node owns, and a cache of other jobs' owners, by identity of the job.
 #[derive(Default)]
 pub(crate) struct Registry {
@@ -111,7 +108,7 @@
     /// The revision of the head that makes this node the owner.
     pub(crate) revision: u64,
     /// When the store last confirmed that revision.
-    pub(crate) confirmed_at: Instant,
+    pub(crate) claim: Claim,
     /// When this node began to run the job.
     pub(crate) started_at: Instant,
 }
@@ -183,13 +180,13 @@
 }
 
 impl Owned {
-    /// Creates a job whose claim the store confirmed at `now`. Returns it with the receiver of its
-    /// events.
+    /// Creates a job that begins to run at `now`. Returns it with the receiver of its events.
     pub(crate) fn new(
         id: Name,
         job: Job,
         head: Head,
         revision: u64,
+        claim: Claim,
         now: Instant,
     ) -> (Arc<Self>, mpsc::UnboundedReceiver<(u64, Event)>) {
         let (events, receiver) = mpsc::unbounded_channel();
@@ -211,7 +208,7 @@
                 job,
                 head,
                 revision,
-                confirmed_at: now,
+                claim,
                 started_at: now,
             }),
         };
@@ -252,21 +249,17 @@
         wait: Duration,
     ) -> Option<Vec<u8>> {
         let mut progress = self.progress.subscribe();
-        let new_result = progress.wait_for(|progress| {
-            progress.committed > after || progress.is_ended || progress.is_lost
-        });
+        // Also waits for results of an ended job: an empty page that comes sooner would have an age that
+        // the node which relays it can't bound.
+        let new_result =
+            progress.wait_for(|progress| progress.committed > after || progress.is_lost);
         // After a timeout the page is empty.
         let _ = tokio::time::timeout(wait, new_result).await;
-        let is_complete = self.state().job.is_finished();
-        let has_no_result = self.progress.borrow().committed <= after;
-        if has_no_result
-            && !is_complete
-            && !claim::confirm(shared, self, EMPTY_PAGE_CLAIM_TTL).await
-        {
-            Metrics::count(&shared.metrics.pages, "not_owner");
-            return None;
-        }
-        if self.progress.borrow().is_lost {
+        let is_confirmed = match self.source(shared, after) {
+            Source::Memory => true,
+            Source::ConfirmedMemory => claim::confirm(shared, self, MAX_EVIDENCE_AGE).await,
+        };
+        if !is_confirmed || self.progress.borrow().is_lost {
             Metrics::count(&shared.metrics.pages, "not_owner");
             return None;
         }
@@ -275,6 +268,11 @@
         Some(page(state.job.specification(), state.job.results(), after))
     }
 
+    fn source(&self, shared: &Shared, after: usize) -> Source {
+        let state = self.state();
+        state.claim.source(&state.job, after, shared.boot_time())
+    }
+
     /// Counts a page with the results after the first `after` ones, and logs on what evidence an empty
     /// page rests.
     fn log_page(&self, shared: &Shared, state: &State, after: usize) {
@@ -284,13 +282,13 @@
             return;
         }
         Metrics::count(&shared.metrics.pages, "none");
-        let age = shared.now().saturating_duration_since(state.confirmed_at);
+        let age = state.claim.age(shared.boot_time());
         spdlog::info!("no result at this position", kv: {
             job = self.id.as_str(),
             after,
             listed = committed,
             revision = state.revision,
-            confirmed_ms_ago = age.as_millis(),
+            confirmed_ms_ago = format!("{:?}", age.map(|age| age.as_millis())),
             writing = state.job.is_writing(),
         });
     }
--- a/crates/shallotroute_resident/src/runner.rs
+++ b/crates/shallotroute_resident/src/runner.rs
@@ -131,7 +131,7 @@
         is_storing: Arc::default(),
     };
     let mut progress = owned.progress.subscribe();
-    let mut last_iteration = shared.now();
+    let mut last_iteration = shared.boot_time();
     loop {
         let current = *progress.borrow_and_update();
         if current.is_ended {
@@ -140,12 +140,12 @@
         if current.is_lost || runner.is_done(current) {
             break;
         }
-        let was_suspended = shared.now().saturating_duration_since(last_iteration) >= CLAIM_TTL;
         // Another node may have taken the job over while this process was suspended.
+        let was_suspended = shared.boot_time().saturating_sub(last_iteration) >= CLAIM_TTL;
         if was_suspended && !claim::confirm(&shared, &owned, CLAIM_TTL).await {
             continue;
         }
-        last_iteration = shared.now();
+        last_iteration = shared.boot_time();
         runner.confirm();
         runner.advance();
         runner.start_write();
--- a/crates/shallotroute_resident/src/shared.rs
+++ b/crates/shallotroute_resident/src/shared.rs
@@ -206,6 +206,11 @@
         self.clock.now()
     }
 
+    /// Returns the time since the boot of the host, including its suspensions.
+    pub(crate) fn boot_time(&self) -> Duration {
+        self.clock.boot_time()
+    }
+
     /// Returns the Unix time in milliseconds.
     pub(crate) fn unix_ms(&self) -> u64 {
         unix_milliseconds(self.clock.wall_time())
--- a/crates/shallotroute_resident/src/trainer.rs
+++ b/crates/shallotroute_resident/src/trainer.rs
@@ -1,11 +1,14 @@
 //! Serves trainers' calls about batch jobs. A call may arrive at any node, which forwards it to the
 //! owner of the job or answers it from the platform's store.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use http::{HeaderValue, Response, StatusCode, header};
 use shallotroute_adapter::{caller::JobCall, job as wire};
-use shallotroute_batch::record::Owner;
+use shallotroute_batch::{claim::MAX_RELAY_TIME, record::Owner};
 use shallotroute_fleet::route::Kind;
 use shallotroute_http::body::{self, Body};
 use shallotroute_types::name::Name;
@@ -21,9 +24,6 @@
     store::Error,
 };
 
-/// How much longer than the trainer's wait time the call to a job's owner may take.
-const OWNER_CALL_MARGIN: Duration = Duration::from_millis(400);
-
 /// The maximum number of likely owners that are called before the store is read.
 const MAX_LIKELY_OWNERS: usize = 4;
 
@@ -104,9 +104,9 @@
     {
         return json(page);
     }
-    let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-    let owner_call = call_owner(shared, job, wait, |client, context| {
+    let owner_call = call_owner(shared, job, wait, |client, context, wait| {
         let job = job.clone();
+        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
         async move { client.read_results(context, job, after, wait_ms).await }
     })
     .await;
@@ -127,7 +127,7 @@
     {
         return bytes_or_not_found(content);
     }
-    let owner_call = call_owner(shared, job, Duration::ZERO, |client, context| {
+    let owner_call = call_owner(shared, job, Duration::ZERO, |client, context, _| {
         let (job, item) = (job.clone(), item.clone());
         async move { client.item_body(context, job, item).await }
     })
@@ -148,7 +148,7 @@
     let is_stored = match shared.jobs.owned(job) {
         Some(owned) => owned.end(shared).await,
         None => {
-            let owner_call = call_owner(shared, job, claim::END_TIMEOUT, |client, context| {
+            let owner_call = call_owner(shared, job, claim::END_TIMEOUT, |client, context, _| {
                 let job = job.clone();
                 async move { client.end_job(context, job).await }
             })
@@ -179,26 +179,28 @@
 
 /// Calls the owner of a job if another live process owns it, and reads the job's head from the
 /// store otherwise. Tries the last known owner first, then the likely ones, then the one in the
-/// store.
+/// store, each once. `call` gets what is left of `wait`.
 async fn call_owner<T, F>(
     shared: &Shared,
     job: &Name,
     wait: Duration,
-    call: impl Fn(crate::peer::PeerClient, tarpc::context::Context) -> F,
+    call: impl Fn(crate::peer::PeerClient, tarpc::context::Context, Duration) -> F,
 ) -> OwnerCall<T>
 where
     F: Future<Output = Result<Result<T, CallError>, tarpc::client::RpcError>>,
 {
-    if let Some(owner) = shared.jobs.known_owner(job)
-        && let Some(answer) = call_process(shared, job, &owner, wait, &call).await
-    {
-        return OwnerCall::Answer(answer);
-    }
-    for owner in likely_owners(shared) {
-        if let Some(answer) = call_process(shared, job, &owner, wait, &call).await {
+    let deadline = shared.now() + wait;
+    let mut asked: Vec<Owner> = Vec::new();
+    let known = shared.jobs.known_owner(job);
+    for owner in known.into_iter().chain(likely_owners(shared)) {
+        if asked.contains(&owner) {
+            continue;
+        }
+        if let Some(answer) = call_process(shared, job, &owner, deadline, &call).await {
             shared.jobs.set_known_owner(job, Some(owner));
             return OwnerCall::Answer(answer);
         }
+        asked.push(owner);
     }
     let stored = match ledger::read_head(shared, job).await {
         Ok(stored) => stored,
@@ -212,7 +214,10 @@
     let Some(owner) = stored.head.owner.clone() else {
         return OwnerCall::Stored(stored);
     };
-    match call_process(shared, job, &owner, wait, &call).await {
+    if asked.contains(&owner) {
+        return OwnerCall::Stored(stored);
+    }
+    match call_process(shared, job, &owner, deadline, &call).await {
         Some(answer) => {
             shared.jobs.set_known_owner(job, Some(owner));
             OwnerCall::Answer(answer)
@@ -241,12 +246,13 @@
 
 /// Calls a process about a job that it may own. Returns `None` if the process is this one, has no
 /// member entry, does not respond, or does not own the job. A failed call removes the cached owner.
+/// The process may wait for a result until `deadline`.
 async fn call_process<T, F>(
     shared: &Shared,
     job: &Name,
     owner: &Owner,
-    wait: Duration,
-    call: impl Fn(crate::peer::PeerClient, tarpc::context::Context) -> F,
+    deadline: Instant,
+    call: impl Fn(crate::peer::PeerClient, tarpc::context::Context, Duration) -> F,
 ) -> Option<T>
 where
     F: Future<Output = Result<Result<T, CallError>, tarpc::client::RpcError>>,
@@ -258,9 +264,12 @@
     if *owner == shared.owner || !may_be_alive {
         return None;
     }
+    let wait = deadline.saturating_duration_since(shared.now());
     let called = shared
         .peers
-        .call(owner.address, wait + OWNER_CALL_MARGIN, call)
+        .call(owner.address, wait + MAX_RELAY_TIME, |client, context| {
+            call(client, context, wait)
+        })
         .await;
     let error = match called {
         Ok(Ok(answer)) => return Some(answer),
