resident: a claim that can't be checked is no evidence

Cause: an owner that couldn't read the store took its claim as confirmed and answered that a position is empty. A node that the store turns away, with its relays, stays the owner in its own eyes for as long, while another node has taken the job over; nodes in touch relay its answer. Change: the check of a claim has three outcomes. A job goes on while the store can't be read, since its writes are conditional on the claim, but an empty page is not answered: the reader's node reads the store, and answers 503 if it can't either. Results in memory are still returned.

--- a/crates/shallotroute/tests/soak.rs
+++ b/crates/shallotroute/tests/soak.rs
@@ -4,6 +4,7 @@
 use std::{path::Path, time::Duration};
 
 use googletest::prelude::*;
+use http::StatusCode;
 use shallotroute_soak::{
     soak::{self, Options, Report},
     unresponsive_store,
@@ -59,6 +60,21 @@
     expect_that!(report.successful_requests, ge(20));
 }
 
+/// Guards against an owner that says that there is no result at a position while it can't know whether it
+/// is still the owner.
+#[gtest]
+#[tokio::test]
+async fn no_position_is_said_to_be_empty_while_the_store_does_not_respond() {
+    let report = unresponsive_store::run(Path::new(env!("CARGO_BIN_EXE_shallotroute")))
+        .await
+        .expect("the stand-ins should start and the job should begin");
+    expect_that!(report.read_statuses.len(), ge(3));
+    expect_that!(
+        report.read_statuses,
+        each(eq(&StatusCode::SERVICE_UNAVAILABLE))
+    );
+}
+
 /// Guards against jobs that wait for the store to confirm their claims: when the store stopped
 /// responding, each pass over a job took as long as the timeout of a store call.
 #[gtest]
--- a/crates/shallotroute_resident/src/claim.rs
+++ b/crates/shallotroute_resident/src/claim.rs
@@ -489,7 +489,7 @@
                 if let Some(existing) = existing {
                     return existing.value == value || stop_after_conflict(owned, chunk.start);
                 }
-                if !confirm_with_store(shared, owned).await {
+                if confirm_with_store(shared, owned).await == Confirmation::Lost {
                     return false;
                 }
             }
@@ -518,10 +518,24 @@
     false
 }
 
-/// Returns whether this node owns a job; reads the store if the last confirmation is older than
-/// `max_age`. If the store can't be read, the claim is taken to hold.
-pub(crate) async fn confirm(shared: &Shared, owned: &Owned, max_age: Duration) -> bool {
-    is_confirmed(shared, owned, max_age) || confirm_with_store(shared, owned).await
+/// What the store says about this process's claim to a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Confirmation {
+    /// This process is the owner.
+    Held,
+    /// Another process is the owner, or the job does not exist.
+    Lost,
+    /// The store can't be read.
+    Unknown,
+}
+
+/// Checks whether this node owns a job; reads the store if the last confirmation is older than
+/// `max_age`.
+pub(crate) async fn confirm(shared: &Shared, owned: &Owned, max_age: Duration) -> Confirmation {
+    match is_confirmed(shared, owned, max_age) {
+        true => Confirmation::Held,
+        false => confirm_with_store(shared, owned).await,
+    }
 }
 
 /// Returns whether the store has confirmed a claim within `max_age`.
@@ -530,9 +544,8 @@
     claim.is_confirmed(max_age, shared.boot_time())
 }
 
-/// Reads the head and returns whether it names this process as the owner. If the store can't be
-/// read, the claim is taken to hold.
-async fn confirm_with_store(shared: &Shared, owned: &Owned) -> bool {
+/// Reads the head and returns whether it names this process as the owner.
+async fn confirm_with_store(shared: &Shared, owned: &Owned) -> Confirmation {
     let requested_at = shared.boot_time();
     match ledger::read_head(shared, &owned.id).await {
         Ok(stored) if stored.head.owner.as_ref() == Some(&shared.owner) => {
@@ -545,7 +558,7 @@
                     .send_modify(|progress| progress.is_ended = true);
             }
             state.head = stored.head;
-            true
+            Confirmation::Held
         }
         Ok(stored) => {
             let owner = stored.head.owner;
@@ -558,16 +571,16 @@
             owned
                 .progress
                 .send_modify(|progress| progress.is_lost = true);
-            false
+            Confirmation::Lost
         }
         Err(Error::NotFound) => {
             spdlog::error!("head of an owned job is missing", kv: { job = owned.id.as_str() });
             owned
                 .progress
                 .send_modify(|progress| progress.is_lost = true);
-            false
+            Confirmation::Lost
         }
-        Err(_) => true,
+        Err(_) => Confirmation::Unknown,
     }
 }
 
--- a/crates/shallotroute_resident/src/job.rs
+++ b/crates/shallotroute_resident/src/job.rs
@@ -18,7 +18,12 @@
 use shallotroute_types::name::Name;
 use tokio::sync::{mpsc, watch};
 
-use crate::{claim, metric::Metrics, peer::CallError, shared::Shared};
+use crate::{
+    claim::{self, Confirmation},
+    metric::Metrics,
+    peer::CallError,
+    shared::Shared,
+};
 
 /// The maximum number of cached owners of other nodes' jobs; the cache is cleared when it is full.
 const MAX_KNOWN_OWNERS: usize = 1024;
@@ -241,7 +246,7 @@
 
     /// Returns a page with the results after the first `after` ones, encoded as JSON. Waits up to
     /// `wait` for one; the page is empty if none is committed. Returns `None` if this node no
-    /// longer owns the job.
+    /// longer owns the job, or would return an empty page and can't tell whether it does.
     pub(crate) async fn page(
         &self,
         shared: &Shared,
@@ -255,12 +260,16 @@
             progress.wait_for(|progress| progress.committed > after || progress.is_lost);
         // After a timeout the page is empty.
         let _ = tokio::time::timeout(wait, new_result).await;
-        let is_confirmed = match self.source(shared, after) {
-            Source::Memory => true,
+        let confirmation = match self.source(shared, after) {
+            Source::Memory => Confirmation::Held,
             Source::ConfirmedMemory => claim::confirm(shared, self, MAX_EVIDENCE_AGE).await,
         };
-        if !is_confirmed || self.progress.borrow().is_lost {
-            Metrics::count(&shared.metrics.pages, "not_owner");
+        if confirmation != Confirmation::Held || self.progress.borrow().is_lost {
+            let outcome = match confirmation {
+                Confirmation::Unknown => "unconfirmed",
+                Confirmation::Held | Confirmation::Lost => "not_owner",
+            };
+            Metrics::count(&shared.metrics.pages, outcome);
             return None;
         }
         let state = self.state();
--- a/crates/shallotroute_resident/src/runner.rs
+++ b/crates/shallotroute_resident/src/runner.rs
@@ -26,7 +26,9 @@
 };
 
 use crate::{
-    capacity, checkpoint, claim, generate,
+    capacity, checkpoint,
+    claim::{self, Confirmation},
+    generate,
     job::{CLAIM_TTL, Owned, Progress},
     metric::Metrics,
     score,
@@ -140,9 +142,10 @@
         if current.is_lost || runner.is_done(current) {
             break;
         }
-        // Another node may have taken the job over while this process was suspended.
+        // Another node may have taken the job over while this process was suspended. If the store can't
+        // be read, the job goes on: its writes are conditional on the claim.
         let was_suspended = shared.boot_time().saturating_sub(last_iteration) >= CLAIM_TTL;
-        if was_suspended && !claim::confirm(&shared, &owned, CLAIM_TTL).await {
+        if was_suspended && claim::confirm(&shared, &owned, CLAIM_TTL).await == Confirmation::Lost {
             continue;
         }
         last_iteration = shared.boot_time();
