batch, resident: no position is empty while a write of results is in progress

If the response to a write of results is lost, the store has the results and their owner repeats the write for up to two seconds a try. Nodes that the owner does not answer read the store meanwhile; the owner itself, whose claim is valid, said that there are no such results. Change: while a write is in progress, the owner waits 150 ms for its outcome and otherwise leaves the answer to the store. Result: batch/tests/claim.rs, a_position_is_not_empty_while_a_write_of_results_is_in_progress, which has no counterpart before: the state machine did not know of the question. Not seen with real processes.

--- a/crates/shallotroute_batch/src/claim.rs
+++ b/crates/shallotroute_batch/src/claim.rs
@@ -3,7 +3,8 @@
 //! Results that trainers have read stay readable, at every node: [`SETTLING_TIME`] after the first read of
 //! a position no node may say that it is empty. An owner's committed results may always be returned. That
 //! there are no others is certain only as of the moment at which the store last confirmed the claim:
-//! another process may have taken the job over since.
+//! another process may have taken the job over since. While the owner does not know the outcome of a write
+//! of results, the store may have results that the owner lacks, and other nodes read them there.
 
 use std::time::Duration;
 
@@ -39,6 +40,8 @@
     Memory,
     /// The owner's memory, once the store has confirmed the claim.
     ConfirmedMemory,
+    /// The store.
+    Store,
 }
 
 impl Claim {
@@ -75,7 +78,13 @@
     /// Returns where the results of `job` after the first `after` ones come from.
     pub fn source(&self, job: &Job, after: usize, now: Duration) -> Source {
         let has_result = job.results().len() > after;
-        match has_result || job.is_finished() || self.is_confirmed(MAX_EVIDENCE_AGE, now) {
+        if has_result || job.is_finished() {
+            return Source::Memory;
+        }
+        if job.is_writing() {
+            return Source::Store;
+        }
+        match self.is_confirmed(MAX_EVIDENCE_AGE, now) {
             true => Source::Memory,
             false => Source::ConfirmedMemory,
         }
--- a/crates/shallotroute_batch/tests/claim.rs
+++ b/crates/shallotroute_batch/tests/claim.rs
@@ -1,6 +1,9 @@
 //! Tests of the evidence on which an owner says that a position has no result.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use googletest::prelude::*;
 use rand::{RngExt, SeedableRng};
@@ -8,7 +11,7 @@
 use shallotroute_batch::{
     claim::{Claim, MAX_EVIDENCE_AGE, MAX_RELAY_TIME, SETTLING_TIME, Source},
     job::Job,
-    record::{Item, ItemResult, Outcome, Specification},
+    record::{Checkpoint, CheckpointState, Item, ItemResult, Outcome, Specification},
 };
 use shallotroute_types::version::Version;
 
@@ -35,7 +38,7 @@
         item,
         outcome: Outcome::Abandoned,
     });
-    let abandon_at = std::time::Instant::now() + Duration::from_secs(60);
+    let abandon_at = Instant::now() + Duration::from_secs(60);
     Job::new(Arc::new(specification), results.collect(), abandon_at)
 }
 
@@ -62,6 +65,32 @@
     expect_that!(claim.source(&job(2), 2, now), eq(Source::Memory));
 }
 
+/// Guards against an owner that says that a position is empty while the store has its result: the write
+/// took effect, its response was lost, and other nodes read the store.
+#[gtest]
+fn a_position_is_not_empty_while_a_write_of_results_is_in_progress() {
+    let now = Instant::now();
+    let mut job = job(0);
+    let done = CheckpointState::Done(Outcome::Abandoned);
+    job.restore(
+        vec![Checkpoint {
+            item: 0,
+            state: done,
+        }],
+        now,
+    );
+    expect_that!(
+        job.next_chunk(now + Duration::from_secs(2)),
+        some(anything())
+    );
+    let confirmed_at = milliseconds(5000);
+    let claim = Claim::new(confirmed_at);
+    expect_that!(claim.source(&job, 0, confirmed_at), eq(Source::Store));
+    job.commit_chunk();
+    expect_that!(claim.source(&job, 0, confirmed_at), eq(Source::Memory));
+    expect_that!(claim.source(&job, 1, confirmed_at), eq(Source::Memory));
+}
+
 /// How an owner dates its evidence, and how long its answer may be on its way.
 #[derive(Clone, Copy, Debug)]
 struct Policy {
@@ -92,7 +121,7 @@
     });
     match claim.source(&job(0), 0, checked_at) {
         Source::Memory => answered_at.checked_sub(first_read_at),
-        Source::ConfirmedMemory => None,
+        Source::ConfirmedMemory | Source::Store => None,
     }
 }
 
--- a/crates/shallotroute_resident/src/job.rs
+++ b/crates/shallotroute_resident/src/job.rs
@@ -34,6 +34,10 @@
 /// The time after a confirmation by the store from which on an owner has its claim confirmed again.
 pub(crate) const CLAIM_TTL: Duration = Duration::from_millis(1500);
 
+/// How long an empty page waits for the outcome of a write of results; the store answers in milliseconds.
+/// Below [`shallotroute_batch::claim::MAX_RELAY_TIME`].
+const WRITE_WAIT: Duration = Duration::from_millis(150);
+
 /// The jobs that this node owns, and a cache of other jobs' owners, by identity of the job.
 #[derive(Default)]
 pub(crate) struct Registry {
@@ -246,7 +250,7 @@
 
     /// Returns a page with the results after the first `after` ones, encoded as JSON. Waits up to
     /// `wait` for one; the page is empty if none is committed. Returns `None` if this node no
-    /// longer owns the job, or would return an empty page and can't tell whether it does.
+    /// longer owns the job, or can't tell whether there is a result.
     pub(crate) async fn page(
         &self,
         shared: &Shared,
@@ -256,20 +260,26 @@
         let mut progress = self.progress.subscribe();
         // Also waits for results of an ended job: an empty page that comes sooner would have an age that
         // the node which relays it can't bound.
-        let new_result =
-            progress.wait_for(|progress| progress.committed > after || progress.is_lost);
+        let has_result = |progress: &Progress| progress.committed > after || progress.is_lost;
         // After a timeout the page is empty.
-        let _ = tokio::time::timeout(wait, new_result).await;
+        let _ = tokio::time::timeout(wait, progress.wait_for(has_result)).await;
+        if self.source(shared, after) == Source::Store {
+            let _ = tokio::time::timeout(WRITE_WAIT, progress.wait_for(has_result)).await;
+        }
         let confirmation = match self.source(shared, after) {
-            Source::Memory => Confirmation::Held,
             Source::ConfirmedMemory => claim::confirm(shared, self, MAX_EVIDENCE_AGE).await,
+            Source::Memory | Source::Store => Confirmation::Held,
+        };
+        // The confirmation may have taken long, and a write may have begun meanwhile.
+        let refusal = match (confirmation, self.source(shared, after)) {
+            _ if self.progress.borrow().is_lost => Some("not_owner"),
+            (Confirmation::Lost, _) => Some("not_owner"),
+            (Confirmation::Held, Source::Memory) => None,
+            (Confirmation::Held, Source::Store) => Some("writing"),
+            _ => Some("unconfirmed"),
         };
-        if confirmation != Confirmation::Held || self.progress.borrow().is_lost {
-            let outcome = match confirmation {
-                Confirmation::Unknown => "unconfirmed",
-                Confirmation::Held | Confirmation::Lost => "not_owner",
-            };
-            Metrics::count(&shared.metrics.pages, outcome);
+        if let Some(refusal) = refusal {
+            Metrics::count(&shared.metrics.pages, refusal);
             return None;
         }
         let state = self.state();
