resident: a job does not adopt the head of another owner

Cause: a node that stores the end of a job put the head that it wrote into the job that it runs, also if another process owned that head: its claim then counted as confirmed and its writes passed the condition. A response that was overtaken by a newer one put an older revision back, and a job that had been lost took the claim that its successor at the same node had. Change: one method records a head: not an older one, not another owner's, and not for a lost job.

--- a/crates/shallotroute_resident/src/claim.rs
+++ b/crates/shallotroute_resident/src/claim.rs
@@ -434,11 +434,11 @@
         ledger::write_head(shared, job, &head, stored.revision, Vec::new(), timeout).await;
     match outcome {
         ledger::Outcome::Done(revision) => {
-            if let Some(owned) = shared.jobs.owned(job) {
-                let mut state = owned.state();
-                state.head = head;
-                state.revision = revision;
-                state.claim.confirm(requested_at);
+            // The job that runs here may be one that another process has taken over.
+            if let Some(owned) = shared.jobs.owned(job)
+                && head.owner.as_ref() == Some(&shared.owner)
+            {
+                owned.state().adopt(head, revision, requested_at);
             }
             Ok(true)
         }
@@ -546,18 +546,21 @@
 
 /// Reads the head and returns whether it names this process as the owner.
 async fn confirm_with_store(shared: &Shared, owned: &Owned) -> Confirmation {
+    // The head may name this process again, for the same job with other results.
+    if owned.progress.borrow().is_lost {
+        return Confirmation::Lost;
+    }
     let requested_at = shared.boot_time();
     match ledger::read_head(shared, &owned.id).await {
         Ok(stored) if stored.head.owner.as_ref() == Some(&shared.owner) => {
-            let mut state = owned.state();
-            state.claim.confirm(requested_at);
-            state.revision = stored.revision;
             if stored.head.ended {
                 owned
                     .progress
                     .send_modify(|progress| progress.is_ended = true);
             }
-            state.head = stored.head;
+            owned
+                .state()
+                .adopt(stored.head, stored.revision, requested_at);
             Confirmation::Held
         }
         Ok(stored) => {
--- a/crates/shallotroute_resident/src/job.rs
+++ b/crates/shallotroute_resident/src/job.rs
@@ -122,6 +122,18 @@
     pub(crate) started_at: Instant,
 }
 
+impl State {
+    /// Records the head that the store had when it processed a call which was sent at `requested_at`. Calls
+    /// may be answered out of order, so that an older head than the known one is ignored.
+    pub(crate) fn adopt(&mut self, head: Head, revision: u64, requested_at: Duration) {
+        if revision >= self.revision {
+            self.head = head;
+            self.revision = revision;
+            self.claim.confirm(requested_at);
+        }
+    }
+}
+
 impl Registry {
     /// Returns a job, or `None` if this node does not own it.
     pub(crate) fn owned(&self, job: &str) -> Option<Arc<Owned>> {
