resident: records of ended jobs outlast clock differences

The leader removes the records of an ended job by its own clock, while the time of submission is of the clock of the node that accepted it. A leader whose clock is ahead removed records before their retention was over. Change: the margin for clock differences that the deadline of items has already.

--- a/crates/shallotroute_resident/src/claim.rs
+++ b/crates/shallotroute_resident/src/claim.rs
@@ -36,9 +36,9 @@
 /// How long the write of a job's end or release is retried.
 pub(crate) const END_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// The time by which the deadline of a job's items is extended, because the clocks of the node that
-/// accepted the job and of the node that runs it may differ.
-const CLOCK_SKEW_MARGIN: Duration = Duration::from_secs(3);
+/// The time by which the deadline of a job's items and the retention of its records are extended, because
+/// the clock of the node that accepted the job and that of another node may differ.
+pub(crate) const CLOCK_SKEW_MARGIN: Duration = Duration::from_secs(3);
 
 /// The outcome of a submission.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/shallotroute_resident/src/leader.rs
+++ b/crates/shallotroute_resident/src/leader.rs
@@ -474,7 +474,7 @@
                 .unix_ms()
                 .saturating_sub(stored.head.submitted_ms),
         );
-        if age < self.shared.settings.retention {
+        if age < self.shared.settings.retention + claim::CLOCK_SKEW_MARGIN {
             return;
         }
         match ledger::remove(&self.shared, job, stored).await {
