resident: orders stop with the lease of the leadership

What callers saw: nothing yet; the same class of fault as docs/incidents/lost-position.md: evidence that is older than it seems, or of something else. Cause: the leader measured the rest of its lease by a clock that stands still while the host is suspended, and it compared any lease of the node, also one that the node was granted after the one to which the leadership is bound had gone. Change: the lease lasts in time since boot, and orders need the lease under which the leadership was written. When the node has another lease by now, the leader steps down, so that one is elected at once.

--- a/crates/shallotroute_resident/src/leader.rs
+++ b/crates/shallotroute_resident/src/leader.rs
@@ -64,6 +64,9 @@
     shared: Arc<Shared>,
     fence: Fence,
     lease: watch::Receiver<Option<Lease>>,
+    /// The lease that the leadership is bound to. It ends with that lease, also when the node has another
+    /// one by now and has not seen yet that the record is gone.
+    lease_id: Option<u64>,
     planner: Arc<Mutex<Planner>>,
     /// The end of the delay before the first order.
     orders_allowed_from: Instant,
@@ -125,7 +128,10 @@
             Standing::Leads(fence) => {
                 let leader = leader.get_or_insert_with(|| {
                     let delay = Vacancy::Expired.order_delay(stale_order_delay);
-                    Leader::new(&shared, fence, lease.clone(), delay)
+                    // The answer to the write was lost. The lease is taken to be that of the write; if
+                    // it is not, the record is gone soon.
+                    let lease_id = lease.borrow().map(|lease| lease.id);
+                    Leader::new(&shared, fence, lease.clone(), lease_id, delay)
                 });
                 leader.fence = fence;
                 leader.perform_tasks().await;
@@ -134,10 +140,14 @@
             Standing::Vacant(vacancy, revision) => {
                 leader = None;
                 let live_nodes = current.live_nodes();
-                let fence = campaign(&shared, &lease, vacancy, &live_nodes, revision).await;
+                let lease_id = lease.borrow().map(|lease| lease.id);
+                let fence = match lease_id {
+                    Some(id) => campaign(&shared, id, vacancy, &live_nodes, revision).await,
+                    None => None,
+                };
                 if let Some(fence) = fence {
                     let delay = vacancy.order_delay(stale_order_delay);
-                    leader = Some(Leader::new(&shared, fence, lease.clone(), delay));
+                    leader = Some(Leader::new(&shared, fence, lease.clone(), lease_id, delay));
                 }
             }
         }
@@ -158,16 +168,15 @@
 }
 
 /// Writes this node as the leader if the leadership is still vacant after this node's election
-/// delay. `expected` is the revision of the vacant record, or 0 if there is none. Returns the
-/// fencing number, or `None` if this node is not elected.
+/// delay. The leadership ends with the lease `lease_id`. `expected` is the revision of the vacant record,
+/// or 0 if there is none. Returns the fencing number, or `None` if this node is not elected.
 async fn campaign(
     shared: &Shared,
-    lease: &watch::Receiver<Option<Lease>>,
+    lease_id: u64,
     vacancy: Vacancy,
     live_nodes: &[Name],
     expected: u64,
 ) -> Option<Fence> {
-    let lease_id = lease.borrow().as_ref()?.id;
     tokio::time::sleep(vacancy.campaign_delay(&shared.owner.node, live_nodes, RANK_KEY)).await;
     let observed = shared
         .members
@@ -221,12 +230,14 @@
         shared: &Arc<Shared>,
         fence: Fence,
         lease: watch::Receiver<Option<Lease>>,
+        lease_id: Option<u64>,
         order_delay: Duration,
     ) -> Self {
         let now = shared.now();
         Self {
             shared: Arc::clone(shared),
             fence,
+            lease_id,
             lease,
             planner: Arc::new(Mutex::new(Planner::default())),
             orders_allowed_from: now + order_delay,
@@ -246,18 +257,26 @@
             step_down(&self.shared, self.fence).await;
             return;
         }
+        let lease_id = self.lease.borrow().map(|lease| lease.id);
+        if lease_id.is_some() && lease_id != self.lease_id {
+            spdlog::warn!("the lease of the leadership was replaced; stepping down", kv: {
+                fence = self.fence.0,
+            });
+            step_down(&self.shared, self.fence).await;
+            return;
+        }
         self.send_orders();
         self.report_empty_hosts().await;
         self.scan_for_orphans().await;
     }
 
-    /// Returns whether the delay before the first order is over and the lease lasts long enough for
-    /// an order.
+    /// Returns whether the delay before the first order is over and the lease of the leadership lasts long
+    /// enough for an order.
     fn can_order(&self) -> bool {
-        let now = self.shared.now();
+        let lasts = |lease: Lease| self.shared.boot_time() + LEASE_MARGIN < lease.valid_until;
         let lease = *self.lease.borrow();
-        now >= self.orders_allowed_from
-            && lease.is_some_and(|lease| now + LEASE_MARGIN < lease.valid_until)
+        self.shared.now() >= self.orders_allowed_from
+            && lease.is_some_and(|lease| Some(lease.id) == self.lease_id && lasts(lease))
     }
 
     fn send_orders(&self) {
--- a/crates/shallotroute_resident/src/presence.rs
+++ b/crates/shallotroute_resident/src/presence.rs
@@ -40,8 +40,9 @@
 pub(crate) struct Lease {
     /// The identity of the lease at the store.
     pub(crate) id: u64,
-    /// The time until which the lease is certain not to expire, on this node's clock.
-    pub(crate) valid_until: std::time::Instant,
+    /// The time until which the lease is certain not to expire, since the boot of the host and including
+    /// its suspensions: the lease runs on meanwhile.
+    pub(crate) valid_until: Duration,
 }
 
 /// Registers the node once it is needed, and renews its lease until `stop` is cancelled. `lease` has
@@ -157,12 +158,12 @@
 }
 
 async fn register(shared: &Shared) -> Result<Lease> {
-    let started_at = shared.now();
+    let requested_at = shared.boot_time();
     let granted = shared.store.grant(LEASE_TTL).await?;
     write_entry(shared, granted.id).await?;
     Ok(Lease {
         id: granted.id,
-        valid_until: started_at + granted.ttl,
+        valid_until: requested_at + granted.ttl,
     })
 }
 
@@ -201,10 +202,10 @@
 }
 
 async fn renew(shared: &Shared, id: u64) -> Result<Lease> {
-    let started_at = shared.now();
+    let requested_at = shared.boot_time();
     let renewed = shared.store.renew(id).await?;
     Ok(Lease {
         id,
-        valid_until: started_at + renewed.ttl,
+        valid_until: requested_at + renewed.ttl,
     })
 }
