resident: a claim to a job is one revision of its head

Cause: a claim counted as confirmed if the head named this process as the owner. A process that loses a job may own it again by a later claim, for example by a write of the head whose response was lost; a job that it had started before, with other results, then took that claim as its own. Change: a claim holds as long as the head has the revision that made this process the owner. Only the end of a job changes the head otherwise: the process that stores it records it if it replaced that revision. An end that another process has stored ends the job here as a lost one; the store then serves its readers.

--- a/crates/shallotroute_resident/src/claim.rs
+++ b/crates/shallotroute_resident/src/claim.rs
@@ -427,18 +427,15 @@
     let head = Head {
         ended: true,
         nonce: rand::random(),
-        ..stored.head
+        ..stored.head.clone()
     };
     let timeout = ledger::RETRY_DELAY;
     let outcome =
         ledger::write_head(shared, job, &head, stored.revision, Vec::new(), timeout).await;
     match outcome {
         ledger::Outcome::Done(revision) => {
-            // The job that runs here may be one that another process has taken over.
-            if let Some(owned) = shared.jobs.owned(job)
-                && head.owner.as_ref() == Some(&shared.owner)
-            {
-                owned.state().adopt(head, revision, requested_at);
+            if let Some(owned) = shared.jobs.owned(job) {
+                owned.record_end(stored.revision, head, revision, requested_at);
             }
             Ok(true)
         }
@@ -544,47 +541,37 @@
     claim.is_confirmed(max_age, shared.boot_time())
 }
 
-/// Reads the head and returns whether it names this process as the owner.
+/// Reads the head and checks whether it is the one that makes this process the owner.
+///
+/// The owner's name alone says nothing: a process that has lost a job may own it again by a later claim,
+/// with other results. Only the end of a job changes the head otherwise, and [`end`] records it here.
 async fn confirm_with_store(shared: &Shared, owned: &Owned) -> Confirmation {
-    // The head may name this process again, for the same job with other results.
-    if owned.progress.borrow().is_lost {
-        return Confirmation::Lost;
-    }
     let requested_at = shared.boot_time();
-    match ledger::read_head(shared, &owned.id).await {
-        Ok(stored) if stored.head.owner.as_ref() == Some(&shared.owner) => {
-            if stored.head.ended {
-                owned
-                    .progress
-                    .send_modify(|progress| progress.is_ended = true);
-            }
-            owned
-                .state()
-                .adopt(stored.head, stored.revision, requested_at);
-            Confirmation::Held
-        }
-        Ok(stored) => {
-            let owner = stored.head.owner;
-            spdlog::warn!("lost ownership of job", kv: {
-                job = owned.id.as_str(),
-                owner = owner.as_ref().map_or_else(|| "none".to_owned(), ToString::to_string),
-                revision = stored.revision,
-            });
-            shared.jobs.set_known_owner(&owned.id, owner);
-            owned
-                .progress
-                .send_modify(|progress| progress.is_lost = true);
-            Confirmation::Lost
-        }
-        Err(Error::NotFound) => {
-            spdlog::error!("head of an owned job is missing", kv: { job = owned.id.as_str() });
-            owned
-                .progress
-                .send_modify(|progress| progress.is_lost = true);
-            Confirmation::Lost
-        }
-        Err(_) => Confirmation::Unknown,
+    let (owner, revision) = match ledger::read_head(shared, &owned.id).await {
+        Ok(stored) => (stored.head.owner, stored.revision),
+        Err(Error::NotFound) => (None, 0),
+        Err(_) => return Confirmation::Unknown,
+    };
+    let mut state = owned.state();
+    if revision == state.revision {
+        state.claim.confirm(requested_at);
+        return Confirmation::Held;
+    }
+    // The end of the job was stored by this process after the head was read.
+    if (1..state.revision).contains(&revision) {
+        return Confirmation::Unknown;
     }
+    drop(state);
+    spdlog::warn!("lost ownership of job", kv: {
+        job = owned.id.as_str(),
+        owner = owner.as_ref().map_or_else(|| "none".to_owned(), ToString::to_string),
+        revision,
+    });
+    shared.jobs.set_known_owner(&owned.id, owner);
+    owned
+        .progress
+        .send_modify(|progress| progress.is_lost = true);
+    Confirmation::Lost
 }
 
 /// Runs a job that this node owns, in a task of its own.
--- a/crates/shallotroute_resident/src/job.rs
+++ b/crates/shallotroute_resident/src/job.rs
@@ -114,7 +114,7 @@
     pub(crate) job: Job,
     /// The head as last read or written.
     pub(crate) head: Head,
-    /// The revision of the head that makes this node the owner.
+    /// The revision of the head that makes this node the owner, or that ended the job after that.
     pub(crate) revision: u64,
     /// When the store last confirmed that revision.
     pub(crate) claim: Claim,
@@ -122,18 +122,6 @@
     pub(crate) started_at: Instant,
 }
 
-impl State {
-    /// Records the head that the store had when it processed a call which was sent at `requested_at`. Calls
-    /// may be answered out of order, so that an older head than the known one is ignored.
-    pub(crate) fn adopt(&mut self, head: Head, revision: u64, requested_at: Duration) {
-        if revision >= self.revision {
-            self.head = head;
-            self.revision = revision;
-            self.claim.confirm(requested_at);
-        }
-    }
-}
-
 impl Registry {
     /// Returns a job, or `None` if this node does not own it.
     pub(crate) fn owned(&self, job: &str) -> Option<Arc<Owned>> {
@@ -339,6 +327,28 @@
         Ok(body(&specification, item))
     }
 
+    /// Records that the job's end was stored with the head `head` in place of the one with the revision
+    /// `replaced`. Does nothing unless that one made this node the owner: the job that runs here may be one
+    /// that another process has taken over.
+    pub(crate) fn record_end(
+        &self,
+        replaced: u64,
+        head: Head,
+        revision: u64,
+        requested_at: Duration,
+    ) {
+        let mut state = self.state();
+        if state.revision != replaced {
+            return;
+        }
+        state.head = head;
+        state.revision = revision;
+        state.claim.confirm(requested_at);
+        drop(state);
+        self.progress
+            .send_modify(|progress| progress.is_ended = true);
+    }
+
     /// Ends the job and cancels its attempts at once. Returns whether the end is stored.
     pub(crate) async fn end(&self, shared: &Shared) -> bool {
         self.progress
