resident: reads at the end of a job's results wait no longer than needed

Readers at the end of an ended job waited for results that can't follow; an owner that had not the evidence for an empty page could take longer than the node that relays it waits, and the reader's wait began anew at the next node; a slow store, which answers in 240 ms, made each reader during a write read the whole job from it; a page was refused although a result had been committed during the check. Change: the page of an ended job needs no evidence once its end is stored and its last write is over. The check takes at most MAX_RELAY_TIME, the wait for a write 300 ms, and what is answered goes by the state after the check.

--- a/crates/shallotroute_resident/src/job.rs
+++ b/crates/shallotroute_resident/src/job.rs
@@ -11,19 +11,14 @@
 
 use shallotroute_adapter::{backend, job};
 use shallotroute_batch::{
-    claim::{Claim, MAX_EVIDENCE_AGE, Source},
+    claim::{Claim, MAX_EVIDENCE_AGE, MAX_RELAY_TIME, Source},
     job::{Event, Job},
     record::{Head, ItemResult, Owner, Specification},
 };
 use shallotroute_types::name::Name;
 use tokio::sync::{mpsc, watch};
 
-use crate::{
-    claim::{self, Confirmation},
-    metric::Metrics,
-    peer::CallError,
-    shared::Shared,
-};
+use crate::{claim, metric::Metrics, peer::CallError, shared::Shared};
 
 /// The maximum number of cached owners of other nodes' jobs; the cache is cleared when it is full.
 const MAX_KNOWN_OWNERS: usize = 1024;
@@ -34,9 +29,14 @@
 /// The time after a confirmation by the store from which on an owner has its claim confirmed again.
 pub(crate) const CLAIM_TTL: Duration = Duration::from_millis(1500);
 
-/// How long an empty page waits for the outcome of a write of results; the store answers in milliseconds.
-/// Below [`shallotroute_batch::claim::MAX_RELAY_TIME`].
-const WRITE_WAIT: Duration = Duration::from_millis(150);
+/// How long an empty page waits for the outcome of a write of results. A slow store answers in a quarter of
+/// a second.
+const WRITE_WAIT: Duration = Duration::from_millis(300);
+
+const _: () = assert!(
+    WRITE_WAIT.as_millis() < MAX_RELAY_TIME.as_millis(),
+    "a relayed page must arrive before the relay gives up"
+);
 
 /// The jobs that this node owns, and a cache of other jobs' owners, by identity of the job.
 #[derive(Default)]
@@ -122,6 +122,13 @@
     pub(crate) started_at: Instant,
 }
 
+impl State {
+    /// Returns whether the end of the job is stored and no result will follow.
+    fn has_final_end(&self) -> bool {
+        self.head.ended && self.job.is_stopped() && !self.job.is_writing()
+    }
+}
+
 impl Registry {
     /// Returns a job, or `None` if this node does not own it.
     pub(crate) fn owned(&self, job: &str) -> Option<Arc<Owned>> {
@@ -258,25 +265,28 @@
         wait: Duration,
     ) -> Option<Vec<u8>> {
         let mut progress = self.progress.subscribe();
-        // Also waits for results of an ended job: an empty page that comes sooner would have an age that
-        // the node which relays it can't bound.
-        let has_result = |progress: &Progress| progress.committed > after || progress.is_lost;
+        let has_changed = |progress: &Progress| progress.committed > after || progress.is_lost;
+        // The relay bounds a page's age by its timeout, which starts after the wait. So an empty page comes
+        // sooner only if no result can follow.
+        let wait = match self.state().has_final_end() {
+            true => Duration::ZERO,
+            false => wait,
+        };
         // After a timeout the page is empty.
-        let _ = tokio::time::timeout(wait, progress.wait_for(has_result)).await;
+        let _ = tokio::time::timeout(wait, progress.wait_for(has_changed)).await;
         if self.source(shared, after) == Source::Store {
-            let _ = tokio::time::timeout(WRITE_WAIT, progress.wait_for(has_result)).await;
+            let _ = tokio::time::timeout(WRITE_WAIT, progress.wait_for(has_changed)).await;
         }
-        let confirmation = match self.source(shared, after) {
-            Source::ConfirmedMemory => claim::confirm(shared, self, MAX_EVIDENCE_AGE).await,
-            Source::Memory | Source::Store => Confirmation::Held,
-        };
-        // The confirmation may have taken long, and a write may have begun meanwhile.
-        let refusal = match (confirmation, self.source(shared, after)) {
-            _ if self.progress.borrow().is_lost => Some("not_owner"),
-            (Confirmation::Lost, _) => Some("not_owner"),
-            (Confirmation::Held, Source::Memory) => None,
-            (Confirmation::Held, Source::Store) => Some("writing"),
-            _ => Some("unconfirmed"),
+        if self.source(shared, after) == Source::ConfirmedMemory {
+            let confirming = claim::confirm(shared, self, MAX_EVIDENCE_AGE);
+            let _ = tokio::time::timeout(MAX_RELAY_TIME, confirming).await;
+        }
+        let is_lost = self.progress.borrow().is_lost;
+        let refusal = match self.source(shared, after) {
+            _ if is_lost => Some("not_owner"),
+            Source::Memory => None,
+            Source::Store => Some("writing"),
+            Source::ConfirmedMemory => Some("unconfirmed"),
         };
         if let Some(refusal) = refusal {
             Metrics::count(&shared.metrics.pages, refusal);
@@ -289,7 +299,10 @@
 
     fn source(&self, shared: &Shared, after: usize) -> Source {
         let state = self.state();
-        state.claim.source(&state.job, after, shared.boot_time())
+        match state.has_final_end() {
+            true => Source::Memory,
+            false => state.claim.source(&state.job, after, shared.boot_time()),
+        }
     }
 
     /// Counts a page with the results after the first `after` ones, and logs on what evidence an empty
--- a/crates/shallotroute_resident/src/trainer.rs
+++ b/crates/shallotroute_resident/src/trainer.rs
@@ -99,11 +99,13 @@
 }
 
 async fn read(shared: &Arc<Shared>, job: &Name, after: usize, wait: Duration) -> Response<Body> {
+    let deadline = shared.now() + wait;
     if let Some(owned) = shared.jobs.owned(job)
         && let Some(page) = owned.page(shared, after, wait).await
     {
         return json(page);
     }
+    let wait = deadline.saturating_duration_since(shared.now());
     let owner_call = call_owner(shared, job, wait, |client, context, wait| {
         let job = job.clone();
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
