resident: bounds on results that are read from the store

A page from the store is outdated by up to the timeout of a call, which nothing tied to the time in which results settle. The removal of an expired job deleted its results first, so that a reader in between found none. Change: the timeout is asserted to be below the settling time; the specification is removed first, so that such a reader fails.

--- a/crates/shallotroute_resident/src/ledger.rs
+++ b/crates/shallotroute_resident/src/ledger.rs
@@ -182,9 +182,10 @@
     let (checkpoints, _) = shared.store.range(&checkpoint_key(job)).await?;
     let results = items.into_iter().chain(checkpoints).map(|item| item.key);
     let parts = (0..stored.head.parts as usize).map(|part| specification_key(job, part));
-    let mut keys: Vec<String> = results.chain(parts).collect();
+    // The specification goes first, so that a reader in between fails instead of finding no results. The
+    // head goes last, so that the next scan finds an interrupted removal.
+    let mut keys: Vec<String> = parts.chain(results).collect();
     keys.push(head_key(job));
-    // The head is removed last, so that the next scan finds an interrupted removal.
     for removals in keys.chunks(MAX_REMOVALS_PER_WRITE) {
         let write = Write {
             conditions: vec![(head_key(job), stored.revision)],
--- a/crates/shallotroute_resident/src/store.rs
+++ b/crates/shallotroute_resident/src/store.rs
@@ -17,6 +17,7 @@
 use shallotroute_adapter::store::{
     self, Call, Changes, ErrorStatus, Item, Kind, Lease, Page, Write, WriteOutcome,
 };
+use shallotroute_batch::claim::SETTLING_TIME;
 use shallotroute_http::body;
 use tokio::{sync::watch, time::timeout};
 
@@ -33,6 +34,11 @@
 /// The timeout of a call: the store answers in 4 ms, or in 60 times that when it is slow.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 
+const _: () = assert!(
+    CALL_TIMEOUT.as_millis() < SETTLING_TIME.as_millis(),
+    "results that are read from the store must not be outdated when they arrive"
+);
+
 /// How long an idle connection to the store stays open.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
