fleet: a node's own writes do not count as the first read of a prefix

Its own entry gave its copy a revision, so that the read which followed was not taken for the first one. The node then read the members some 280 times a second and had no configuration until the end of the run. Change: the copy of a prefix has no revision before its first read.

--- a/crates/shallotroute_fleet/src/replica.rs
+++ b/crates/shallotroute_fleet/src/replica.rs
@@ -143,7 +143,8 @@
                 self.complete_after = self.complete_after.max(dropped.revision);
             }
         }
-        self.revision = self.revision.max(Some(revision));
+        // Before the first read, the copy has nothing but this node's own writes and is not complete.
+        self.revision = self.revision.map(|last| last.max(revision));
         applied
     }
 
--- a/crates/shallotroute_fleet/tests/replica.rs
+++ b/crates/shallotroute_fleet/tests/replica.rs
@@ -142,3 +142,27 @@
     expect_that!(changes.len(), eq(3000));
     Ok(())
 }
+
+/// Guards against a node that never loads a prefix: it has registered, and so applied a write of its
+/// own, before its first read of the prefix, which then did not count as the first.
+#[gtest]
+fn own_writes_before_the_first_read_do_not_count_as_one() {
+    let mut replica = Replica::new();
+    replica.apply([put("own", 12, "one")], 0);
+    expect_that!(replica.revision(), none());
+    let changes = replica.replace(entries(&[("a", 3, "one"), ("own", 12, "one")]), 13);
+    expect_that!(
+        changes,
+        eq(&vec![put("a", 3, "one"), put("own", 12, "one")])
+    );
+    expect_that!(replica.revision(), some(eq(13)));
+    expect_that!(
+        replica.since(Some(13)),
+        some(eq(&(Update::Changes(vec![]), 13)))
+    );
+    // A follower that was complete before the own write gets everything.
+    expect_that!(
+        replica.since(Some(11)),
+        some(eq(&(Update::Snapshot(changes), 13)))
+    );
+}
