fleet, platform: the software version of backend servers

Cause: servers of several software versions may serve side by side, and a stream that one began can't be continued by another; nothing read the version in the host list. Change: a server has its software version, and a request can require one. Nothing requires one yet.

--- a/crates/shallotroute_batch/tests/shared_servers.rs
+++ b/crates/shallotroute_batch/tests/shared_servers.rs
@@ -139,6 +139,7 @@
                 slots: SLOTS,
                 is_draining: false,
                 born: 1,
+                software: Name::from("v1"),
                 models: models.clone(),
             })
             .collect();
@@ -314,6 +315,7 @@
                 let requirements = Requirements {
                     service: "llm",
                     model: Some((&model, Version(1))),
+                    software: None,
                     avoid: preference.avoid,
                     cached_on: preference.cached_on.map(|name| &**name),
                     batch_rank: Some(rank),
--- a/crates/shallotroute_fleet/src/server.rs
+++ b/crates/shallotroute_fleet/src/server.rs
@@ -63,6 +63,10 @@
     /// The Unix time of the server's start, in milliseconds; distinguishes restarts under the same
     /// identity.
     pub born: u64,
+    /// The version of the server's software, which is independent of the versions of its models.
+    /// Servers of several software versions may serve side by side, and the events of one can't be
+    /// continued by another. Empty if the entry names none.
+    pub software: Name,
     /// The loaded version of each model; empty for a server without models.
     pub models: BTreeMap<Name, Version>,
 }
@@ -88,6 +92,9 @@
     pub service: &'a str,
     /// The model and its oldest acceptable version; `None` for a request without a model.
     pub model: Option<(&'a str, Version)>,
+    /// The version of the software that began the stream to continue; `None` for a request that
+    /// starts from the beginning.
+    pub software: Option<&'a str>,
     /// Servers that are not chosen.
     pub avoid: &'a [Name],
     /// The server that has the request's prompt in its prefix cache.
@@ -524,9 +531,13 @@
                 .get(model)
                 .is_some_and(|version| *version >= oldest)
         });
+        let has_software = requirements
+            .software
+            .is_none_or(|software| *server.software == *software);
         &*server.service == requirements.service
             && !server.is_draining
             && has_version
+            && has_software
             && requirements
                 .batch_rank
                 .is_none_or(|rank| self.has_slot(rank))
--- a/crates/shallotroute_fleet/tests/rolling_update.rs
+++ b/crates/shallotroute_fleet/tests/rolling_update.rs
@@ -44,6 +44,7 @@
                 slots: 6,
                 is_draining: false,
                 born: 1,
+                software: "v1".into(),
                 models: models.clone(),
             })
             .collect();
--- a/crates/shallotroute_fleet/tests/server.rs
+++ b/crates/shallotroute_fleet/tests/server.rs
@@ -18,6 +18,7 @@
         slots: 4,
         is_draining: false,
         born: 1,
+        software: Name::from("v1"),
         models: BTreeMap::from([(Name::from("m"), Version(version))]),
     }
 }
@@ -33,6 +34,7 @@
 const ANY: Requirements<'static> = Requirements {
     service: "llm",
     model: None,
+    software: None,
     avoid: &[],
     cached_on: None,
     batch_rank: None,
@@ -78,6 +80,24 @@
     expect_that!(chosen(&balancer, &items, now), some(eq("a")));
 }
 
+/// Guards against a stream that goes on at a server whose software can't continue its events.
+#[gtest]
+fn only_servers_of_the_required_software_are_chosen() {
+    let mut balancer = balancer(&["a"]);
+    balancer.insert(Server {
+        software: Name::from("v2"),
+        ..server("b", "near", 3)
+    });
+    let now = Instant::now();
+    let requirements = |software| Requirements {
+        software: Some(software),
+        ..ANY
+    };
+    expect_that!(chosen(&balancer, &requirements("v1"), now), some(eq("a")));
+    expect_that!(chosen(&balancer, &requirements("v2"), now), some(eq("b")));
+    expect_that!(chosen(&balancer, &requirements("v3"), now), none());
+}
+
 /// Guards against generation under a version that the trainer no longer accepts.
 #[gtest]
 fn servers_with_older_versions_are_left_out() {
--- a/crates/shallotroute_resident/src/forward.rs
+++ b/crates/shallotroute_resident/src/forward.rs
@@ -256,6 +256,7 @@
     let requirements = Requirements {
         service: route.service_for(id),
         model: None,
+        software: None,
         avoid,
         cached_on: None,
         batch_rank: None,
--- a/crates/shallotroute_resident/src/runner.rs
+++ b/crates/shallotroute_resident/src/runner.rs
@@ -581,6 +581,7 @@
     let requirements = Requirements {
         service,
         model: Some((&specification.model, specification.min_version)),
+        software: None,
         avoid: preference.avoid,
         cached_on: preference.cached_on.map(|name| &**name),
         batch_rank,
