--- a/crates/shallotroute_batch/src/checkpoint.rs
+++ b/crates/shallotroute_batch/src/checkpoint.rs
@@ -44,7 +44,10 @@
         let mut checkpoints = job.partial_outputs(MIN_EVENTS);
         let has_grown = |checkpoint: &Checkpoint| {
             let written = self.written.get(&checkpoint.item).copied();
-            checkpoint.progress() >= written.unwrap_or_default() + MIN_EVENTS
+            let progress = checkpoint.progress();
+            // An output that was discarded after the last write starts again.
+            let written = written.filter(|written| *written <= progress);
+            progress >= written.unwrap_or_default() + MIN_EVENTS
         };
         if !checkpoints.iter().any(has_grown) {
             return None;
@@ -66,7 +69,9 @@
 
 fn output_bytes(checkpoint: &Checkpoint) -> usize {
     match &checkpoint.state {
-        CheckpointState::Partial { output, .. } => output.len(),
+        CheckpointState::Partial { output, .. } | CheckpointState::Generated { output, .. } => {
+            output.len()
+        }
         CheckpointState::Done(_) => 0,
     }
 }
--- a/crates/shallotroute_batch/src/item.rs
+++ b/crates/shallotroute_batch/src/item.rs
@@ -4,7 +4,10 @@
 
 use shallotroute_types::{name::Name, version::Version};
 
-use crate::record::{CheckpointState, Outcome, Sample};
+use crate::{
+    job::{Choice, Discard, DiscardReason},
+    record::{CheckpointState, Outcome, Sample},
+};
 
 /// The phase of an item.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -44,6 +47,8 @@
     pub number: u64,
     /// The server that generates.
     pub server: Name,
+    /// The version of the server's software.
+    pub software: Name,
     /// When the attempt started.
     pub started_at: Instant,
     /// When the last event arrived; `None` before the first.
@@ -65,8 +70,13 @@
     pub migrations: u32,
     /// The servers of the last attempts that did not complete the output, newest last.
     pub avoided_servers: Vec<Name>,
+    /// When a server of the software that generated the output was first sought in vain since the last
+    /// event; `None` if one was found each time.
+    pub blocked_since: Option<Instant>,
     output: String,
     versions: Vec<Version>,
+    /// The software version that generated the output; `None` before the first event.
+    software: Option<Name>,
 }
 
 /// The maximum number of servers that an item avoids.
@@ -82,8 +92,10 @@
             scoring_failures: 0,
             migrations: 0,
             avoided_servers: Vec::new(),
+            blocked_since: None,
             output: String::new(),
             versions: Vec::new(),
+            software: None,
         }
     }
 
@@ -106,7 +118,12 @@
         matches!(self.phase, Phase::Ready { .. } | Phase::Committed)
     }
 
-    /// Appends the data of the next event to the output.
+    /// Returns the software version that generated the output; `None` before the first event.
+    pub fn software(&self) -> Option<&Name> {
+        self.software.as_ref()
+    }
+
+    /// Appends the data of the next event, which the attempt in progress has received, to the output.
     pub fn push_event(&mut self, data: &str, version: Version, now: Instant) {
         if self.last_event > 0 {
             self.output.push('\n');
@@ -116,8 +133,11 @@
         if !self.versions.contains(&version) {
             self.versions.push(version);
         }
+        self.blocked_since = None;
         if let Phase::Generating(attempt) = &mut self.phase {
             attempt.last_event_at = Some(now);
+            self.software
+                .get_or_insert_with(|| attempt.software.clone());
         }
     }
 
@@ -139,31 +159,37 @@
         if self.last_event == 0 || self.has_outcome() {
             return None;
         }
-        Some(CheckpointState::Partial {
+        Some(CheckpointState::Generated {
             last_event: self.last_event,
             output: self.output.clone(),
             versions: self.versions.clone(),
+            software: self.software.clone()?,
         })
     }
 
     /// Restores the progress that a former owner made. A partial output is ignored if the item has
-    /// output already; an outcome is ignored while the item is generating or has an outcome.
+    /// output already or if the software that generated it is unknown; an outcome is ignored while
+    /// the item is generating or has an outcome.
     pub fn restore(&mut self, state: CheckpointState, now: Instant) {
         let is_new = matches!(self.phase, Phase::Waiting { .. }) && self.last_event == 0;
         match state {
             CheckpointState::Done(outcome) if !self.has_outcome() && self.attempt().is_none() => {
                 self.set_outcome(outcome, now);
             }
-            CheckpointState::Partial {
+            CheckpointState::Generated {
                 last_event,
                 output,
                 versions,
+                software,
             } if is_new => {
                 self.last_event = last_event;
                 self.output = output;
                 self.versions = versions;
+                self.software = Some(software);
             }
-            CheckpointState::Done(_) | CheckpointState::Partial { .. } => {}
+            CheckpointState::Done(_)
+            | CheckpointState::Partial { .. }
+            | CheckpointState::Generated { .. } => {}
         }
     }
 
@@ -171,9 +197,35 @@
     pub fn discard_output(&mut self) {
         self.output.clear();
         self.versions.clear();
+        self.software = None;
+        self.blocked_since = None;
         self.last_event = 0;
     }
 
+    /// Discards the output because of the software that generated it. Returns what was discarded;
+    /// `None` if the item, which is the one at `index`, has no output.
+    pub fn discard_for_software(&mut self, index: usize, reason: DiscardReason) -> Option<Discard> {
+        let discard = Discard {
+            item: index,
+            software: self.software.clone()?,
+            reason,
+            events: self.last_event,
+        };
+        self.discard_output();
+        Some(discard)
+    }
+
+    /// Starts an attempt at the chosen server.
+    pub fn start(&mut self, number: u64, choice: Choice, now: Instant) {
+        self.phase = Phase::Generating(Attempt {
+            number,
+            server: choice.server,
+            software: choice.software,
+            started_at: now,
+            last_event_at: None,
+        });
+    }
+
     /// Returns the item to [`Phase::Waiting`] after an attempt that did not complete the
     /// output. Later attempts avoid the server `avoid`.
     pub fn requeue(&mut self, retry_at: Option<Instant>, avoid: Option<Name>) {
--- a/crates/shallotroute_batch/src/job.rs
+++ b/crates/shallotroute_batch/src/job.rs
@@ -7,16 +7,19 @@
 
 use std::{
     cmp::Reverse,
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use shallotroute_types::{name::Name, version::Version};
 
-pub use self::event::{Action, Event, GenerationEnd, ItemCounts, Limits, Preference, ScoringEnd};
+pub use self::event::{
+    Action, Choice, Discard, DiscardReason, Event, GenerationEnd, ItemCounts, Limits, Preference,
+    ScoringEnd,
+};
 use crate::{
-    item::{Attempt, ItemState, Phase},
+    item::{ItemState, Phase},
     record::{self, Checkpoint, CheckpointState, Chunk, ItemResult, Outcome, Specification},
 };
 
@@ -46,6 +49,11 @@
 /// The number of new events after which an output is checkpointed again: some 400 ms of generation.
 pub const CHECKPOINT_EVENTS: u64 = 10;
 
+/// How long an item waits for servers of the software that generated its output while the time between
+/// two events is unknown, as it is at a new owner: about the time that the shortest output with a
+/// checkpoint took, see [`CHECKPOINT_EVENTS`].
+const DEFAULT_SOFTWARE_WAIT: Duration = Duration::from_millis(500);
+
 /// The maximum size of the outputs in one chunk, in bytes. As Base64 text the chunk stays below the
 /// store's limit of one megabyte.
 const MAX_CHUNK_BYTES: usize = 500 << 10;
@@ -168,6 +176,10 @@
             };
             let last = replicated_progress.entry(checkpoint.item).or_default();
             let progress = checkpoint.progress();
+            // An output that was discarded after its last checkpoint starts again.
+            if progress < *last {
+                *last = 0;
+            }
             if progress > *last && progress >= last.saturating_add(CHECKPOINT_EVENTS) {
                 *last = progress;
                 checkpoints.push(checkpoint);
@@ -309,12 +321,13 @@
     /// items once their time is over. Returns the actions to perform.
     ///
     /// `choose` returns the server for an item, or `None` if none is available. It must count the
-    /// item at that server, as further calls in the same pass rely on it.
+    /// item at that server, as further calls in the same pass rely on it. A server that it returns has
+    /// the software that the preference requires.
     pub fn advance(
         &mut self,
         limits: &Limits,
         now: Instant,
-        choose: &mut dyn FnMut(&Preference<'_>) -> Option<Name>,
+        choose: &mut dyn FnMut(&Preference<'_>) -> Option<Choice>,
     ) -> Vec<Action> {
         let mut actions = Vec::new();
         if self.is_stopped {
@@ -350,8 +363,9 @@
             } => self.handle_generated(attempt, index, number, &data, version, limits, now),
             Event::GenerationEnded(generation_end) => {
                 self.attempts.remove(&attempt);
-                self.handle_generation_end(index, generation_end, limits, now);
-                Vec::new()
+                self.handle_generation_end(index, generation_end, limits, now)
+                    .into_iter()
+                    .collect()
             }
             Event::ScoringEnded(scoring_end) => {
                 self.attempts.remove(&attempt);
@@ -459,22 +473,20 @@
     /// Cancels stalled attempts, and attempts at slow servers as far as `limits` allow. Their items are
     /// resumed at other servers.
     fn migrate_attempts(&mut self, limits: &Limits, now: Instant, actions: &mut Vec<Action>) {
-        let mut migrations_left = limits.max_migrations;
+        let mut free_slots = limits.free_slots.clone();
         for item in &mut self.items {
             let Some(attempt) = item.attempt() else {
                 continue;
             };
             let since = attempt.last_event_at.unwrap_or(attempt.started_at);
             let is_stalled = now.saturating_duration_since(since) >= limits.stall_timeout;
-            let is_slow = migrations_left > 0
-                && item.migrations < MAX_MIGRATIONS
+            let is_slow = item.migrations < MAX_MIGRATIONS
                 && now.saturating_duration_since(attempt.started_at) >= MIN_AGE_TO_MIGRATE
                 && limits.slow_servers.contains(&attempt.server);
-            if !is_stalled && !is_slow {
-                continue;
-            }
             if !is_stalled {
-                migrations_left -= 1;
+                if !is_slow || !take_slot(&mut free_slots, item.software()) {
+                    continue;
+                }
                 item.migrations += 1;
             }
             let Some(attempt) = item.attempt() else {
@@ -513,7 +525,7 @@
         &mut self,
         limits: &Limits,
         now: Instant,
-        choose: &mut dyn FnMut(&Preference<'_>) -> Option<Name>,
+        choose: &mut dyn FnMut(&Preference<'_>) -> Option<Choice>,
         actions: &mut Vec<Action>,
     ) {
         let mut active = self
@@ -521,6 +533,13 @@
             .iter()
             .filter(|item| item.attempt().is_some())
             .count();
+        let mut pass = Pass {
+            limits,
+            now,
+            choose,
+            exhausted: BTreeSet::new(),
+            is_full: false,
+        };
         for index in self.start_order.clone() {
             if active >= limits.max_generating {
                 return;
@@ -530,35 +549,39 @@
                 Phase::Waiting { retry_at } if retry_at.is_none_or(|until| now >= until) => {}
                 _ => continue,
             }
+            if item
+                .software()
+                .is_some_and(|software| !pass.is_offered(software))
+            {
+                let discard = item.discard_for_software(index, DiscardReason::NotOffered);
+                actions.extend(discard.map(Action::ReportDiscard));
+            }
             let group = &self.specification.items[index].group;
-            let preference = Preference {
-                cached_on: self.cached_on.get(group),
-                avoid: &item.avoided_servers,
-            };
-            let Some(server) = choose(&preference) else {
-                // All items need the same model. Only an item that avoids servers may fail where the next
-                // one does not.
-                if item.avoided_servers.is_empty() {
+            let Some(choice) = pass.choose(item, self.cached_on.get(group)) else {
+                if pass.is_full {
                     return;
                 }
-                item.avoided_servers.clear();
                 continue;
             };
-            self.cached_on.insert(group.clone(), server.clone());
+            if item
+                .software()
+                .is_some_and(|software| *software != choice.software)
+            {
+                let discard = item.discard_for_software(index, DiscardReason::NoSlot);
+                actions.extend(discard.map(Action::ReportDiscard));
+            }
+            self.cached_on.insert(group.clone(), choice.server.clone());
             let attempt = self.next_attempt;
             self.next_attempt += 1;
-            item.phase = Phase::Generating(Attempt {
-                number: attempt,
-                server: server.clone(),
-                started_at: now,
-                last_event_at: None,
-            });
+            item.start(attempt, choice.clone(), now);
             self.attempts.insert(attempt, index);
             active += 1;
+            let Choice { server, software } = choice;
             actions.push(Action::Generate {
                 attempt,
                 item: index,
                 server,
+                software,
                 resume_after: item.last_event,
             });
         }
@@ -603,16 +626,19 @@
         vec![Action::Cancel { attempt }]
     }
 
+    /// Returns the action that reports a discarded output, if there is one.
     fn handle_generation_end(
         &mut self,
         index: usize,
         generation_end: GenerationEnd,
         limits: &Limits,
         now: Instant,
-    ) {
+    ) -> Option<Action> {
         let is_scored = self.specification.items[index].scorer.is_some();
         let item = &mut self.items[index];
-        let server = item.attempt().map(|attempt| attempt.server.clone());
+        let attempt = item.attempt();
+        let server = attempt.map(|attempt| attempt.server.clone());
+        let has_added_events = attempt.is_some_and(|attempt| attempt.last_event_at.is_some());
         match generation_end {
             GenerationEnd::Complete if item.last_event == 0 => {
                 item.requeue(Some(now + BACKOFF_MIN), server)
@@ -629,7 +655,15 @@
                 }
             }
             GenerationEnd::Unprocessable => item.abandon(now),
+            GenerationEnd::SoftwareChanged => {
+                item.requeue(None, None);
+                if has_added_events {
+                    let discard = item.discard_for_software(index, DiscardReason::Unattributed);
+                    return discard.map(Action::ReportDiscard);
+                }
+            }
         }
+        None
     }
 
     fn handle_scoring_end(
@@ -667,6 +701,76 @@
     }
 }
 
+/// The choice of servers in one call of [`Job::advance`].
+struct Pass<'a> {
+    limits: &'a Limits,
+    now: Instant,
+    choose: &'a mut dyn FnMut(&Preference<'_>) -> Option<Choice>,
+    /// The software versions without a server that can take an item in this pass.
+    exhausted: BTreeSet<Name>,
+    /// Whether no server can take an item in this pass.
+    is_full: bool,
+}
+
+impl Pass<'_> {
+    /// Returns whether a server has the software. Without any server, each software counts as offered:
+    /// its servers may be back before others come, and until then no item can start.
+    fn is_offered(&self, software: &Name) -> bool {
+        let offered = &self.limits.free_slots;
+        offered.is_empty() || offered.contains_key(software)
+    }
+
+    /// Returns the server for an item, or `None` if none is available. Its software differs from that
+    /// of the item's output only if the item has waited for long enough.
+    fn choose(&mut self, item: &mut ItemState, cached_on: Option<&Name>) -> Option<Choice> {
+        let required = item.software().cloned();
+        let is_exhausted = required
+            .as_ref()
+            .is_some_and(|software| self.exhausted.contains(software));
+        if !is_exhausted {
+            let choice = (self.choose)(&Preference {
+                cached_on,
+                avoid: &item.avoided_servers,
+                software: required.as_ref(),
+            });
+            if choice.is_some() {
+                return choice;
+            }
+            if item.avoided_servers.is_empty() {
+                // All items need the same model. Only an item that avoids servers or requires other
+                // software may fail where the next one does not.
+                match &required {
+                    Some(software) if self.limits.free_slots.len() > 1 => {
+                        self.exhausted.insert(software.clone());
+                    }
+                    _ => {
+                        self.is_full = true;
+                        return None;
+                    }
+                }
+            }
+        }
+        let mut choice = None;
+        let must_wait = required.is_some() && {
+            let blocked_since = *item.blocked_since.get_or_insert(self.now);
+            let blocked_for = self.now.saturating_duration_since(blocked_since);
+            blocked_for < max_software_wait(item.last_event, self.limits.event_interval)
+        };
+        if required.is_some() && !must_wait {
+            choice = (self.choose)(&Preference {
+                cached_on,
+                avoid: &item.avoided_servers,
+                software: None,
+            });
+            self.is_full = choice.is_none() && item.avoided_servers.is_empty();
+        }
+        if choice.is_none() && (!is_exhausted || !must_wait) {
+            item.avoided_servers.clear();
+        }
+        choice
+    }
+}
+
 /// The results of a group, as far as they decide when to commit.
 #[derive(Default)]
 struct Group {
@@ -690,3 +794,29 @@
     let doublings = u32::try_from(failures.saturating_sub(1).min(8)).unwrap_or(8);
     (BACKOFF_MIN * 2_u32.pow(doublings)).min(BACKOFF_MAX)
 }
+
+/// Takes a free slot at a server that has `software`, or any software if it is `None`. Returns whether
+/// there was one.
+fn take_slot(free_slots: &mut BTreeMap<Name, usize>, software: Option<&Name>) -> bool {
+    let count = match software {
+        Some(software) => free_slots.get_mut(software),
+        None => free_slots.values_mut().max(),
+    };
+    match count {
+        Some(count) if *count > 0 => {
+            *count -= 1;
+            true
+        }
+        _ => false,
+    }
+}
+
+/// Returns how long an item with `events` events waits for servers of the software that generated them:
+/// as long as it takes to generate them again elsewhere, so that no item loses more than twice the time
+/// that the better choice would have cost.
+fn max_software_wait(events: u64, event_interval: Option<Duration>) -> Duration {
+    let events = u32::try_from(events).unwrap_or(u32::MAX);
+    event_interval.map_or(DEFAULT_SOFTWARE_WAIT, |interval| {
+        interval.saturating_mul(events)
+    })
+}
--- a/crates/shallotroute_batch/src/job/event.rs
+++ b/crates/shallotroute_batch/src/job/event.rs
@@ -1,6 +1,6 @@
 //! The inputs and outputs of a job's state machine.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use shallotroute_types::{name::Name, version::Version};
 
@@ -21,8 +21,12 @@
     pub stall_timeout: Duration,
     /// The servers that are much slower than the others.
     pub slow_servers: Vec<Name>,
-    /// The number of attempts that may be migrated away from slow servers now.
-    pub max_migrations: usize,
+    /// The software versions of the servers that have an acceptable version of the model and aren't
+    /// draining, each with the number of free slots at those among them that aren't slow. As many
+    /// attempts of each version may be migrated away from slow servers now.
+    pub free_slots: BTreeMap<Name, usize>,
+    /// The time between two events of an output; `None` while it is unknown.
+    pub event_interval: Option<Duration>,
     /// Whether all events of an output must come from one version.
     pub requires_single_version: bool,
 }
@@ -58,6 +62,9 @@
     Failed,
     /// The item can't be run at any server.
     Unprocessable,
+    /// The server's entry names another software version than when the attempt started. Which of
+    /// them generated the events of the attempt is unknown.
+    SoftwareChanged,
 }
 
 /// The end of an attempt to score.
@@ -84,6 +91,8 @@
         item: usize,
         /// The server that generates.
         server: Name,
+        /// The version of the server's software.
+        software: Name,
         /// The last event that the item has; 0 to generate from the start.
         resume_after: u64,
     },
@@ -99,9 +108,45 @@
         /// The number of the attempt.
         attempt: u64,
     },
+    /// Report to operators that the output of an item was discarded.
+    ReportDiscard(Discard),
 }
 
-/// The preferences of an item for its server.
+/// An incomplete output that was discarded because of the software version that generated it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Discard {
+    /// The index of the item.
+    pub item: usize,
+    /// The software version that generated the output.
+    pub software: Name,
+    /// Why the output was discarded.
+    pub reason: DiscardReason,
+    /// The number of events of the output.
+    pub events: u64,
+}
+
+/// The reason for which an output is discarded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DiscardReason {
+    /// No server has the software any more.
+    NotOffered,
+    /// The servers that have the software had no free slot for as long as it takes to generate the
+    /// output again.
+    NoSlot,
+    /// Which software generated the last events is unknown.
+    Unattributed,
+}
+
+/// A server that generates an output.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The identity of the server.
+    pub server: Name,
+    /// The version of its software.
+    pub software: Name,
+}
+
+/// The preferences of an item for its server, and what it requires of it.
 #[derive(Clone, Copy, Debug)]
 pub struct Preference<'a> {
     /// The server of the last attempt in the item's group, which has the group's prompt in its prefix
@@ -109,6 +154,9 @@
     pub cached_on: Option<&'a Name>,
     /// The servers of the item's last attempts that did not complete its output.
     pub avoid: &'a [Name],
+    /// The software version that the server must have, because it generated the output so far. `None`
+    /// for an output that starts from its first event.
+    pub software: Option<&'a Name>,
 }
 
 /// The numbers of a job's items by phase.
--- a/crates/shallotroute_batch/src/record.rs
+++ b/crates/shallotroute_batch/src/record.rs
@@ -156,7 +156,9 @@
 /// The progress of an uncommitted item.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CheckpointState {
-    /// The output is incomplete or not scored yet.
+    /// The output is incomplete or not scored yet, and the software version that generated it is
+    /// unknown. Written by nodes of builds before [`CheckpointState::Generated`] only; no server can
+    /// safely resume it.
     Partial {
         /// The number of the last event.
         last_event: u64,
@@ -168,13 +170,29 @@
     },
     /// The outcome is known.
     Done(Outcome),
+    /// The output is incomplete or not scored yet.
+    ///
+    /// The encoding has no names, and nodes of two builds run side by side during an upgrade: a
+    /// new field in [`CheckpointState::Partial`] would make each misread the records of the other. A
+    /// node of an earlier build rejects this variant.
+    Generated {
+        /// The number of the last event.
+        last_event: u64,
+        /// The data of the events so far, separated by line feeds.
+        output: String,
+        /// The versions of the model that generated the events so far.
+        versions: Vec<Version>,
+        /// The version of the software that generated the events so far.
+        software: Name,
+    },
 }
 
 impl Checkpoint {
     /// Returns a number that is higher the further the item has progressed.
     pub fn progress(&self) -> u64 {
         match self.state {
-            CheckpointState::Partial { last_event, .. } => last_event,
+            CheckpointState::Partial { last_event, .. }
+            | CheckpointState::Generated { last_event, .. } => last_event,
             CheckpointState::Done(_) => u64::MAX,
         }
     }
--- a/crates/shallotroute_batch/tests/job.rs
+++ b/crates/shallotroute_batch/tests/job.rs
@@ -8,7 +8,11 @@
 
 use googletest::prelude::*;
 use shallotroute_batch::{
-    job::{Action, Event, GenerationEnd, Job, Limits, ScoringEnd},
+    checkpoint::Schedule,
+    job::{
+        Action, Choice, Discard, DiscardReason, Event, GenerationEnd, Job, Limits, Preference,
+        ScoringEnd,
+    },
     record::{
         Checkpoint, CheckpointState, Item, ItemResult, Outcome, Sample, Scorer, Specification,
     },
@@ -23,7 +27,8 @@
         max_scoring_attempts: 2,
         stall_timeout: Duration::from_millis(700),
         slow_servers: Vec::new(),
-        max_migrations: 0,
+        free_slots: BTreeMap::from([("v1".into(), 0)]),
+        event_interval: None,
         requires_single_version: false,
     }
 }
@@ -60,9 +65,16 @@
     Job::new(specification(items, has_scorer), Vec::new(), abandon_at)
 }
 
+fn choice(server: &str, software: &str) -> Choice {
+    Choice {
+        server: server.into(),
+        software: software.into(),
+    }
+}
+
 /// Advances the job with one server for all items.
 fn advance(job: &mut Job, limits: &Limits, now: Instant) -> Vec<Action> {
-    job.advance(limits, now, &mut |_| Some(Name::from("server")))
+    job.advance(limits, now, &mut |_| Some(choice("server", "v1")))
 }
 
 /// Returns the attempts to generate that the actions start: number, item, and last event before.
@@ -244,7 +256,7 @@
     let mut avoided = Vec::new();
     let actions = job.advance(&limits, now + limits.stall_timeout, &mut |preference| {
         avoided = preference.avoid.to_vec();
-        Some(Name::from("other"))
+        Some(choice("other", "v1"))
     });
     expect_that!(actions[0], eq(&Action::Cancel { attempt }));
     expect_that!(started_attempts(&actions)[0].2, eq(1));
@@ -259,7 +271,7 @@
     let mut job = job(4, false, now);
     let mut limits = limits();
     limits.slow_servers = vec!["server".into()];
-    limits.max_migrations = 3;
+    limits.free_slots = BTreeMap::from([("v1".into(), 3)]);
     expect_that!(
         started_attempts(&advance(&mut job, &limits, now)),
         len(eq(4))
@@ -353,7 +365,7 @@
                         later,
                     );
                 }
-                Action::Cancel { .. } => {}
+                Action::Cancel { .. } | Action::ReportDiscard(_) => {}
             }
         }
     }
@@ -552,10 +564,11 @@
     let mut job = Job::new(specification(4, false), committed.clone(), abandon_at);
     let partial = Checkpoint {
         item: 2,
-        state: CheckpointState::Partial {
+        state: CheckpointState::Generated {
             last_event: 7,
             output: "seven".to_owned(),
             versions: vec![Version(4)],
+            software: "v1".into(),
         },
     };
     job.restore(
@@ -666,3 +679,234 @@
     expect_that!(job.results(), len(eq(2)));
     expect_that!(job.next_chunk(now + Duration::from_secs(1)), none());
 }
+
+/// Returns limits with servers of these software versions and free slots.
+fn limits_with_software(free_slots: &[(&str, usize)]) -> Limits {
+    let free_slots = free_slots
+        .iter()
+        .map(|(software, count)| (Name::from(*software), *count));
+    Limits {
+        free_slots: free_slots.collect(),
+        event_interval: Some(Duration::from_millis(40)),
+        ..limits()
+    }
+}
+
+/// Starts the only item of a job at a server of `v1`, and interrupts its stream after three events.
+fn interrupted_job(now: Instant) -> Job {
+    let mut job = job(1, false, now);
+    let (attempt, ..) = started_attempts(&advance(&mut job, &limits(), now))[0];
+    for number in 1..=3 {
+        job.handle_event(attempt, generated(number, 4), &limits(), now);
+    }
+    let end = Event::GenerationEnded(GenerationEnd::Interrupted);
+    job.handle_event(attempt, end, &limits(), now);
+    job
+}
+
+fn reported_discards(actions: &[Action]) -> Vec<Discard> {
+    let discards = actions.iter().filter_map(|action| match action {
+        Action::ReportDiscard(discard) => Some(discard.clone()),
+        _ => None,
+    });
+    discards.collect()
+}
+
+fn discard(reason: DiscardReason, events: u64) -> Discard {
+    Discard {
+        item: 0,
+        software: "v1".into(),
+        reason,
+        events,
+    }
+}
+
+/// Guards against an item that waits for software which no server has any more, and against outputs
+/// that are discarded while the host list is empty.
+#[gtest]
+fn an_output_is_discarded_at_once_when_no_server_has_its_software() {
+    let now = Instant::now();
+    let mut job = interrupted_job(now);
+    let actions = job.advance(&limits_with_software(&[]), now, &mut |_| None);
+    expect_that!(actions, is_empty());
+    let mut required = Vec::new();
+    let limits = limits_with_software(&[("v2", 1)]);
+    let actions = job.advance(&limits, now, &mut |preference| {
+        required.push(preference.software.cloned());
+        Some(choice("new", "v2"))
+    });
+    expect_that!(required, elements_are![none()]);
+    expect_that!(
+        reported_discards(&actions),
+        elements_are![eq(&discard(DiscardReason::NotOffered, 3))]
+    );
+    expect_that!(started_attempts(&actions), elements_are![eq(&(2, 0, 0))]);
+}
+
+/// Guards against an item that starts again although a server of its software is about to have a free
+/// slot, and against one that waits for longer than its events took.
+#[gtest]
+fn an_item_waits_for_its_software_as_long_as_its_events_take() {
+    for (interval, limit) in [(Some(Duration::from_millis(40)), 120), (None, 500)] {
+        let now = Instant::now();
+        let limits = Limits {
+            event_interval: interval,
+            ..limits_with_software(&[("v1", 0), ("v2", 4)])
+        };
+        let only_new = |preference: &Preference<'_>| {
+            let is_old = preference.software.is_some_and(|name| **name == *"v1");
+            (!is_old).then(|| choice("new", "v2"))
+        };
+        let mut job = interrupted_job(now);
+        for wait in [0, limit - 1] {
+            let at = now + Duration::from_millis(wait);
+            expect_that!(job.advance(&limits, at, &mut { only_new }), is_empty());
+        }
+        let at = now + Duration::from_millis(limit);
+        // An output is kept while no server of any software could start it.
+        expect_that!(job.advance(&limits, at, &mut |_| None), is_empty());
+        let actions = job.advance(&limits, at, &mut { only_new });
+        expect_that!(
+            reported_discards(&actions),
+            elements_are![eq(&discard(DiscardReason::NoSlot, 3))]
+        );
+        expect_that!(started_attempts(&actions), elements_are![eq(&(2, 0, 0))]);
+    }
+}
+
+/// Guards against items that wait although servers of other software are free, because an item before
+/// them finds no server of its software.
+#[gtest]
+fn an_item_without_a_server_of_its_software_does_not_hold_up_others() {
+    let now = Instant::now();
+    let mut job = job(3, false, now);
+    let mut one = limits();
+    one.max_generating = 1;
+    let (attempt, item, _) = started_attempts(&advance(&mut job, &one, now))[0];
+    expect_that!(item, eq(2));
+    job.handle_event(attempt, generated(1, 4), &one, now);
+    let end = Event::GenerationEnded(GenerationEnd::Interrupted);
+    job.handle_event(attempt, end, &one, now);
+    let limits = limits_with_software(&[("v1", 0), ("v2", 4)]);
+    let mut started = Vec::new();
+    // The first pass fails also because the item avoids its server.
+    for _ in 0..2 {
+        let actions = job.advance(&limits, now, &mut |preference| {
+            let is_free = preference.software.is_none();
+            is_free.then(|| choice("new", "v2"))
+        });
+        started.extend(started_attempts(&actions));
+    }
+    let items: Vec<usize> = started.iter().map(|start| start.1).collect();
+    expect_that!(items, elements_are![eq(&1), eq(&0)]);
+}
+
+/// Guards against an item that can't resume because it avoids the only servers of its software.
+#[gtest]
+fn an_item_returns_to_avoided_servers_if_no_other_has_its_software() {
+    let now = Instant::now();
+    let mut job = interrupted_job(now);
+    let limits = limits_with_software(&[("v1", 4), ("v2", 4)]);
+    let mut choose = |preference: &Preference<'_>| {
+        let mut servers = [("server", "v1"), ("other", "v1"), ("new", "v2")].into_iter();
+        let found = servers.find(|(server, software)| {
+            let is_avoided = preference.avoid.contains(&Name::from(*server));
+            let has_software = preference.software.is_none_or(|name| **name == **software);
+            !is_avoided && has_software
+        });
+        found.map(|(server, software)| choice(server, software))
+    };
+    let (attempt, ..) = started_attempts(&job.advance(&limits, now, &mut choose))[0];
+    let end = Event::GenerationEnded(GenerationEnd::Interrupted);
+    job.handle_event(attempt, end, &limits, now);
+    expect_that!(job.advance(&limits, now, &mut choose), is_empty());
+    let actions = job.advance(&limits, now, &mut choose);
+    expect_that!(started_attempts(&actions), elements_are![eq(&(3, 0, 3))]);
+    expect_that!(reported_discards(&actions), is_empty());
+}
+
+/// Guards against migrations away from slow servers whose outputs then find no server of their software.
+#[gtest]
+fn an_output_leaves_a_slow_server_only_for_its_software() {
+    let now = Instant::now();
+    let later = now + Duration::from_millis(300);
+    let migrated = |free_slots: &[(&str, usize)], has_output: bool| {
+        let mut limits = limits_with_software(free_slots);
+        let mut job = job(4, false, now);
+        for (attempt, ..) in started_attempts(&advance(&mut job, &limits, now)) {
+            if has_output {
+                job.handle_event(attempt, generated(1, 4), &limits, later);
+            }
+        }
+        limits.slow_servers = vec!["server".into()];
+        let actions = job.advance(&limits, later, &mut |_| None);
+        let is_cancel = |action: &&Action| matches!(action, Action::Cancel { .. });
+        actions.iter().filter(is_cancel).count()
+    };
+    expect_that!(migrated(&[("v1", 0), ("v2", 9)], true), eq(0));
+    expect_that!(migrated(&[("v1", 2), ("v2", 9)], true), eq(2));
+    expect_that!(migrated(&[("v1", 1), ("v2", 2)], false), eq(3));
+}
+
+/// Guards against events that are attributed to the software that a server had before it started again,
+/// and against the loss of an output to which the attempt has added nothing.
+#[gtest]
+fn an_attempt_at_a_server_whose_software_changed_discards_its_events() {
+    let now = Instant::now();
+    let end = Event::GenerationEnded(GenerationEnd::SoftwareChanged);
+    for adds_event in [false, true] {
+        let mut job = interrupted_job(now);
+        let limits = limits_with_software(&[("v1", 4), ("v2", 4)]);
+        let (attempt, ..) = started_attempts(&advance(&mut job, &limits, now))[0];
+        if adds_event {
+            job.handle_event(attempt, generated(4, 4), &limits, now);
+        }
+        let actions = job.handle_event(attempt, end.clone(), &limits, now);
+        let (discards, resume_after) = match adds_event {
+            true => (vec![discard(DiscardReason::Unattributed, 4)], 0),
+            false => (Vec::new(), 3),
+        };
+        expect_that!(reported_discards(&actions), eq(&discards));
+        let actions = advance(&mut job, &limits, now);
+        expect_that!(started_attempts(&actions)[0].2, eq(resume_after));
+    }
+}
+
+/// Guards against an output that is generated again after a discard and then lost with its owner,
+/// because its checkpoint counts as older than that of the discarded one.
+#[gtest]
+fn an_output_that_starts_again_is_checkpointed_again() {
+    let now = Instant::now();
+    let limits = limits_with_software(&[("v2", 4)]);
+    let mut job = job(1, false, now);
+    let mut replicated = BTreeMap::new();
+    let mut schedule = Schedule::default();
+    let (attempt, ..) = started_attempts(&advance(&mut job, &limits, now))[0];
+    for number in 1..=60 {
+        job.handle_event(attempt, generated(number, 4), &limits, now);
+    }
+    expect_that!(job.checkpoints(&mut replicated, false), len(eq(1)));
+    expect_that!(schedule.due(&job, now), some(len(eq(1))));
+    let end = Event::GenerationEnded(GenerationEnd::Interrupted);
+    job.handle_event(attempt, end, &limits, now);
+    let actions = job.advance(&limits, now, &mut |_| Some(choice("new", "v2")));
+    let (attempt, _, resume_after) = started_attempts(&actions)[0];
+    expect_that!(resume_after, eq(0));
+    for number in 1..=30 {
+        job.handle_event(attempt, generated(number, 4), &limits, now);
+    }
+    let checkpoints = job.checkpoints(&mut replicated, false);
+    expect_that!(
+        checkpoints[..],
+        elements_are![matches_pattern!(Checkpoint {
+            state: matches_pattern!(CheckpointState::Generated {
+                last_event: eq(&30),
+                software: eq(&Name::from("v2")),
+                ..
+            }),
+            ..
+        })]
+    );
+    let later = now + Duration::from_secs(2);
+    expect_that!(schedule.due(&job, later), some(len(eq(1))));
+}
--- /dev/null
+++ b/crates/shallotroute_batch/tests/record.rs
@@ -0,0 +1,152 @@
+//! Tests of the encoding of records between nodes of two builds, which run side by side during an upgrade.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use googletest::prelude::*;
+use serde::{Deserialize, Serialize};
+use shallotroute_batch::{
+    job::{Action, Choice, Job, Limits},
+    record::{self, Checkpoint, CheckpointState, Item, Outcome, Sample, Specification},
+};
+use shallotroute_types::version::Version;
+
+/// The layout of [`Checkpoint`] in builds that don't know the software of an output.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct OldCheckpoint {
+    item: u32,
+    state: OldState,
+}
+
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+enum OldState {
+    Partial {
+        last_event: u64,
+        #[serde(rename = "text")]
+        output: String,
+        versions: Vec<Version>,
+    },
+    Done(Outcome),
+}
+
+fn outcome() -> Outcome {
+    Outcome::Completed(Sample {
+        output: "a\nb".to_owned(),
+        versions: vec![Version(4)],
+        score: None,
+    })
+}
+
+fn limits() -> Limits {
+    Limits {
+        max_generating: 8,
+        max_scoring: 0,
+        max_attempts: 3,
+        max_scoring_attempts: 3,
+        stall_timeout: Duration::from_millis(700),
+        slow_servers: Vec::new(),
+        free_slots: BTreeMap::from([("v1".into(), 8)]),
+        event_interval: None,
+        requires_single_version: false,
+    }
+}
+
+fn specification() -> Arc<Specification> {
+    let items = (0..2).map(|index| Item {
+        id: format!("item-{index}").into(),
+        group: "group".into(),
+        path: "/run".to_owned(),
+        headers: Vec::new(),
+        body: Vec::new(),
+        expected_tokens: None,
+        scorer: None,
+    });
+    Arc::new(Specification {
+        host: "llm.example".to_owned(),
+        path: "/jobs/1".to_owned(),
+        model: "m".into(),
+        min_version: Version(1),
+        wanted_groups: 1,
+        items: items.collect(),
+    })
+}
+
+/// Guards against an output of unknown software that a node of this build resumes, and against the loss
+/// of outcomes in the same record.
+#[gtest]
+fn records_of_the_earlier_build_are_read_and_their_outputs_not_resumed() -> Result<()> {
+    let old = vec![
+        OldCheckpoint {
+            item: 0,
+            state: OldState::Partial {
+                last_event: 2,
+                output: "a\nb".to_owned(),
+                versions: vec![Version(4)],
+            },
+        },
+        OldCheckpoint {
+            item: 1,
+            state: OldState::Done(outcome()),
+        },
+    ];
+    let checkpoints: Vec<Checkpoint> =
+        record::decode("checkpoints", &record::encode(&old)).or_fail()?;
+    let partial = CheckpointState::Partial {
+        last_event: 2,
+        output: "a\nb".to_owned(),
+        versions: vec![Version(4)],
+    };
+    expect_that!(checkpoints[0].state, eq(&partial));
+    expect_that!(checkpoints[1].state, eq(&CheckpointState::Done(outcome())));
+    let now = Instant::now();
+    let mut job = Job::new(specification(), Vec::new(), now + Duration::from_secs(20));
+    job.restore(checkpoints, now);
+    let actions = job.advance(&limits(), now, &mut |_| {
+        Some(Choice {
+            server: "server".into(),
+            software: "v1".into(),
+        })
+    });
+    expect_that!(
+        actions,
+        elements_are![matches_pattern!(Action::Generate {
+            item: eq(&0),
+            resume_after: eq(&0),
+            ..
+        })]
+    );
+    Ok(())
+}
+
+/// Guards against an output whose software an earlier build does not know and that it would resume
+/// anywhere, and against outcomes that it can't read.
+#[gtest]
+fn the_earlier_build_rejects_outputs_and_reads_outcomes() -> Result<()> {
+    let generated = Checkpoint {
+        item: 1,
+        state: CheckpointState::Generated {
+            last_event: 2,
+            output: "a\nb".to_owned(),
+            versions: vec![Version(4)],
+            software: "v1".into(),
+        },
+    };
+    let done = Checkpoint {
+        item: 1,
+        state: CheckpointState::Done(outcome()),
+    };
+    let encoded = record::encode(&vec![generated]);
+    let read: record::Result<Vec<OldCheckpoint>> = record::decode("checkpoints", &encoded);
+    expect_that!(read, err(anything()));
+    let encoded = record::encode(&vec![done]);
+    let read: Vec<OldCheckpoint> = record::decode("checkpoints", &encoded).or_fail()?;
+    let expected = OldCheckpoint {
+        item: 1,
+        state: OldState::Done(outcome()),
+    };
+    expect_that!(read, elements_are![eq(&expected)]);
+    Ok(())
+}
--- a/crates/shallotroute_batch/tests/replay.rs
+++ b/crates/shallotroute_batch/tests/replay.rs
@@ -10,7 +10,7 @@
 use googletest::prelude::*;
 use shallotroute_batch::{
     checkpoint::Schedule,
-    job::{Action, Event, GenerationEnd, Job, Limits, ScoringEnd},
+    job::{Action, Choice, Event, GenerationEnd, Job, Limits, ScoringEnd},
     record::{Checkpoint, CheckpointState, Item, ItemResult, Scorer, Specification},
 };
 use shallotroute_types::{name::Name, version::Version};
@@ -86,7 +86,8 @@
         max_scoring_attempts: 3,
         stall_timeout: Duration::from_millis(700),
         slow_servers: Vec::new(),
-        max_migrations: 0,
+        free_slots: BTreeMap::from([("v1".into(), 0)]),
+        event_interval: None,
         requires_single_version: false,
     }
 }
@@ -155,14 +156,17 @@
     }
 
     /// Takes a slot at the server with the fewest attempts.
-    fn choose(&mut self) -> Option<Name> {
+    fn choose(&mut self) -> Option<Choice> {
         let server = (0..SERVERS)
             .map(|index| Name::from(format!("server-{index}")))
             .min_by_key(|server| self.in_flight.get(server).copied().unwrap_or_default())?;
         let count = self.in_flight.entry(server.clone()).or_default();
         (*count < SLOTS).then(|| {
             *count += 1;
-            server
+            Choice {
+                server,
+                software: "v1".into(),
+            }
         })
     }
 
@@ -173,6 +177,7 @@
                 item,
                 server,
                 resume_after,
+                ..
             } => {
                 let next = resume_after + 1;
                 let work = Work::Generate { item, next, server };
@@ -183,6 +188,7 @@
                     .insert(attempt, (now + SCORING_TIME, Work::Score));
             }
             Action::Cancel { .. } => {}
+            Action::ReportDiscard(discard) => panic!("{discard:?} with one software version"),
         }
     }
 }
@@ -293,7 +299,7 @@
         let mut bytes = 0;
         for checkpoint in checkpoints {
             expect_that!(checkpoint.progress(), ge(25));
-            if let CheckpointState::Partial { output, .. } = &checkpoint.state {
+            if let CheckpointState::Generated { output, .. } = &checkpoint.state {
                 bytes += output.len();
             }
         }
--- a/crates/shallotroute_batch/tests/shared_servers.rs
+++ b/crates/shallotroute_batch/tests/shared_servers.rs
@@ -10,7 +10,7 @@
 
 use googletest::prelude::*;
 use shallotroute_batch::{
-    job::{Action, Event, GenerationEnd, Job, Limits},
+    job::{Action, Choice, Event, GenerationEnd, Job, Limits},
     record::{Item, Specification},
 };
 use shallotroute_fleet::{
@@ -315,7 +315,7 @@
                 let requirements = Requirements {
                     service: "llm",
                     model: Some((&model, Version(1))),
-                    software: None,
+                    software: preference.software.map(|name| &**name),
                     avoid: preference.avoid,
                     cached_on: preference.cached_on.map(|name| &**name),
                     batch_rank: Some(rank),
@@ -323,7 +323,10 @@
                 let server = balancer.choose(&requirements, now)?.id.clone();
                 balancer.record_start(&server);
                 balancer.record_batch_start(&server, rank);
-                Some(server)
+                Some(Choice {
+                    server,
+                    software: "v1".into(),
+                })
             });
             for action in actions {
                 if let Action::Generate {
@@ -382,7 +385,8 @@
         max_scoring_attempts: 3,
         stall_timeout: Duration::from_secs(600),
         slow_servers: Vec::new(),
-        max_migrations: 0,
+        free_slots: BTreeMap::from([("v1".into(), 0)]),
+        event_interval: None,
         requires_single_version: false,
     }
 }
--- a/crates/shallotroute_batch/tests/simulation.rs
+++ b/crates/shallotroute_batch/tests/simulation.rs
@@ -12,7 +12,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use shallotroute_batch::{
-    job::{Action, Event, GenerationEnd, Job, Limits, Preference, ScoringEnd},
+    job::{Action, Choice, Event, GenerationEnd, Job, Limits, Preference, ScoringEnd},
     record::{Checkpoint, Chunk, Item, ItemResult, Outcome, Scorer, Specification},
 };
 use shallotroute_types::{name::Name, version::Version};
@@ -159,7 +159,8 @@
             max_scoring_attempts: 3,
             stall_timeout: Duration::from_millis(400),
             slow_servers: vec!["server-1".into()],
-            max_migrations: 1,
+            free_slots: BTreeMap::from([("v1".into(), 1)]),
+            event_interval: None,
             requires_single_version: false,
         }
     }
@@ -197,7 +198,10 @@
             }
             let mut choose = |_: &Preference<'_>| {
                 let pick = picks.pop()?;
-                (pick > 0).then(|| Name::from(format!("server-{pick}")))
+                (pick > 0).then(|| Choice {
+                    server: Name::from(format!("server-{pick}")),
+                    software: "v1".into(),
+                })
             };
             let actions = owner.job.advance(&Self::limits(), self.now, &mut choose);
             self.perform(&mut owner, actions);
@@ -233,6 +237,7 @@
                         owner.scoring.remove(&attempt);
                     }
                 }
+                Action::ReportDiscard(discard) => panic!("{discard:?} with one software version"),
             }
         }
     }
--- a/crates/shallotroute_fleet/src/server.rs
+++ b/crates/shallotroute_fleet/src/server.rs
@@ -361,15 +361,20 @@
         }
     }
 
-    /// Returns the slow servers of a service, and the number of free slots at its other servers that
-    /// have loaded at least the version `oldest` of a model.
-    pub fn slow_servers(&self, service: &str, model: &str, oldest: Version) -> (Vec<Name>, usize) {
-        let Some(median) = self.median_latency(service) else {
-            return (Vec::new(), 0);
-        };
-        let threshold = median.as_secs_f64() * SLOW_RATIO;
+    /// Returns the slow servers of a service, and the software versions of its servers that are not
+    /// draining and have loaded at least the version `oldest` of a model, each with the number of free
+    /// slots at those among them that are not slow.
+    pub fn slow_servers(
+        &self,
+        service: &str,
+        model: &str,
+        oldest: Version,
+    ) -> (Vec<Name>, BTreeMap<Name, usize>) {
+        let threshold = self
+            .median_latency(service)
+            .map_or(f64::INFINITY, |median| median.as_secs_f64() * SLOW_RATIO);
         let mut slow = Vec::new();
-        let mut free_slots = 0;
+        let mut free_slots = BTreeMap::new();
         for entry in self.entries.values() {
             let server = &entry.server;
             if &*server.service != service {
@@ -380,10 +385,18 @@
                     .models
                     .get(model)
                     .is_some_and(|version| *version >= oldest);
-            match entry.mean_latency {
-                Some(latency) if latency > threshold => slow.push(server.id.clone()),
-                _ if is_eligible => free_slots += server.slots.saturating_sub(entry.load()),
-                _ => {}
+            let is_slow = entry
+                .mean_latency
+                .is_some_and(|latency| latency > threshold);
+            if is_slow {
+                slow.push(server.id.clone());
+            }
+            if is_eligible {
+                let free = match is_slow {
+                    true => 0,
+                    false => server.slots.saturating_sub(entry.load()),
+                };
+                *free_slots.entry(server.software.clone()).or_default() += free;
             }
         }
         (slow, free_slots)
--- a/crates/shallotroute_fleet/tests/server.rs
+++ b/crates/shallotroute_fleet/tests/server.rs
@@ -192,7 +192,7 @@
     }
     let (slow_servers, free_slots) = balancer.slow_servers("llm", "m", Version(3));
     expect_that!(slow_servers, elements_are![eq(&Name::from("a"))]);
-    expect_that!(free_slots, eq(8));
+    expect_that!(free_slots, eq(&BTreeMap::from([(Name::from("v1"), 8)])));
     for _ in 0..8 {
         let id = chosen(&balancer, &ANY, now).unwrap_or_default();
         balancer.record_start(&id);
--- a/crates/shallotroute_resident/src/checkpoint.rs
+++ b/crates/shallotroute_resident/src/checkpoint.rs
@@ -12,7 +12,7 @@
 };
 
 use futures::future::join_all;
-use shallotroute_batch::record::{self, Checkpoint};
+use shallotroute_batch::record::{self, Checkpoint, CheckpointState};
 use shallotroute_types::name::Name;
 
 use crate::{job::Owned, ledger, member::Member, shared::Shared};
@@ -98,7 +98,24 @@
 }
 
 /// Has a node hold checkpoints of a job.
+///
+/// Outcomes are sent apart from incomplete outputs: a node of an earlier build rejects a list with
+/// [`CheckpointState::Generated`] as a whole.
 async fn hold(shared: &Shared, job: &Name, checkpoints: &[Checkpoint], holder: &Member) {
+    let (outcomes, outputs): (Vec<&Checkpoint>, Vec<&Checkpoint>) = checkpoints
+        .iter()
+        .partition(|checkpoint| matches!(checkpoint.state, CheckpointState::Done(_)));
+    tokio::join!(
+        call_holder(shared, job, &outcomes, holder),
+        call_holder(shared, job, &outputs, holder)
+    );
+}
+
+/// Has a node hold checkpoints of a job with one call, or none if there are no checkpoints.
+async fn call_holder(shared: &Shared, job: &Name, checkpoints: &[&Checkpoint], holder: &Member) {
+    if checkpoints.is_empty() {
+        return;
+    }
     let (id, encoded) = (job.clone(), record::encode(checkpoints));
     let held = shared
         .peers
--- a/crates/shallotroute_resident/src/generate.rs
+++ b/crates/shallotroute_resident/src/generate.rs
@@ -11,7 +11,7 @@
     job::{Event, GenerationEnd},
     record::Specification,
 };
-use shallotroute_fleet::server::Outcome;
+use shallotroute_fleet::server::{Outcome, Server};
 use shallotroute_types::{name::Name, version::Version};
 
 use crate::{
@@ -46,6 +46,8 @@
     pub(crate) attempt: u64,
     /// The item's position in the specification.
     pub(crate) item: usize,
+    /// The software version of the server when it was chosen.
+    pub(crate) software: Name,
     /// The number of the last event that the item has; the server resumes after it.
     pub(crate) resume_after: u64,
 }
@@ -61,7 +63,10 @@
     /// Generates the item at a server, and sends each event and the end to the job.
     pub(crate) async fn run(self, server: Name, in_flight: InFlight) {
         let started_at = self.shared.now();
-        let end = self.execute(&server).await;
+        let mut end = self.execute(&server).await;
+        if !self.has_same_software(&server) {
+            end = End::software_changed();
+        }
         in_flight.finish(end.outcome);
         Metrics::count(
             &self.shared.metrics.runs,
@@ -85,11 +90,12 @@
 
     async fn execute(&self, server: &Name) -> End {
         let entry = self.shared.balancer().get(server).cloned();
-        let Some(entry) = entry.filter(|entry| !entry.is_draining) else {
+        let is_usable = |entry: &Server| !entry.is_draining && entry.software == self.software;
+        let Some(entry) = entry.filter(is_usable) else {
             return End::new(
                 GenerationEnd::Rejected,
                 Outcome::Neutral,
-                "the server is draining or unknown",
+                "the server is draining or unknown, or has other software",
             );
         };
         let id = self.specification.items[self.item].id.clone();
@@ -132,6 +138,20 @@
         }
     }
 
+    /// Returns whether the host list still gives the server the software for which it was chosen. A
+    /// start of another process with the same software does no harm.
+    ///
+    /// A server that starts again under its identity with other software may answer before its new
+    /// entry arrives here, and responses don't name the software. If the entry arrives during the
+    /// attempt, the events of the attempt are discarded. If the attempt has ended before, or is cancelled
+    /// before its next event, that remains undetected.
+    fn has_same_software(&self, server: &Name) -> bool {
+        let balancer = self.shared.balancer();
+        balancer
+            .get(server)
+            .is_none_or(|entry| entry.software == self.software)
+    }
+
     /// Builds the request, which only `server` may run.
     fn request(&self, server: &str) -> Result<Request<Full<Bytes>>, http::Error> {
         let item = &self.specification.items[self.item];
@@ -245,15 +265,11 @@
         let mut last_event_at = self.shared.now();
         let mut event_count = 0_u32;
         let fail = |reason: &str| End::new(GenerationEnd::Interrupted, Outcome::Failed, reason);
-        while let Some(frame) = body.frame().await {
-            let frame = match frame {
-                Ok(frame) => frame,
-                Err(error) => return fail(&format!("the stream failed: {error}")),
-            };
-            let Some(bytes) = frame.data_ref() else {
-                continue;
-            };
-            events.push(bytes);
+        while let Some(bytes) = self.next_bytes(server, &mut body).await {
+            match bytes {
+                Ok(bytes) => events.push(&bytes),
+                Err(end) => return end,
+            }
             loop {
                 let event = match events.next_event() {
                     Ok(Some(event)) => event,
@@ -301,6 +317,27 @@
         End::new(GenerationEnd::Complete, server_outcome, "")
     }
 
+    /// Returns the next bytes of a stream, `None` at its end, or an error if the stream failed or the
+    /// server's entry no longer names the software for which it was chosen.
+    async fn next_bytes(&self, server: &Name, body: &mut Incoming) -> Option<Result<Bytes, End>> {
+        loop {
+            let frame = match body.frame().await? {
+                Ok(frame) => frame,
+                Err(error) => {
+                    let reason = format!("the stream failed: {error}");
+                    let end = End::new(GenerationEnd::Interrupted, Outcome::Failed, &reason);
+                    return Some(Err(end));
+                }
+            };
+            if !self.has_same_software(server) {
+                return Some(Err(End::software_changed()));
+            }
+            if let Ok(bytes) = frame.into_data() {
+                return Some(Ok(bytes));
+            }
+        }
+    }
+
     fn pool_connection(&self, connection: Connection, headers: &HeaderMap) {
         if let Some(max_idle) = idle_timeout(headers) {
             self.shared.pool.put(connection, max_idle);
@@ -321,6 +358,14 @@
             reason: reason.to_owned(),
         }
     }
+
+    fn software_changed() -> Self {
+        Self::new(
+            GenerationEnd::SoftwareChanged,
+            Outcome::Neutral,
+            "the server's entry names other software than at the start of the attempt",
+        )
+    }
 }
 
 /// Returns how long a connection may stay idle after a response with these headers, or `None` if
@@ -352,5 +397,6 @@
         GenerationEnd::Rejected => "refused",
         GenerationEnd::Failed => "failed",
         GenerationEnd::Unprocessable => "impossible",
+        GenerationEnd::SoftwareChanged => "software_changed",
     }
 }
--- a/crates/shallotroute_resident/src/metric.rs
+++ b/crates/shallotroute_resident/src/metric.rs
@@ -58,6 +58,9 @@
     pub(crate) pages: Family<Label, Counter>,
     /// Runs of items at model servers, by outcome.
     pub(crate) runs: Family<Label, Counter>,
+    /// Incomplete outputs of items that were discarded because of the software version that generated
+    /// them, by reason.
+    pub(crate) discards: Family<Label, Counter>,
     /// Requests to scorers, by outcome.
     pub(crate) scorings: Family<Label, Counter>,
     /// The time from a job's start at its owner to its last committed item, in seconds.
@@ -91,6 +94,7 @@
             jobs: Family::default(),
             pages: Family::default(),
             runs: Family::default(),
+            discards: Family::default(),
             scorings: Family::default(),
             job_seconds: histogram(),
             owned_jobs: Gauge::default(),
@@ -125,6 +129,11 @@
             self.pages.clone(),
         );
         registry.register("runs", "Runs of items at model servers", self.runs.clone());
+        registry.register(
+            "discards",
+            "Outputs that were discarded because of the software that generated them",
+            self.discards.clone(),
+        );
         registry.register("ratings", "Ratings of texts", self.scorings.clone());
         registry.register(
             "job_seconds",
--- a/crates/shallotroute_resident/src/runner.rs
+++ b/crates/shallotroute_resident/src/runner.rs
@@ -12,14 +12,13 @@
 
 use shallotroute_batch::{
     checkpoint as checkpoint_schedule,
-    job::{Action, Event, Limits, Preference},
+    job::{Action, Choice, Discard, DiscardReason, Event, Limits, Preference},
     record::Specification,
 };
 use shallotroute_fleet::{
     route::{Route, Table},
     server::{Rank, Requirements},
 };
-use shallotroute_types::name::Name;
 use tokio::{
     sync::{mpsc, oneshot},
     task::AbortHandle,
@@ -266,9 +265,9 @@
         let rank = Some(rank(&route, state.head.submitted_ms));
         let mut in_flight = VecDeque::new();
         let mut choose = |preference: &Preference<'_>| {
-            let server = choose_server(&self.shared, &route, &specification, rank, preference)?;
-            in_flight.push_back(self.shared.start_request(&server, rank));
-            Some(server)
+            let choice = choose_server(&self.shared, &route, &specification, rank, preference)?;
+            in_flight.push_back(self.shared.start_request(&choice.server, rank));
+            Some(choice)
         };
         let actions = state.job.advance(&limits, now, &mut choose);
         drop(state);
@@ -336,6 +335,7 @@
                     attempt,
                     item,
                     server,
+                    software,
                     resume_after,
                 } => {
                     let task = generate::Attempt {
@@ -344,6 +344,7 @@
                         owned: Arc::clone(&self.owned),
                         attempt,
                         item,
+                        software,
                         resume_after,
                     };
                     let in_flight = in_flight
@@ -369,10 +370,28 @@
                         handle.abort();
                     }
                 }
+                Action::ReportDiscard(discard) => self.report_discard(&discard, specification),
             }
         }
     }
 
+    /// Logs and counts an output that was discarded because of its software.
+    fn report_discard(&self, discard: &Discard, specification: &Specification) {
+        let reason = match discard.reason {
+            DiscardReason::NotOffered => "not_offered",
+            DiscardReason::NoSlot => "no_slot",
+            DiscardReason::Unattributed => "unattributed",
+        };
+        Metrics::count(&self.shared.metrics.discards, reason);
+        spdlog::info!("output discarded", kv: {
+            request = specification.items[discard.item].id.as_str(),
+            job = self.owned.id.as_str(),
+            software = discard.software.as_str(),
+            reason,
+            events = discard.events,
+        });
+    }
+
     /// Starts to write the next results unless a write is pending.
     fn start_write(&mut self) {
         if self.pending_write.is_some() {
@@ -515,11 +534,11 @@
     let service = route.service_for(&specification.path);
     let sharing_routes = table.batch_route_count(service).max(1);
     let balancer = shared.balancer();
-    let stall_timeout = balancer
-        .median_latency(service)
+    let event_interval = balancer.median_latency(service);
+    let stall_timeout = event_interval
         .map_or(MAX_STALL_TIMEOUT, |latency| latency * STALL_FACTOR)
         .clamp(MIN_STALL_TIMEOUT, MAX_STALL_TIMEOUT);
-    let (slow_servers, max_migrations) =
+    let (slow_servers, free_slots) =
         balancer.slow_servers(service, &specification.model, specification.min_version);
     let scorer = specification
         .items
@@ -540,7 +559,8 @@
         max_scoring_attempts,
         stall_timeout,
         slow_servers,
-        max_migrations,
+        free_slots,
+        event_interval,
         requires_single_version: route
             .batch
             .is_some_and(|batch| batch.requires_single_version),
@@ -563,30 +583,34 @@
         max_scoring_attempts: DEFAULT_SCORING_ATTEMPTS,
         stall_timeout: MAX_STALL_TIMEOUT,
         slow_servers: Vec::new(),
-        max_migrations: 0,
+        free_slots: BTreeMap::new(),
+        event_interval: None,
         requires_single_version: false,
     }
 }
 
-/// Chooses the server for an item; `None` if no server has the model version and a free slot.
+/// Chooses the server for an item; `None` if no server has the model version, the software that the
+/// item requires and a free slot.
 fn choose_server(
     shared: &Shared,
     route: &Route,
     specification: &Specification,
     batch_rank: Option<Rank>,
     preference: &Preference<'_>,
-) -> Option<Name> {
+) -> Option<Choice> {
     let balancer = shared.balancer();
     let service = route.service_for(&specification.path);
     let requirements = Requirements {
         service,
         model: Some((&specification.model, specification.min_version)),
-        software: None,
+        software: preference.software.map(|name| &**name),
         avoid: preference.avoid,
         cached_on: preference.cached_on.map(|name| &**name),
         batch_rank,
     };
-    balancer
-        .choose(&requirements, shared.now())
-        .map(|server| server.id.clone())
+    let server = balancer.choose(&requirements, shared.now())?;
+    Some(Choice {
+        server: server.id.clone(),
+        software: server.software.clone(),
+    })
 }
