fleet: at which software version a caller's stream goes on

Cause: a stream that breaks off went on at any server, also at one of another software version, whose events don't fit. A caller may take its stream up at a node that has not begun it. Change: a node records the origin of a stream (service and software version) before its first event. The balancer knows which versions a service has had of late, removed and missing servers included. A version that is not certain is unknown.

--- a/crates/shallotroute_fleet/src/lib.rs
+++ b/crates/shallotroute_fleet/src/lib.rs
@@ -1,13 +1,15 @@
 //! Pure state machines for traffic to backend servers: routes, load balancing, retries and hedging,
-//! rolling weight updates, the ranking of nodes in elections, and how nodes follow the platform's
-//! store. Start with [`server::Balancer`], [`route::Table`] and [`source::Selector`].
+//! rolling weight updates, the ranking of nodes in elections, at which software version streams go on,
+//! and how nodes follow the platform's store. Start with [`server::Balancer`], [`route::Table`] and [`source::Selector`].
 
 pub mod capacity;
 pub mod election;
 pub mod replica;
+pub mod resume;
 pub mod retry;
 pub mod rolling_update;
 pub mod route;
 pub mod server;
+pub mod software;
 pub mod source;
 pub mod stall;
--- a/crates/shallotroute_fleet/src/server.rs
+++ b/crates/shallotroute_fleet/src/server.rs
@@ -10,7 +10,10 @@
 use shallotroute_types::{location::Zone, name::Name, version::Version};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::capacity::Supply;
+use crate::{
+    capacity::Supply,
+    software::{History, Knowledge},
+};
 
 /// The first back-off after a rejection; each further one doubles it. A full server frees a slot soon,
 /// a server that loads a version needs about a second.
@@ -145,6 +148,8 @@
     /// The servers that have said themselves that they are leaving, with their start times and when
     /// they said so last.
     leaving: BTreeMap<Name, (u64, Instant)>,
+    /// The software versions of servers that are no longer in `entries`.
+    software: History,
 }
 
 #[derive(Debug)]
@@ -199,6 +204,12 @@
             }
             None => {}
         }
+        if let Some(Entry { server: former, .. }) = self.entries.get(&server.id)
+            && (&former.service, &former.software) != (&server.service, &server.software)
+        {
+            self.software
+                .record_former(&former.service, &former.software, None);
+        }
         match self.entries.get_mut(&server.id) {
             Some(entry) if entry.server.born == server.born => {
                 entry.missing_since = None;
@@ -239,7 +250,10 @@
                 }
             }
             _ => {
-                self.entries.remove(id);
+                if let Some(Entry { server, .. }) = self.entries.remove(id) {
+                    self.software
+                        .record_former(&server.service, &server.software, Some(now));
+                }
             }
         }
     }
@@ -252,12 +266,32 @@
     /// Removes the servers that are still missing at the end of the recovery period.
     pub fn remove_missing(&mut self, now: Instant) {
         if self.recovering_until.is_some_and(|until| now >= until) {
-            self.entries
-                .retain(|_, entry| entry.missing_since.is_none());
+            let missing = self
+                .entries
+                .extract_if(.., |_, entry| entry.missing_since.is_some());
+            for (_, Entry { server, .. }) in missing {
+                self.software
+                    .record_former(&server.service, &server.software, Some(now));
+            }
             self.recovering_until = None;
         }
     }
 
+    /// Records that the host list has been read completely.
+    pub fn record_first_read(&mut self, now: Instant) {
+        self.software.record_first_read(now);
+    }
+
+    /// Returns what this node knows of the software versions of a service's servers in the `period`
+    /// before `now`. Draining and missing servers count, as do those that were removed in that period.
+    pub fn software(&mut self, service: &str, period: Duration, now: Instant) -> Knowledge {
+        let servers = self.entries.values().map(|entry| &entry.server);
+        let present = servers
+            .filter(|server| &*server.service == service)
+            .map(|server| &server.software);
+        self.software.knowledge(service, present, period, now)
+    }
+
     /// Returns the server with an identity.
     pub fn get(&self, id: &str) -> Option<&Server> {
         self.entries.get(id).map(|entry| &entry.server)
