resident, platform: streams go on at the software version that began them

Cause: within one response a broken stream resumed at any server, and a take-up by its caller was sent to any server. Change: a response resumes only at servers of the version whose event was first passed on. A take-up asks for the record under the identity that the caller names; it is refused with 503, not run, if the version is unknown or has no server. A server whose entry names another version by its first event counts as broken off. Calls about records have connections of their own, since an older node closes one on which it gets a call that it does not know.

--- a/crates/shallotroute_resident/src/dump.rs
+++ b/crates/shallotroute_resident/src/dump.rs
@@ -34,6 +34,7 @@
         "members": members(shared),
         "named_versions": *shared.targets.borrow(),
         "servers": servers(shared),
+        "recorded_streams": shared.streams.len(),
         "jobs": shared.jobs.all_owned().iter().map(|owned| job(owned, shared.boot_time())).collect::<Vec<_>>(),
     })
 }
@@ -83,6 +84,7 @@
                 "address": summary.server.address,
                 "zone": summary.server.zone,
                 "draining": summary.server.is_draining,
+                "software": summary.server.software,
                 "versions": summary.server.models,
                 "running_here": summary.in_flight,
                 "failures": summary.failures,
--- a/crates/shallotroute_resident/src/forward.rs
+++ b/crates/shallotroute_resident/src/forward.rs
@@ -89,7 +89,8 @@
     route: &Route,
     request: &BackendRequest,
 ) -> AttemptOutcome {
-    let Some(server) = choose_server(shared, route, &request.id, &[]) else {
+    let service = route.service_for(&request.id);
+    let Some(server) = choose_server(shared, service, None, &[]) else {
         return AttemptOutcome::NotRun("no server takes requests".to_owned());
     };
     let timeout = request
@@ -158,12 +159,8 @@
 impl Forwarding<'_> {
     /// Starts an attempt at another server.
     fn start_attempt(&mut self) {
-        let chosen = choose_server(
-            self.shared,
-            self.route,
-            &self.request.id,
-            self.attempts.servers(),
-        );
+        let service = self.route.service_for(&self.request.id);
+        let chosen = choose_server(self.shared, service, None, self.attempts.servers());
         match chosen {
             Some(server) => {
                 self.attempts.record_attempt(&server.id);
@@ -245,18 +242,18 @@
     }
 }
 
-/// Chooses a server of the route's service for a request. Servers in `avoid` are not
-/// chosen. Returns `None` if no other server takes requests.
+/// Chooses a server of a service for a request, with the version `software` if one is required.
+/// Servers in `avoid` are not chosen. Returns `None` if no other server takes requests.
 pub(crate) fn choose_server(
     shared: &Shared,
-    route: &Route,
-    id: &str,
+    service: &str,
+    software: Option<&str>,
     avoid: &[Name],
 ) -> Option<Server> {
     let requirements = Requirements {
-        service: route.service_for(id),
+        service,
         model: None,
-        software: None,
+        software,
         avoid,
         cached_on: None,
         batch_rank: None,
--- a/crates/shallotroute_resident/src/lib.rs
+++ b/crates/shallotroute_resident/src/lib.rs
@@ -22,6 +22,7 @@
 mod pool;
 mod presence;
 mod response;
+mod resume;
 mod runner;
 mod score;
 mod shared;
@@ -189,6 +190,7 @@
         tokio::spawn(presence::run(Arc::clone(&shared), lease, shutdown.clone()));
         tokio::spawn(remove_expired(Arc::clone(&shared)));
         tokio::spawn(capacity::run(Arc::clone(&shared)));
+        tokio::spawn(resume::run(Arc::clone(&shared)));
         let leader = tokio::spawn(leader::run(Arc::clone(&shared), lease_receiver.clone()));
         Ok(Self {
             shared,
--- a/crates/shallotroute_resident/src/metric.rs
+++ b/crates/shallotroute_resident/src/metric.rs
@@ -50,6 +50,10 @@
     pub(crate) requests: Family<Label, Counter>,
     /// The time from a caller's request to the start of its response, in seconds.
     pub(crate) request_seconds: Histogram,
+    /// Streams that callers took up, by how their software version was found.
+    pub(crate) take_ups: Family<Label, Counter>,
+    /// Calls that copy records of streams to other nodes, by outcome.
+    pub(crate) stream_copies: Family<Label, Counter>,
     /// Attempts to have a backend server answer a caller's request, by outcome.
     pub(crate) attempts: Family<Label, Counter>,
     /// Batch jobs by event.
@@ -90,6 +94,8 @@
             registry: Registry::default(),
             requests: Family::default(),
             request_seconds: histogram(),
+            take_ups: Family::default(),
+            stream_copies: Family::default(),
             attempts: Family::default(),
             jobs: Family::default(),
             pages: Family::default(),
@@ -118,33 +124,21 @@
             self.request_seconds.clone(),
         );
         registry.register(
-            "attempts",
-            "Sends of requests to backend servers",
-            self.attempts.clone(),
+            "take_ups",
+            "Streams taken up by callers",
+            self.take_ups.clone(),
         );
-        registry.register("jobs", "Batch jobs by event", self.jobs.clone());
         registry.register(
-            "pages",
-            "Reads of results at the owner of their job",
-            self.pages.clone(),
+            "stream_copies",
+            "Calls that copy records of streams",
+            self.stream_copies.clone(),
         );
-        registry.register("runs", "Runs of items at model servers", self.runs.clone());
         registry.register(
-            "discards",
-            "Outputs that were discarded because of the software that generated them",
-            self.discards.clone(),
-        );
-        registry.register("ratings", "Ratings of texts", self.scorings.clone());
-        registry.register(
-            "job_seconds",
-            "Time from a job's acceptance to its last result",
-            self.job_seconds.clone(),
-        );
-        registry.register(
-            "owned_jobs",
-            "Unfinished jobs of this node",
-            self.owned_jobs.clone(),
+            "attempts",
+            "Sends of requests to backend servers",
+            self.attempts.clone(),
         );
+        self.register_jobs(registry);
         registry.register(
             "store_calls",
             "Calls to the platform's store",
@@ -173,6 +167,32 @@
         );
     }
 
+    fn register_jobs(&self, registry: &mut Registry) {
+        registry.register("jobs", "Batch jobs by event", self.jobs.clone());
+        registry.register(
+            "pages",
+            "Reads of results at the owner of their job",
+            self.pages.clone(),
+        );
+        registry.register("runs", "Runs of items at model servers", self.runs.clone());
+        registry.register(
+            "discards",
+            "Outputs that were discarded because of the software that generated them",
+            self.discards.clone(),
+        );
+        registry.register("ratings", "Ratings of texts", self.scorings.clone());
+        registry.register(
+            "job_seconds",
+            "Time from a job's acceptance to its last result",
+            self.job_seconds.clone(),
+        );
+        registry.register(
+            "owned_jobs",
+            "Unfinished jobs of this node",
+            self.owned_jobs.clone(),
+        );
+    }
+
     /// Increments the counter of an outcome.
     pub(crate) fn count(family: &Family<Label, Counter>, outcome: &'static str) {
         family.get_or_create(&Label { outcome }).inc();
--- a/crates/shallotroute_resident/src/object.rs
+++ b/crates/shallotroute_resident/src/object.rs
@@ -30,6 +30,7 @@
                 apply_server_change(shared, change, now);
             }
             if is_first_read {
+                shared.balancer().record_first_read(now);
                 shared.has_host_list.send_replace(true);
             }
         }
@@ -108,7 +109,11 @@
     match decode_server(&id, change, value) {
         Some(server) => {
             let draining = server.is_draining;
+            let service = server.service.clone();
             let started = shared.balancer().insert(server);
+            if started {
+                shared.streams.record_new_server(&service);
+            }
             if started || draining {
                 spdlog::info!("server listed", kv: {
                     server = id.as_str(), draining, started, revision = change.revision,
--- a/crates/shallotroute_resident/src/peer.rs
+++ b/crates/shallotroute_resident/src/peer.rs
@@ -1,5 +1,5 @@
 //! Remote procedure calls between nodes: batch jobs at their owners, checkpoints of jobs, changes
-//! of the platform's store, and relayed calls to the store.
+//! of the platform's store, relayed calls to the store, and records of callers' streams.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -7,7 +7,10 @@
 use serde::{Deserialize, Serialize};
 use shallotroute_adapter::store::Call;
 use shallotroute_batch::record::{self, Owner};
-use shallotroute_fleet::capacity::Report;
+use shallotroute_fleet::{
+    capacity::Report,
+    resume::{Answer, Group},
+};
 use shallotroute_peer::{
     client::Clients,
     service::Kind,
@@ -22,7 +25,7 @@
 use tokio::net::TcpStream;
 
 use crate::{
-    capacity,
+    capacity, resume,
     shared::Shared,
     view::{self, Revisions, ViewUpdate},
 };
@@ -66,6 +69,11 @@
     async fn report_load(sender: Owner, report: Report);
     /// Makes a call to the platform's store on behalf of the calling node.
     async fn relay_store_call(call: Call, timeout_ms: u64) -> RelayedResponse;
+    /// Holds records of streams that the calling node has begun.
+    async fn hold_streams(groups: Vec<Group>);
+    /// Returns what this node knows of the origin of a stream. `id` is the identity of the request
+    /// that brought its first event, `period` the time that a stream of `service` can last.
+    async fn find_stream(id: Name, service: Name, period: Duration) -> Answer;
 }
 
 /// The server side of one connection from another node.
@@ -149,6 +157,14 @@
         let answer = self.0.store.call_for_peer(&call, timeout).await.ok()?;
         Some((answer.status.as_u16(), answer.body.to_vec()))
     }
+
+    async fn hold_streams(self, _: Context, groups: Vec<Group>) {
+        self.0.streams.hold(groups, self.0.now());
+    }
+
+    async fn find_stream(self, _: Context, id: Name, service: Name, period: Duration) -> Answer {
+        resume::answer(&self.0, &id, &service, period)
+    }
 }
 
 /// A service that accepts connections from other nodes.
--- /dev/null
+++ b/crates/shallotroute_resident/src/resume.rs
@@ -0,0 +1,331 @@
+//! Records which software version began a caller's stream, copies the records to other nodes while
+//! there are servers of several versions, and finds them when a caller takes its stream up. The
+//! decisions are in [`shallotroute_fleet::resume`].
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use futures::{StreamExt, future::join_all, stream::FuturesUnordered};
+use shallotroute_adapter::backend;
+use shallotroute_fleet::{
+    resume::{self, Answer, Group, LOOKUPS, Node, Origin, Records, Source, Stream, WIDE_LOOKUPS},
+    route::{Kind, Route},
+    software::Knowledge,
+};
+use shallotroute_types::{name::Name, node::Id};
+use tokio::sync::Notify;
+
+use crate::{forward::BackendRequest, metric::Metrics, peer::Peers, shared::Shared, view};
+
+/// How long the first event of a stream waits for the copies of its record. A call to another node
+/// takes a few milliseconds; the limit bounds what a node that has just failed adds to the latency.
+const COPY_WAIT: Duration = Duration::from_millis(100);
+
+/// The timeout of a call that copies records.
+const COPY_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// The timeout of a call that copies the records of all streams that began before a release.
+const COPY_ALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The number of streams whose records are copied at once, which bounds the size of a call.
+const COPY_CHUNK: usize = 10_000;
+
+/// How often nodes that do not answer are replaced as holders of a record.
+const COPY_ROUNDS: usize = 2;
+
+/// How long a node that did not answer is passed over as a holder. A killed node is listed for up to
+/// 2.5 s; a node that was only slow is used again soon.
+const FAILURE_PERIOD: Duration = Duration::from_secs(1);
+
+/// The timeout of a call that asks another node for a record.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// The maximum age of a view of the host list that counts as current. A follower's view is up to 1.5 s
+/// old: that of its source by [`view::MAX_VIEW_AGE`], and the time for which it holds the request.
+const MAX_VIEW_AGE: Duration = Duration::from_secs(2);
+
+/// When a caller may take its stream up again after a refusal. Another node may know the version.
+pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(200);
+
+/// The streams whose callers may come back.
+pub(crate) struct Streams {
+    records: Mutex<Records>,
+    /// The nodes that did not answer, and until when they are passed over.
+    failed_until: Mutex<BTreeMap<Id, Instant>>,
+    /// Connections for calls about streams only: an older node closes a connection on which it
+    /// receives a call that it does not know, and the calls about batch jobs must not fail with it.
+    peers: Peers,
+    /// The services that have a new server.
+    changed_services: Mutex<BTreeSet<Name>>,
+    has_changed: Notify,
+}
+
+impl Streams {
+    pub(crate) fn new() -> Self {
+        Self {
+            records: Mutex::default(),
+            failed_until: Mutex::default(),
+            peers: Peers::new(),
+            changed_services: Mutex::default(),
+            has_changed: Notify::new(),
+        }
+    }
+
+    /// Records that a service has a new server, which may have another software version.
+    pub(crate) fn record_new_server(&self, service: &Name) {
+        if lock(&self.changed_services).insert(service.clone()) {
+            self.has_changed.notify_one();
+        }
+    }
+
+    /// Holds records of other nodes.
+    pub(crate) fn hold(&self, groups: Vec<Group>, now: Instant) {
+        lock(&self.records).insert_copies(groups, now);
+    }
+
+    /// Returns the number of records.
+    pub(crate) fn len(&self) -> usize {
+        lock(&self.records).len()
+    }
+
+    fn has_failed(&self, node: &Id, now: Instant) -> bool {
+        lock(&self.failed_until)
+            .get(node)
+            .is_some_and(|until| now < *until)
+    }
+
+    fn record_failure(&self, node: Id, now: Instant) {
+        let mut failed_until = lock(&self.failed_until);
+        failed_until.retain(|_, until| now < *until);
+        failed_until.insert(node, now + FAILURE_PERIOD);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Copies the records of streams that began before their service had servers of several software
+/// versions, for as long as the process runs.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    loop {
+        shared.streams.has_changed.notified().await;
+        let services = std::mem::take(&mut *lock(&shared.streams.changed_services));
+        for service in services {
+            let Some(period) = longest_stream(&shared, &service) else {
+                continue;
+            };
+            if known(&shared, &service, period) != Knowledge::Several {
+                continue;
+            }
+            let streams = lock(&shared.streams.records).uncopied(&service, shared.now());
+            if streams.is_empty() {
+                continue;
+            }
+            spdlog::info!("copying records of streams; the service has several software versions", kv: {
+                service = service.as_str(), streams = streams.len(),
+            });
+            for chunk in streams.chunks(COPY_CHUNK) {
+                copy(&shared, chunk.to_vec(), COPY_ALL_TIMEOUT).await;
+            }
+        }
+    }
+}
+
+/// Returns the longest time for which a stream of a service is recorded; `None` if no route has
+/// streams of it that may be resumed.
+fn longest_stream(shared: &Shared, service: &str) -> Option<Duration> {
+    let table = shared.table()?;
+    table
+        .routes()
+        .filter(|route| route.kind == Kind::Stream { resumable: true } && route.uses(service))
+        .map(|route| resume::retention(route, None))
+        .max()
+}
+
+/// Returns what this node knows of the software versions of a service's servers in the `period` up to
+/// now.
+fn known(shared: &Shared, service: &str, period: Duration) -> Knowledge {
+    let knowledge = shared.balancer().software(service, period, shared.now());
+    match view::standing(shared).age {
+        Some(age) if age <= MAX_VIEW_AGE => knowledge,
+        _ => knowledge.without_present(),
+    }
+}
+
+/// Records the origin of a stream of which this node is about to pass on the first event. `id` is the
+/// identity of the request that brought the stream's first event.
+///
+/// While servers of several software versions are known, or may be, also copies the record to other
+/// nodes. With `waits_for_copies`, returns when they have it or after [`COPY_WAIT`].
+pub(crate) async fn record(
+    shared: &Arc<Shared>,
+    route: &Route,
+    request: &BackendRequest,
+    id: Name,
+    origin: Origin,
+    waits_for_copies: bool,
+) {
+    let stream = Stream {
+        id,
+        retention: resume::retention(route, backend::request_timeout(&request.headers)),
+    };
+    // Before the versions are looked up: a version that appears meanwhile has this record copied.
+    lock(&shared.streams.records).insert_own(stream.clone(), origin.clone(), shared.now());
+    let period = resume::retention(route, None);
+    if matches!(known(shared, &origin.service, period), Knowledge::Sole(_)) {
+        return;
+    }
+    let copying = Arc::clone(shared);
+    let copies =
+        tokio::spawn(async move { copy(&copying, vec![(stream, origin)], COPY_TIMEOUT).await });
+    if waits_for_copies {
+        // After the timeout the copies are still sent.
+        let _ = tokio::time::timeout(COPY_WAIT, copies).await;
+    }
+}
+
+/// Copies records to the nodes that hold them, and to others in place of those that do not answer.
+async fn copy(shared: &Arc<Shared>, mut streams: Vec<(Stream, Origin)>, timeout: Duration) {
+    let nodes: Vec<Node> = nodes(shared, false);
+    for _ in 0..COPY_ROUNDS {
+        let now = shared.now();
+        let has_failed = |node: &Id| shared.streams.has_failed(node, now);
+        let assigned = resume::assign(&streams, &nodes, &shared.owner.node, has_failed);
+        let calls = assigned
+            .into_iter()
+            .map(|(node, groups)| copy_to(shared, node, groups, timeout));
+        let failed: BTreeSet<Name> = join_all(calls).await.into_iter().flatten().collect();
+        streams.retain(|(stream, _)| failed.contains(&stream.id));
+        if streams.is_empty() {
+            return;
+        }
+    }
+    spdlog::info!("records of streams have fewer copies than usual", kv: {
+        streams = streams.len(),
+    });
+}
+
+/// Copies records to one node. Returns the identities of the streams if it did not answer.
+async fn copy_to(
+    shared: &Arc<Shared>,
+    node: &Id,
+    groups: Vec<Group>,
+    timeout: Duration,
+) -> Vec<Name> {
+    let streams = groups.iter().flat_map(|group| &group.streams);
+    let ids: Vec<Name> = streams.map(|stream| stream.id.clone()).collect();
+    let address = shared.members.borrow().address(node);
+    let held = match address {
+        Some(address) => {
+            let call = shared
+                .streams
+                .peers
+                .call(address, timeout, |client, context| async move {
+                    client.hold_streams(context, groups).await
+                });
+            call.await.is_ok()
+        }
+        None => false,
+    };
+    let outcome = match held {
+        true => "held",
+        false => "failed",
+    };
+    Metrics::count(&shared.metrics.stream_copies, outcome);
+    if !held {
+        shared.streams.record_failure(node.clone(), shared.now());
+        return ids;
+    }
+    lock(&shared.streams.records).record_copied(ids.iter());
+    Vec::new()
+}
+
+/// Returns this node's answer to another one that looks for a stream's record.
+pub(crate) fn answer(shared: &Shared, id: &str, service: &str, period: Duration) -> Answer {
+    let origin = lock(&shared.streams.records).get(id, shared.now()).cloned();
+    Answer {
+        origin,
+        known: known(shared, service, period.min(resume::MAX_RETENTION)),
+    }
+}
+
+/// Finds what began the stream that a caller takes up. `id` is the identity of the request that brought
+/// the stream's first event. Returns `None` if the software version is unknown.
+pub(crate) async fn find(
+    shared: &Arc<Shared>,
+    route: &Route,
+    id: &Name,
+) -> Option<(Origin, Source)> {
+    if let Some(origin) = lock(&shared.streams.records).get(id, shared.now()) {
+        return Some((origin.clone(), Source::Own));
+    }
+    let service = resume::service(route, None, id);
+    let period = resume::retention(route, None);
+    let own = known(shared, service, period);
+    let mut asked: BTreeSet<Id> = BTreeSet::new();
+    let mut answers = Vec::new();
+    // Draining nodes hold no new records but still answer.
+    for (nodes, count) in [
+        (nodes(shared, false), LOOKUPS),
+        (nodes(shared, true), WIDE_LOOKUPS),
+    ] {
+        let mut calls: FuturesUnordered<_> =
+            resume::lookups(id, nodes.iter(), &shared.owner.node, count)
+                .into_iter()
+                .filter(|node| asked.insert(node.id.clone()))
+                .map(|node| ask(shared, &node.id, id, service, period))
+                .collect();
+        while let Some(answer) = calls.next().await {
+            let Some(answer) = answer else {
+                continue;
+            };
+            let has_record = answer.origin.is_some();
+            answers.push(answer);
+            if has_record {
+                break;
+            }
+        }
+        let found = resume::resolve(service, &own, &answers);
+        if found.is_some() {
+            return found;
+        }
+    }
+    None
+}
+
+/// Asks a node for the record of a stream. Returns `None` if it does not answer.
+async fn ask(
+    shared: &Shared,
+    node: &Id,
+    id: &Name,
+    service: &Name,
+    period: Duration,
+) -> Option<Answer> {
+    let address = shared.members.borrow().address(node)?;
+    let (id, service) = (id.clone(), service.clone());
+    let call = shared
+        .streams
+        .peers
+        .call(address, LOOKUP_TIMEOUT, |client, context| async move {
+            client.find_stream(context, id, service, period).await
+        });
+    call.await.ok()
+}
+
+/// Returns the registered nodes, with this one if it is registered.
+fn nodes(shared: &Shared, with_leaving: bool) -> Vec<Node> {
+    let members = shared.members.borrow();
+    members
+        .nodes
+        .iter()
+        .filter(|(_, member)| with_leaving || !member.leaving)
+        .map(|(id, member)| Node {
+            id: id.clone(),
+            zone: member.zone.clone(),
+        })
+        .collect()
+}
--- a/crates/shallotroute_resident/src/shared.rs
+++ b/crates/shallotroute_resident/src/shared.rs
@@ -26,6 +26,7 @@
     metric::Metrics,
     peer::Peers,
     pool::Pool,
+    resume::Streams,
     store::Store,
     view::View,
 };
@@ -55,6 +56,8 @@
     pub(crate) jobs: Registry,
     /// Checkpoints of jobs that other nodes own.
     pub(crate) held_checkpoints: Checkpoints,
+    /// The streams whose callers may come back, here or at another node.
+    pub(crate) streams: Streams,
     /// The copies of what all nodes follow in the store, which this node passes on to others.
     pub(crate) view: View,
     /// Whether this node is to have an entry among the members.
@@ -116,6 +119,7 @@
             members: watch::channel(Members::default()).0,
             jobs: Registry::default(),
             held_checkpoints: Checkpoints::default(),
+            streams: Streams::new(),
             view: View::default(),
             should_register: watch::channel(false).0,
             drain: CancellationToken::new(),
--- a/crates/shallotroute_resident/src/stream.rs
+++ b/crates/shallotroute_resident/src/stream.rs
@@ -1,4 +1,5 @@
-//! Forwards event streams. Where the route allows it, a broken stream resumes at another server.
+//! Forwards event streams. Where the route allows it, a broken stream resumes at another server of the
+//! software version that began it.
 
 use std::{sync::Arc, time::Instant};
 
@@ -8,9 +9,10 @@
 use hyper::body::Incoming;
 use shallotroute_adapter::backend::{self, EventDecoder, Head};
 use shallotroute_fleet::{
+    resume::{self as decision, Origin, Source},
     retry::{AttemptFailure, Attempts, Decision, Policy, RequestFailure},
     route::{Route, Table},
-    server::Outcome,
+    server::{Outcome, Server},
     stall::Watchdog,
 };
 use shallotroute_http::body::{self, Body};
@@ -23,6 +25,7 @@
     ingress::{failure_response, server_response},
     metric::Metrics,
     pool::{Connection, Failure},
+    response, resume,
     shared::{InFlight, Shared},
 };
 
@@ -31,7 +34,8 @@
 
 /// An open stream from a server.
 struct OpenStream {
-    server: Name,
+    /// The server according to the host list when it was chosen.
+    server: Server,
     in_flight: InFlight,
     connection: Connection,
     status: StatusCode,
@@ -40,6 +44,38 @@
     body: Incoming,
 }
 
+/// The servers that may run a stream.
+#[derive(Clone, Debug)]
+struct Target {
+    service: Name,
+    /// The software version that began the stream; `None` until the caller has its first event.
+    software: Option<Name>,
+}
+
+/// What a caller takes up.
+struct TakeUp {
+    /// The identity of the request that brought the stream's first event.
+    id: Name,
+    origin: Origin,
+    /// How the origin was found.
+    source: Source,
+}
+
+impl Target {
+    fn new(route: &Route, request: &str, take_up: Option<&TakeUp>) -> Self {
+        match take_up {
+            Some(TakeUp { id, origin, .. }) => Self {
+                service: decision::service(route, Some(origin), id).clone(),
+                software: Some(origin.software.clone()),
+            },
+            None => Self {
+                service: route.service_for(request).clone(),
+                software: None,
+            },
+        }
+    }
+}
+
 /// Why an attempt to open a stream failed.
 enum OpenError {
     /// The server did not run the request, or could not be reached.
@@ -78,19 +114,24 @@
         deadline: started_at + request.timeout,
     };
     let mut attempts = Attempts::new(policy);
-    let opened = match open(shared, route, &request, &mut attempts, policy.deadline).await {
+    let last_event = backend::last_event_id(&request.headers).unwrap_or(0);
+    let take_up = match is_resumable && last_event > 0 {
+        true => match find_origin(shared, route, &request, policy.deadline).await {
+            Some(take_up) => Some(take_up),
+            None => return refuse_take_up(shared, route, &request),
+        },
+        false => None,
+    };
+    let target = Target::new(route, &request.id, take_up.as_ref());
+    let opening = open(shared, &target, &request, &mut attempts, policy.deadline);
+    let opened = opening.await;
+    if let Some(take_up) = &take_up {
+        log_take_up(shared, &request, take_up, &opened);
+    }
+    let opened = match opened {
         Ok(opened) => opened,
         Err((failure, reason)) => {
-            let (response, outcome) = failure_response(failure);
-            Metrics::count(&shared.metrics.requests, outcome);
-            spdlog::info!("failed to open stream", kv: {
-                request = &*request.id,
-                route = route.name.as_str(),
-                configuration = table.version(),
-                outcome,
-                reason = reason.as_str(),
-            });
-            return response;
+            return refuse_stream(shared, table, route, &request, failure, &reason);
         }
     };
     let (status, headers) = (opened.status, opened.headers.clone());
@@ -98,7 +139,11 @@
     let copier = Copier {
         shared: Arc::clone(shared),
         route: Arc::clone(route),
-        last_event: backend::last_event_id(&request.headers).unwrap_or(0),
+        last_event,
+        target,
+        take_up,
+        is_software_checked: false,
+        is_recorded: false,
         request,
         is_resumable,
         deadline: policy.deadline,
@@ -112,11 +157,87 @@
     server_response(status, headers, body::stream(chunks))
 }
 
+/// Logs and counts a stream that no server has opened, and returns the response for its caller.
+fn refuse_stream(
+    shared: &Shared,
+    table: &Table,
+    route: &Route,
+    request: &BackendRequest,
+    failure: RequestFailure,
+    reason: &str,
+) -> Response<Body> {
+    let (response, outcome) = failure_response(failure);
+    Metrics::count(&shared.metrics.requests, outcome);
+    spdlog::info!("failed to open stream", kv: {
+        request = &*request.id,
+        route = route.name.as_str(),
+        configuration = table.version(),
+        outcome,
+        reason,
+    });
+    response
+}
+
+/// Finds what began the stream that a caller takes up. Returns `None` if the software version is
+/// unknown.
+async fn find_origin(
+    shared: &Arc<Shared>,
+    route: &Route,
+    request: &BackendRequest,
+    deadline: Instant,
+) -> Option<TakeUp> {
+    // A caller that names no request has no record, but the service may have one version only.
+    let id = Name::from(backend::resumed_request(&request.headers).unwrap_or(&request.id));
+    let finding = resume::find(shared, route, &id);
+    let (origin, source) = tokio::time::timeout_at(deadline.into(), finding)
+        .await
+        .ok()??;
+    Some(TakeUp { id, origin, source })
+}
+
+/// Refuses to take up a stream whose software version is unknown.
+fn refuse_take_up(shared: &Shared, route: &Route, request: &BackendRequest) -> Response<Body> {
+    Metrics::count(&shared.metrics.take_ups, "unknown");
+    Metrics::count(&shared.metrics.requests, "not_run");
+    spdlog::info!("stream not taken up; no node knows the software version that began it", kv: {
+        request = &*request.id,
+        resumes = backend::resumed_request(&request.headers).unwrap_or_default(),
+        route = route.name.as_str(),
+        found = "unknown",
+        outcome = "not_run",
+    });
+    response::not_run(resume::RETRY_AFTER)
+}
+
+/// Logs and counts how a stream was taken up whose software version is known.
+fn log_take_up(
+    shared: &Shared,
+    request: &BackendRequest,
+    take_up: &TakeUp,
+    opened: &Result<OpenStream, (RequestFailure, String)>,
+) {
+    let found = take_up.source.label();
+    Metrics::count(&shared.metrics.take_ups, found);
+    let (outcome, server) = match opened {
+        Ok(opened) => ("opened", opened.server.id.as_str()),
+        Err(_) => ("failed", ""),
+    };
+    spdlog::info!("stream taken up", kv: {
+        request = &*request.id,
+        resumes = take_up.id.as_str(),
+        service = take_up.origin.service.as_str(),
+        software = take_up.origin.software.as_str(),
+        found,
+        outcome,
+        server,
+    });
+}
+
 /// Opens a stream at a server, or at another one if the first did not run the request. On failure,
 /// returns the failure and, for the log, why the last attempt failed.
 async fn open(
     shared: &Arc<Shared>,
-    route: &Route,
+    target: &Target,
     request: &BackendRequest,
     attempts: &mut Attempts,
     deadline: Instant,
@@ -127,9 +248,18 @@
             Decision::Fail(failure) => return Err((failure, reason)),
             Decision::WaitUntil(until) => tokio::time::sleep_until(until.into()).await,
             Decision::Send => {
-                let Some(server) =
-                    forward::choose_server(shared, route, &request.id, attempts.servers())
+                let software = target.software.as_deref();
+                let avoid = attempts.servers();
+                let Some(server) = forward::choose_server(shared, &target.service, software, avoid)
                 else {
+                    if target.software.is_some() && avoid.is_empty() {
+                        // Servers of a version that is being replaced do not come back soon.
+                        let failure = RequestFailure::NotRun {
+                            retry_after: resume::RETRY_AFTER,
+                        };
+                        let reason = "no server of the software version takes requests";
+                        return Err((failure, reason.to_owned()));
+                    }
                     "no server takes requests".clone_into(&mut reason);
                     attempts.record_no_server(shared.now());
                     continue;
@@ -162,7 +292,7 @@
 /// Opens a stream at one server.
 async fn open_at(
     shared: &Shared,
-    server: &shallotroute_fleet::server::Server,
+    server: &Server,
     request: &BackendRequest,
     deadline: Instant,
     in_flight: InFlight,
@@ -207,7 +337,7 @@
         return fail(in_flight, OpenError::MayHaveRun(reason));
     }
     Ok(OpenStream {
-        server: server.id.clone(),
+        server: server.clone(),
         in_flight,
         connection,
         status: parts.status,
@@ -226,6 +356,14 @@
     deadline: Instant,
     /// The number of the last event that the caller has.
     last_event: u64,
+    /// Where the stream may run.
+    target: Target,
+    /// What the caller takes up; `None` if it had no event of the stream before.
+    take_up: Option<TakeUp>,
+    /// Whether the software version of the present server has been checked.
+    is_software_checked: bool,
+    /// Whether the origin of the stream has been recorded at this node.
+    is_recorded: bool,
     sender: mpsc::Sender<Result<Bytes, body::Error>>,
 }
 
@@ -233,7 +371,7 @@
     async fn run(mut self, opened: OpenStream, mut attempts: Attempts) {
         let mut opened = opened;
         loop {
-            let server = opened.server.clone();
+            let server = opened.server.id.clone();
             let can_resume =
                 self.is_resumable && opened.status.is_success() && opened.head.stamp.is_some();
             let end = match can_resume {
@@ -262,7 +400,7 @@
             attempts.record_failure(AttemptFailure::NotRun, self.shared.now());
             let next = open(
                 &self.shared,
-                &self.route,
+                &self.target,
                 &self.request,
                 &mut attempts,
                 self.deadline,
@@ -317,12 +455,14 @@
     /// Copies whole events, so that the stream can resume after the last of them.
     async fn copy_events(&mut self, opened: OpenStream) -> CopyEnd {
         let OpenStream {
+            server,
             in_flight,
             connection,
             headers,
             mut body,
             ..
         } = opened;
+        self.is_software_checked = false;
         let mut events = EventDecoder::default();
         let mut watchdog = Watchdog::new(self.route.target_latency, self.shared.now());
         loop {
@@ -359,7 +499,7 @@
                 },
             };
             events.push(&bytes);
-            match self.send_events(&mut events, &mut watchdog).await {
+            match self.send_events(&mut events, &mut watchdog, &server).await {
                 Ok(()) => {}
                 Err(CopyEnd::Broken(reason)) => {
                     in_flight.finish(Outcome::Failed);
@@ -370,11 +510,13 @@
         }
     }
 
-    /// Sends all complete events to the caller, except those that it already has.
+    /// Sends all complete events to the caller, except those that it already has. They come
+    /// from `server`.
     async fn send_events(
         &mut self,
         events: &mut EventDecoder,
         watchdog: &mut Watchdog,
+        server: &Server,
     ) -> Result<(), CopyEnd> {
         while let Some((block, number)) = events
             .next_raw_event()
@@ -387,12 +529,61 @@
             if number != self.last_event + 1 {
                 return Err(CopyEnd::Broken("an event number is missing".to_owned()));
             }
+            self.check_software(server)?;
+            self.record_origin(&server.software).await;
             self.send(block).await?;
             self.last_event = number;
         }
         Ok(())
     }
 
+    /// Checks before the first event of a server that the host list still names the software version
+    /// for which the server was chosen. It may have started again under its identity; a change that is
+    /// listed only after the first event is not noticed.
+    fn check_software(&mut self, server: &Server) -> Result<(), CopyEnd> {
+        if std::mem::replace(&mut self.is_software_checked, true) {
+            return Ok(());
+        }
+        let balancer = self.shared.balancer();
+        match balancer.get(&server.id) {
+            Some(listed) if listed.software != server.software => Err(CopyEnd::Broken(
+                "the server has another software version now".to_owned(),
+            )),
+            _ => Ok(()),
+        }
+    }
+
+    /// Records what began the stream before the first event is sent, so that the stream goes on at the
+    /// same software version here or at another node.
+    async fn record_origin(&mut self, software: &Name) {
+        if self.is_recorded {
+            return;
+        }
+        self.is_recorded = true;
+        let software = self.target.software.get_or_insert_with(|| software.clone());
+        let (id, origin) = match &self.take_up {
+            Some(take_up) => (take_up.id.clone(), take_up.origin.clone()),
+            None => {
+                let origin = Origin {
+                    service: self.target.service.clone(),
+                    software: software.clone(),
+                };
+                (Name::from(&*self.request.id), origin)
+            }
+        };
+        // The record of a stream that was taken up has holders; more copies need not delay it.
+        let waits_for_copies = self.take_up.is_none();
+        resume::record(
+            &self.shared,
+            &self.route,
+            &self.request,
+            id,
+            origin,
+            waits_for_copies,
+        )
+        .await;
+    }
+
     /// Sends bytes to the caller. A caller that does not read is waited for until the deadline of its
     /// request.
     async fn send(&self, bytes: Bytes) -> Result<(), CopyEnd> {
