resident: a stream that may resume is opened at another server after a crash

Cause: a stream whose server broke off before the head of its response was answered 502, although a stream that may be resumed may also run again. During a release the few servers of the former version get all take-ups, and each crash cost the caller one of its tries. Change: the attempts to open such a stream go on at another server. Other streams are as before.

--- a/crates/shallotroute_resident/src/resume.rs
+++ b/crates/shallotroute_resident/src/resume.rs
@@ -43,7 +43,7 @@
 /// The timeout of a call that asks another node for a record.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// The maximum age of a view of the host list that counts as current. A follower's view is up to 1.5 s
+/// The maximum age of a view of the host list that counts as current. A follower's view is up to 1.7 s
 /// old: that of its source by [`view::MAX_VIEW_AGE`], and the time for which it holds the request.
 const MAX_VIEW_AGE: Duration = Duration::from_secs(2);
 
--- a/crates/shallotroute_resident/src/stream.rs
+++ b/crates/shallotroute_resident/src/stream.rs
@@ -107,7 +107,9 @@
 ) -> Response<Body> {
     let started_at = shared.now();
     let policy = Policy {
-        is_idempotent: false,
+        // A stream that may resume may also run again, so that a server that has crashed costs the
+        // caller no attempt of its own.
+        is_idempotent: is_resumable,
         max_attempts: route.max_attempts,
         started_at,
         target_latency: route.target_latency,
