--- a/crates/shallotroute_fleet/src/resume.rs
+++ b/crates/shallotroute_fleet/src/resume.rs
@@ -37,7 +37,8 @@
 /// The time that a caller needs to come back after its stream has broken off at the route's timeout.
 pub const RETURN_TIME: Duration = Duration::from_secs(2);
 
-/// The maximum number of records that a node keeps, some 20 MB. The next ones to expire yield.
+/// The maximum number of records that a node keeps: about 25 MB, estimated from the sizes of the types.
+/// The next ones to expire yield.
 const MAX_RECORDS: usize = 100_000;
 
 /// What began a stream.
