soak: model servers of two software versions, streams that callers take up again

Cause: servers of two software versions may serve side by side, and only the version that began a stream can continue it. All model servers of the soak had the same version, and callers gave up a stream that broke off, so that no soak could see it. Change: each model server has a software version, which its host list entry and its events name. Releases replace servers by ones of the other version; some runs begin with both. Model servers crash up to 100 ms before nodes are killed, and callers' connections are reset. Callers take a broken stream up again at other nodes. Events of two software versions in a stream or in a job's text are a finding, and so are take-ups at nodes in touch that go on less than half as often as new streams begin. Events of streams that broke off are checked too. Callers of long streams and long items make faults hit more of them.

--- a/crates/shallotroute/examples/soak.rs
+++ b/crates/shallotroute/examples/soak.rs
@@ -3,7 +3,7 @@
 use std::{path::PathBuf, process::ExitCode, time::Duration};
 
 use argh::FromArgs;
-use shallotroute_soak::soak::{self, Options, Report};
+use shallotroute_soak::soak::{self, Options, Report, Schedule};
 
 /// Soaks of the node program under faults, one after the other.
 #[derive(Debug, FromArgs)]
@@ -24,6 +24,15 @@
     #[argh(option, default = "8")]
     callers: usize,
 
+    /// callers at a time that request only long streams (8)
+    #[argh(option, default = "8")]
+    stream_callers: usize,
+
+    /// only crashes of model servers of two software versions, with kills of nodes and resets of
+    /// callers' connections
+    #[argh(switch)]
+    crashes: bool,
+
     /// seconds of faults for each seed (12)
     #[argh(option, default = "12")]
     seconds: u64,
@@ -51,8 +60,12 @@
                     seed,
                     nodes: arguments.nodes,
                     callers: arguments.callers,
+                    stream_callers: arguments.stream_callers,
                     duration: Duration::from_secs(arguments.seconds),
-                    has_faults: true,
+                    schedule: match arguments.crashes {
+                        true => Schedule::Crashes,
+                        false => Schedule::Random,
+                    },
                 };
                 let binary = binary.clone();
                 tokio::spawn(async move { soak::run(&binary, options).await })
@@ -93,6 +106,15 @@
         report.faults.len(),
         report.findings.len()
     );
+    for (place, streams) in [
+        ("all nodes", report.streams),
+        ("nodes in touch", report.streams_in_touch),
+    ] {
+        eprintln!(
+            "  {place}: {} of {} new streams began; {} of {} take-ups went on, {} were refused",
+            streams.begun, streams.new, streams.continued, streams.take_ups, streams.refused
+        );
+    }
     if report.findings.is_empty() {
         return true;
     }
--- a/crates/shallotroute/tests/soak.rs
+++ b/crates/shallotroute/tests/soak.rs
@@ -6,7 +6,7 @@
 use googletest::prelude::*;
 use http::StatusCode;
 use shallotroute_soak::{
-    soak::{self, Options, Report},
+    soak::{self, Options, Report, Schedule},
     unresponsive_store,
 };
 
@@ -14,8 +14,9 @@
     seed: 1,
     nodes: 3,
     callers: 6,
+    stream_callers: 4,
     duration: Duration::from_secs(8),
-    has_faults: true,
+    schedule: Schedule::Random,
 };
 
 /// Runs a soak of the node program that Cargo has built for this test.
@@ -41,7 +42,7 @@
 #[tokio::test]
 async fn requests_and_steps_succeed_without_faults() {
     let report = run_soak(Options {
-        has_faults: false,
+        schedule: Schedule::None,
         duration: Duration::from_secs(4),
         ..OPTIONS
     })
