shallotroute: a soak test of streams around crashes with two software versions

Cause: when a model server and the node of its stream fail at nearly the same time, the stream goes on at a server of any software version, in one answer, at another node and in texts of jobs. "stream-18-12: stream has events of two software versions in one answer: stream-18-12 at node-0: 5 of v2, 55 of v1".

--- a/crates/shallotroute/tests/soak.rs
+++ b/crates/shallotroute/tests/soak.rs
@@ -1,5 +1,6 @@
 //! Soak tests of node processes on a stand-in of the users' platform: a run without faults, a short
-//! seeded run with faults, and a run with a store that stops responding.
+//! seeded run with faults, a run with crashes around streams of two software versions, and a run with
+//! a store that stops responding.
 
 use std::{path::Path, time::Duration};
 
@@ -91,3 +92,21 @@
         "delays between the end of generation and the start of scoring"
     );
 }
+
+/// Guards against streams and texts of jobs that are continued by another software version than the
+/// one that began them, when their model server and their node fail at nearly the same time.
+#[gtest]
+#[tokio::test]
+async fn streams_go_on_at_the_software_version_that_began_them() {
+    let report = run_soak(Options {
+        nodes: 6,
+        callers: 2,
+        stream_callers: 20,
+        duration: Duration::from_secs(8),
+        schedule: Schedule::Crashes,
+        ..OPTIONS
+    })
+    .await;
+    expect_no_findings(&report);
+    expect_that!(report.streams_in_touch.take_ups, ge(12));
+}
