batch: an item waits 2 s at most for servers of its software

An item waited for a free server of the software that began it for as long as its events take to generate again: 16 s for 400 events, in which other servers were idle. No item may be at no server for 5 s then. Change: the wait has an upper bound. A test that ignored discards fails on one now. Result: the test with an interval of 1 s and three events fails without the bound (3 s).

--- a/crates/shallotroute_batch/src/job.rs
+++ b/crates/shallotroute_batch/src/job.rs
@@ -54,6 +54,10 @@
 /// checkpoint took, see [`CHECKPOINT_EVENTS`].
 const DEFAULT_SOFTWARE_WAIT: Duration = Duration::from_millis(500);
 
+/// The longest wait of an item for servers of the software that generated its events. Items must not be at
+/// no server for 5 s while others have free slots.
+const MAX_SOFTWARE_WAIT: Duration = Duration::from_secs(2);
+
 /// The maximum size of the outputs in one chunk, in bytes. As Base64 text the chunk stays below the
 /// store's limit of one megabyte.
 const MAX_CHUNK_BYTES: usize = 500 << 10;
@@ -813,10 +817,12 @@
 
 /// Returns how long an item with `events` events waits for servers of the software that generated them:
 /// as long as it takes to generate them again elsewhere, so that no item loses more than twice the time
-/// that the better choice would have cost.
+/// that the better choice would have cost, and [`MAX_SOFTWARE_WAIT`] at most.
 fn max_software_wait(events: u64, event_interval: Option<Duration>) -> Duration {
     let events = u32::try_from(events).unwrap_or(u32::MAX);
-    event_interval.map_or(DEFAULT_SOFTWARE_WAIT, |interval| {
-        interval.saturating_mul(events)
-    })
+    event_interval
+        .map_or(DEFAULT_SOFTWARE_WAIT, |interval| {
+            interval.saturating_mul(events)
+        })
+        .min(MAX_SOFTWARE_WAIT)
 }
--- a/crates/shallotroute_batch/tests/job.rs
+++ b/crates/shallotroute_batch/tests/job.rs
@@ -365,7 +365,8 @@
                         later,
                     );
                 }
-                Action::Cancel { .. } | Action::ReportDiscard(_) => {}
+                Action::Cancel { .. } => {}
+                Action::ReportDiscard(discard) => panic!("one software version: {discard:?}"),
             }
         }
     }
@@ -744,10 +745,15 @@
 }
 
 /// Guards against an item that starts again although a server of its software is about to have a free
-/// slot, and against one that waits for longer than its events took.
+/// slot, and against one that waits for longer than its events took, or for seconds.
 #[gtest]
 fn an_item_waits_for_its_software_as_long_as_its_events_take() {
-    for (interval, limit) in [(Some(Duration::from_millis(40)), 120), (None, 500)] {
+    let slow = Duration::from_secs(1);
+    for (interval, limit) in [
+        (Some(Duration::from_millis(40)), 120),
+        (Some(slow), 2000),
+        (None, 500),
+    ] {
         let now = Instant::now();
         let limits = Limits {
             event_interval: interval,
