fleet: records of streams outlast a caller's wait for an event

A record was kept for 2 s beyond the longest stream, but a caller waits at least 2 s for an event before it comes back, or four times the target latency. Change: 3 s, or the caller's wait and a second.

--- a/crates/shallotroute_fleet/src/resume.rs
+++ b/crates/shallotroute_fleet/src/resume.rs
@@ -34,8 +34,12 @@
 /// The longest time for which a record is kept, whatever its caller or another node says.
 pub const MAX_RETENTION: Duration = Duration::from_secs(900);
 
-/// The time that a caller needs to come back after its stream has broken off at the route's timeout.
-pub const RETURN_TIME: Duration = Duration::from_secs(2);
+/// The time that a caller needs at least to come back after its stream has had no event at the route's
+/// timeout: callers wait 2 s for an event, or four times the target latency.
+pub const RETURN_TIME: Duration = Duration::from_secs(3);
+
+/// The time that a caller needs to come back after it has given up waiting for an event.
+const RECONNECTION_TIME: Duration = Duration::from_secs(1);
 
 /// The maximum number of records that a node keeps: about 25 MB, estimated from the sizes of the types.
 /// The next ones to expire yield.
@@ -226,7 +230,9 @@
 /// `caller_timeout` is how long the caller waits altogether; `None` if it does not say it.
 pub fn retention(route: &Route, caller_timeout: Option<Duration>) -> Duration {
     let longest = route.timeout.max(caller_timeout.unwrap_or_default());
-    longest.saturating_add(RETURN_TIME).min(MAX_RETENTION)
+    let event_wait = route.target_latency.saturating_mul(4);
+    let return_time = RETURN_TIME.max(event_wait.saturating_add(RECONNECTION_TIME));
+    longest.saturating_add(return_time).min(MAX_RETENTION)
 }
 
 /// Returns the nodes in the order in which they hold the record of a stream, by rendezvous hashing:
