--- a/crates/shallotroute/examples/soak.rs
+++ b/crates/shallotroute/examples/soak.rs
@@ -33,6 +33,11 @@
     #[argh(switch)]
     crashes: bool,
 
+    /// as crashes, but the model servers start again at once under their ids with the other software
+    /// version
+    #[argh(switch)]
+    software_switches: bool,
+
     /// seconds of faults for each seed (12)
     #[argh(option, default = "12")]
     seconds: u64,
@@ -62,9 +67,10 @@
                     callers: arguments.callers,
                     stream_callers: arguments.stream_callers,
                     duration: Duration::from_secs(arguments.seconds),
-                    schedule: match arguments.crashes {
-                        true => Schedule::Crashes,
-                        false => Schedule::Random,
+                    schedule: match (arguments.software_switches, arguments.crashes) {
+                        (true, _) => Schedule::SoftwareSwitches,
+                        (false, true) => Schedule::Crashes,
+                        (false, false) => Schedule::Random,
                     },
                 };
                 let binary = binary.clone();
