platform, fleet: limits that backend servers name are read, logged and counted

Cause: no decoder read Server-Limit, so that neither logs nor metrics could tell a limit that is not known at a node from one that is known and not kept. Change: the head of a response says what limit its server names; changes are logged and counted, and the state dump shows the limit of each server. A response of another server or request, or a malformed value, says nothing. No decision uses the limit yet.

--- a/crates/shallotroute_fleet/src/lib.rs
+++ b/crates/shallotroute_fleet/src/lib.rs
@@ -1,9 +1,10 @@
 //! Pure state machines for traffic to backend servers: routes, load balancing, retries and hedging,
-//! rolling weight updates, the ranking of nodes in elections, at which software version streams go on,
+//! limits that servers name, rolling weight updates, the ranking of nodes in elections, at which software version streams go on,
 //! and how nodes follow the platform's store. Start with [`server::Balancer`], [`route::Table`] and [`source::Selector`].
 
 pub mod capacity;
 pub mod election;
+pub mod limit;
 pub mod replica;
 pub mod resume;
 pub mod retry;
--- a/crates/shallotroute_fleet/src/server.rs
+++ b/crates/shallotroute_fleet/src/server.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     capacity::Supply,
+    limit::{self, Observation, Rate, Statement},
     software::{History, Knowledge},
 };
 
@@ -133,6 +134,8 @@
     pub mean_latency: Option<Duration>,
     /// Whether the entry has vanished from the host list after an outage and may still return.
     pub is_missing: bool,
+    /// The rate of requests that the server takes from all nodes together; `None` without a limit.
+    pub limit: Option<Rate>,
 }
 
 /// Chooses backend servers by load, latency, version and availability zone.
@@ -166,6 +169,8 @@
     /// The moving average that [`Summary::mean_latency`] returns, in seconds.
     mean_latency: Option<f64>,
     missing_since: Option<Instant>,
+    /// The limit that the server has named; `None` without one.
+    limit: Option<limit::Known>,
 }
 
 /// How long a server's statement that it is leaving is kept; it exits within a minute.
@@ -240,6 +245,35 @@
         is_new
     }
 
+    /// Records what a response of a server says about its limit. Returns an observation if that is
+    /// something else than before.
+    pub fn record_limit(
+        &mut self,
+        id: &str,
+        statement: Statement,
+        now: Instant,
+    ) -> Option<Observation> {
+        let entry = self.entries.get_mut(id)?;
+        let (has_changed, rate) = match (statement, &mut entry.limit) {
+            (Statement::Silent, _) | (Statement::Unlimited, None) => return None,
+            (Statement::Unlimited, Some(_)) => {
+                entry.limit = None;
+                (true, None)
+            }
+            (Statement::Limited(rate), Some(known)) => (known.observe(rate, now), Some(rate)),
+            (Statement::Limited(rate), None) => {
+                entry.limit = Some(limit::Known::new(rate, now));
+                (true, Some(rate))
+            }
+        };
+        has_changed.then(|| Observation {
+            server: entry.server.id.clone(),
+            born: entry.server.born,
+            rate,
+            age: Duration::ZERO,
+        })
+    }
+
     /// Removes a server. During the recovery period after an outage of the host list it is only
     /// marked as missing.
     pub fn remove(&mut self, id: &str, now: Instant) {
@@ -315,6 +349,7 @@
                     .map_or(Duration::ZERO, |until| until.saturating_duration_since(now)),
                 mean_latency: entry.mean_latency.map(Duration::from_secs_f64),
                 is_missing: entry.missing_since.is_some(),
+                limit: entry.limit.as_ref().map(limit::Known::rate),
             })
             .collect()
     }
@@ -567,6 +602,7 @@
             back_off_until: None,
             mean_latency: None,
             missing_since: None,
+            limit: None,
         }
     }
 
--- a/crates/shallotroute_resident/src/dump.rs
+++ b/crates/shallotroute_resident/src/dump.rs
@@ -4,6 +4,7 @@
 
 use serde_json::{Value, json};
 use shallotroute_batch::record::Owner;
+use shallotroute_fleet::limit::Rate;
 
 use crate::{job::Owned, shared::Shared, view};
 
@@ -91,6 +92,7 @@
                 "paused_ms": summary.back_off.as_millis(),
                 "pace_ms": summary.mean_latency.map(|latency| latency.as_millis()),
                 "entry_missing": summary.is_missing,
+                "limit_per_s": summary.limit.map(Rate::per_second),
             })
         })
         .collect()
--- a/crates/shallotroute_resident/src/metric.rs
+++ b/crates/shallotroute_resident/src/metric.rs
@@ -56,6 +56,8 @@
     pub(crate) stream_copies: Family<Label, Counter>,
     /// Attempts to have a backend server answer a caller's request, by outcome.
     pub(crate) attempts: Family<Label, Counter>,
+    /// Limits of backend servers that this node has seen, by event.
+    pub(crate) limits: Family<Label, Counter>,
     /// Batch jobs by event.
     pub(crate) jobs: Family<Label, Counter>,
     /// Reads of results that this node served as the owner of the job, by what they returned.
@@ -97,6 +99,7 @@
             take_ups: Family::default(),
             stream_copies: Family::default(),
             attempts: Family::default(),
+            limits: Family::default(),
             jobs: Family::default(),
             pages: Family::default(),
             runs: Family::default(),
@@ -138,6 +141,11 @@
             "Sends of requests to backend servers",
             self.attempts.clone(),
         );
+        registry.register(
+            "limits",
+            "Limits that backend servers named, by event",
+            self.limits.clone(),
+        );
         self.register_jobs(registry);
         registry.register(
             "store_calls",
--- a/crates/shallotroute_resident/src/shared.rs
+++ b/crates/shallotroute_resident/src/shared.rs
@@ -10,6 +10,7 @@
 use shallotroute_batch::record::Owner;
 use shallotroute_fleet::{
     capacity::{Backlog, Board},
+    limit::Rate,
     route::Table,
     server::{Balancer, Outcome, Rank},
     source,
@@ -195,6 +196,19 @@
         if head.is_leaving {
             self.record_leaving(server);
         }
+        let now = self.now();
+        let observed = self.balancer().record_limit(server, head.limit, now);
+        if let Some(observation) = observed {
+            let rate = observation.rate.map(Rate::per_second);
+            let event = match rate {
+                Some(_) => "named",
+                None => "ended",
+            };
+            Metrics::count(&self.metrics.limits, event);
+            spdlog::info!("limit of a server", kv: {
+                server = server.as_str(), event, per_second = rate.unwrap_or_default(),
+            });
+        }
     }
 
     /// Records that a server has said that it is leaving.
