fleet: a hedge without a second server is sought again after a delay

Cause: while the first attempt was in flight and no other server of the service was listed, the decision was to send at once, again and again. The loop that performs decisions has no await on that path, so that the node did nothing else until the request's deadline, not even read the first answer. Found by reading the code for limits, under which servers are often not available; single servers that are left after crashes meet it too. Change: the delay after a vain search holds for hedges as for first attempts. Test: a_hedge_without_a_second_server_is_sought_again_after_a_delay failed before.

--- a/crates/shallotroute_fleet/src/retry.rs
+++ b/crates/shallotroute_fleet/src/retry.rs
@@ -174,6 +174,8 @@
             return Decision::WaitUntil(policy.deadline);
         }
         let hedge_at = policy.started_at + policy.target_latency * HEDGE_DELAY_PERCENT / 100;
+        // The second server may have been sought before, in vain.
+        let hedge_at = hedge_at.max(self.retry_at.unwrap_or(hedge_at));
         match now >= hedge_at {
             true => Decision::Send,
             false => Decision::WaitUntil(hedge_at.min(policy.deadline)),
--- a/crates/shallotroute_fleet/tests/retry.rs
+++ b/crates/shallotroute_fleet/tests/retry.rs
@@ -164,3 +164,20 @@
     }
     expect_that!(now, le(started_at + TARGET_LATENCY / 4));
 }
+
+/// Guards against a node that seeks a second server without a pause while the first one works, and
+/// does nothing else meanwhile.
+#[gtest]
+fn a_hedge_without_a_second_server_is_sought_again_after_a_delay() {
+    let started_at = Instant::now();
+    let mut attempts = Attempts::new(policy(started_at, true));
+    attempts.record_attempt(&Name::from("a"));
+    let hedge_at = after(started_at, 100);
+    expect_that!(attempts.decide(hedge_at), eq(Decision::Send));
+    attempts.record_no_server(hedge_at);
+    let Decision::WaitUntil(until) = attempts.decide(hedge_at) else {
+        panic!("expected to wait before a second server is sought again");
+    };
+    expect_that!(until, gt(hedge_at));
+    expect_that!(attempts.decide(until), eq(Decision::Send));
+}
