fleet, resident: nodes keep together to the limit that a server names

Cause: nothing used the limit, and nothing could have kept it: it is a bound on the sum over all hosts, and no node knew of the others' requests. The class of fault is a shared budget without an owner. Change: each server has a home among the members by rendezvous hashing, which divides the rate by a token bucket; every request to a server with a limit needs a permit from it just before it is sent: first tries, retries, hedges, streams and their resumptions, batch items, scoring, and second sends on a reused connection. Callers go before batch items. A deputy grants a fifth while the home does not answer, and a new home does so for its first second, so that disagreement about the home can't double the rate. A server whose limit denies a request is not chosen; if all do, a caller is refused at once with the time to come back, and batch items wait. The latest answer decides how a limit changes and ends; a new process has none.

--- a/crates/shallotroute/tests/soak.rs
+++ b/crates/shallotroute/tests/soak.rs
@@ -1,6 +1,6 @@
 //! Soak tests of node processes on a stand-in of the users' platform: a run without faults, a short
-//! seeded run with faults, a run with crashes around streams of two software versions, and a run with
-//! a store that stops responding.
+//! seeded run with faults, a run with crashes around streams of two software versions, a run with servers
+//! that name limits, and a run with a store that stops responding.
 
 use std::{path::Path, time::Duration};
 
@@ -110,3 +110,21 @@
     expect_no_findings(&report);
     expect_that!(report.streams_in_touch.take_ups, ge(12));
 }
+
+/// Guards against a server that gets more requests than the limit it has named, which holds for all nodes
+/// together and for callers' requests, second copies and scoring alike.
+#[gtest]
+#[tokio::test]
+async fn servers_get_no_more_requests_than_the_limits_that_they_name() {
+    let report = run_soak(Options {
+        nodes: 6,
+        callers: 12,
+        stream_callers: 0,
+        duration: Duration::from_secs(24),
+        schedule: Schedule::Limits,
+        ..OPTIONS
+    })
+    .await;
+    expect_no_findings(&report);
+    expect_that!(report.successful_requests, ge(200));
+}
--- a/crates/shallotroute_batch/tests/shared_servers.rs
+++ b/crates/shallotroute_batch/tests/shared_servers.rs
@@ -15,6 +15,7 @@
 };
 use shallotroute_fleet::{
     capacity::{self, Backlog, Board, Demand, Load, Report},
+    limit::Class,
     rolling_update::{OrderOutcome, Planner},
     server::{Balancer, Outcome, Rank, Requirements, Server},
 };
@@ -319,6 +320,7 @@
                     avoid: preference.avoid,
                     cached_on: preference.cached_on.map(|name| &**name),
                     batch_rank: Some(rank),
+                    class: Class::Batch,
                 };
                 let server = balancer.choose(&requirements, now)?.id.clone();
                 balancer.record_start(&server);
--- a/crates/shallotroute_batch/tests/software.rs
+++ b/crates/shallotroute_batch/tests/software.rs
@@ -17,6 +17,7 @@
     job::{Action, Choice, Discard, Event, GenerationEnd, Job, Limits, Preference},
     record::{self, Checkpoint, Item, Outcome, Specification},
 };
+use shallotroute_fleet::limit::Class;
 use shallotroute_fleet::server::{self, Balancer, Rank, Requirements, Server};
 use shallotroute_types::{name::Name, version::Version};
 
@@ -426,6 +427,7 @@
         avoid: preference.avoid,
         cached_on: preference.cached_on.map(|name| &**name),
         batch_rank: Some(RANK),
+        class: Class::Batch,
     };
     let server = balancer.choose(&requirements, now)?;
     Some(Choice {
--- a/crates/shallotroute_fleet/src/retry.rs
+++ b/crates/shallotroute_fleet/src/retry.rs
@@ -91,6 +91,8 @@
     was_rejected: bool,
     /// The end of the delay before the same servers are tried again.
     retry_at: Option<Instant>,
+    /// Until when the limits of all servers deny an attempt.
+    limited_until: Option<Instant>,
 }
 
 impl Attempts {
@@ -103,6 +105,7 @@
             may_have_run: false,
             was_rejected: false,
             retry_at: None,
+            limited_until: None,
         }
     }
 
@@ -114,6 +117,7 @@
     /// Records that the request was sent to a server.
     pub fn record_attempt(&mut self, server: &Name) {
         self.in_flight += 1;
+        self.limited_until = None;
         if !self.servers.contains(server) {
             self.servers.push(server.clone());
         }
@@ -135,6 +139,13 @@
     /// Records that no server is available for an attempt.
     pub fn record_no_server(&mut self, now: Instant) {
         self.retry_at = Some(now + RETRY_DELAY);
+        self.limited_until = None;
+    }
+
+    /// Records that the limits of all servers deny an attempt for some time.
+    pub fn record_limited(&mut self, wait: Duration, now: Instant) {
+        self.retry_at = Some(now + wait.max(RETRY_DELAY));
+        self.limited_until = Some(now + wait);
     }
 
     /// Returns the next action at `now`.
@@ -143,7 +154,7 @@
         if now >= policy.deadline {
             return Decision::Fail(match self.may_have_run || self.in_flight > 0 {
                 true => RequestFailure::TimedOut,
-                false => self.not_run_failure(),
+                false => self.not_run_failure(now),
             });
         }
         if self.in_flight > 0 {
@@ -152,17 +163,17 @@
         if self.may_have_run && (!policy.is_idempotent || self.is_exhausted()) {
             return Decision::Fail(RequestFailure::OutcomeUnknown);
         }
+        let give_up_at = policy.started_at + policy.target_latency * RETRY_WINDOW_PERCENT / 100;
+        let is_denied = self.limited_until.is_some_and(|until| until > give_up_at);
         match self.retry_at {
-            Some(until) if now < until => Decision::WaitUntil(until.min(policy.deadline)),
-            Some(_)
-                if now
-                    >= policy.started_at + policy.target_latency * RETRY_WINDOW_PERCENT / 100 =>
-            {
-                Decision::Fail(match self.may_have_run {
-                    true => RequestFailure::OutcomeUnknown,
-                    false => self.not_run_failure(),
-                })
+            // Waiting is of no use if the limits deny the last attempt too.
+            Some(until) if now < until && !is_denied => {
+                Decision::WaitUntil(until.min(policy.deadline))
             }
+            Some(_) if now >= give_up_at || is_denied => Decision::Fail(match self.may_have_run {
+                true => RequestFailure::OutcomeUnknown,
+                false => self.not_run_failure(now),
+            }),
             _ => Decision::Send,
         }
     }
@@ -186,11 +197,15 @@
         self.servers.len() >= self.policy.max_attempts
     }
 
-    fn not_run_failure(&self) -> RequestFailure {
+    fn not_run_failure(&self, now: Instant) -> RequestFailure {
+        let limited_for = self
+            .limited_until
+            .map(|until| until.saturating_duration_since(now));
         RequestFailure::NotRun {
-            retry_after: match self.was_rejected {
-                true => RETRY_AFTER_REJECTED,
-                false => RETRY_AFTER_UNREACHABLE,
+            retry_after: match (limited_for, self.was_rejected) {
+                (Some(limited_for), _) => limited_for.max(RETRY_AFTER_REJECTED),
+                (None, true) => RETRY_AFTER_REJECTED,
+                (None, false) => RETRY_AFTER_UNREACHABLE,
             },
         }
     }
--- a/crates/shallotroute_fleet/src/server.rs
+++ b/crates/shallotroute_fleet/src/server.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     capacity::Supply,
-    limit::{self, Observation, Rate, Statement},
+    limit::{self, Claim, Class, Observation, Rate, Statement},
     software::{History, Knowledge},
 };
 
@@ -29,6 +29,10 @@
 /// The longest back-off after failures. A restarted server is used again within this time.
 const FAILURE_BACKOFF_MAX: Duration = Duration::from_secs(4);
 
+/// The cost of a server that has named a limit, in requests in flight. Its permits are for requests that
+/// other servers can't take soon.
+const LIMIT_COST: f64 = 1.0;
+
 /// The weight of one response time in the moving average of a server's latency.
 const RESPONSE_WEIGHT: f64 = 0.2;
 
@@ -111,6 +115,8 @@
     /// filled all slots. They are critical for the older job and would otherwise wait until the
     /// shorter outputs of the newer one end.
     pub batch_rank: Option<Rank>,
+    /// Whose request it is, which decides who gets the permits of a server with a limit.
+    pub class: Class,
 }
 
 /// The rank of a batch job among others: the Unix time at which it is due, in milliseconds. The
@@ -274,6 +280,53 @@
         })
     }
 
+    /// Returns the claim for a permit to send a request to a server; `None` if the server has no limit.
+    pub fn limit_claim(&self, id: &str, class: Class, now: Instant) -> Option<Claim> {
+        let entry = self.entries.get(id)?;
+        let known = entry.limit.as_ref()?;
+        Some(known.claim(entry.server.id.clone(), entry.server.born, class, now))
+    }
+
+    /// Records that a server takes no requests of a class for some time.
+    pub fn record_denial(&mut self, id: &str, class: Class, retry_after: Duration, now: Instant) {
+        if let Some(known) = self
+            .entries
+            .get_mut(id)
+            .and_then(|entry| entry.limit.as_mut())
+        {
+            known.record_denial(class, retry_after, now);
+        }
+    }
+
+    /// Records that the limit of a server's process has ended, as another node has seen.
+    pub fn end_limit(&mut self, id: &str, born: u64) {
+        if let Some(entry) = self.entries.get_mut(id)
+            && entry.server.born == born
+        {
+            entry.limit = None;
+        }
+    }
+
+    /// Returns whether a request may be sent to a server although no node divides its rate.
+    pub fn take_trial(&mut self, id: &str, now: Instant) -> bool {
+        let limit = self
+            .entries
+            .get_mut(id)
+            .and_then(|entry| entry.limit.as_mut());
+        limit.is_none_or(|known| known.take_trial(now))
+    }
+
+    /// Returns the time until the first server that only its limit excludes may be asked for a permit
+    /// again; `None` if there is none.
+    pub fn next_permit(&self, requirements: &Requirements<'_>, now: Instant) -> Option<Duration> {
+        self.entries
+            .values()
+            .filter(|entry| entry.meets(requirements))
+            .filter_map(|entry| entry.denied_until(requirements.class, now))
+            .min()
+            .map(|until| until.saturating_duration_since(now))
+    }
+
     /// Removes a server. During the recovery period after an outage of the host list it is only
     /// marked as missing.
     pub fn remove(&mut self, id: &str, now: Instant) {
@@ -525,9 +578,11 @@
     /// Returns the eligible server with the lowest cost, or `None` if there is none.
     ///
     /// Servers that are in back-off or missing are a last resort, and only for requests without a
-    /// model.
+    /// model. A server whose limit denies the request is none at all.
     pub fn choose(&self, requirements: &Requirements<'_>, now: Instant) -> Option<&Server> {
-        let is_eligible = |entry: &&Entry| entry.is_eligible(requirements);
+        let is_eligible = |entry: &&Entry| {
+            entry.meets(requirements) && entry.denied_until(requirements.class, now).is_none()
+        };
         let is_preferred = |entry: &&Entry| {
             entry.back_off_until.is_none_or(|until| now >= until)
                 && !requirements.avoid.contains(&entry.server.id)
@@ -571,7 +626,11 @@
         };
         let is_cached =
             requirements.cached_on == Some(&*entry.server.id) && entry.load() < entry.server.slots;
-        let preference_cost = zone_cost + self.spread_cost(&entry.server.id) / slots;
+        let limit_cost = match entry.limit {
+            Some(_) => LIMIT_COST / slots,
+            None => 0.0,
+        };
+        let preference_cost = zone_cost + limit_cost + self.spread_cost(&entry.server.id) / slots;
         match is_cached {
             true => load / 2.0 + preference_cost,
             false => load + preference_cost,
@@ -606,7 +665,13 @@
         }
     }
 
-    fn is_eligible(&self, requirements: &Requirements<'_>) -> bool {
+    /// Returns until when the server's limit denies requests of a class.
+    fn denied_until(&self, class: Class, now: Instant) -> Option<Instant> {
+        self.limit.as_ref()?.denied_until(class, now)
+    }
+
+    /// Returns whether the server meets all requirements of a request, apart from its limit.
+    fn meets(&self, requirements: &Requirements<'_>) -> bool {
         let server = &self.server;
         let has_version = requirements.model.is_none_or(|(model, oldest)| {
             server
--- a/crates/shallotroute_fleet/tests/release/mod.rs
+++ b/crates/shallotroute_fleet/tests/release/mod.rs
@@ -7,6 +7,7 @@
 };
 
 use shallotroute_fleet::{
+    limit::Class,
     resume::{self, Answer, LOOKUPS, Node, Origin, Records, Source, Stream, WIDE_LOOKUPS},
     server::{Balancer, Requirements, Server},
     software::Knowledge,
@@ -338,6 +339,7 @@
             avoid,
             cached_on: None,
             batch_rank: None,
+            class: Class::Caller,
         };
         let chosen = self.hosts[index].balancer.choose(&requirements, self.now)?;
         // A server that has ended rejects the connection.
--- a/crates/shallotroute_fleet/tests/retry.rs
+++ b/crates/shallotroute_fleet/tests/retry.rs
@@ -181,3 +181,34 @@
     expect_that!(until, gt(hedge_at));
     expect_that!(attempts.decide(until), eq(Decision::Send));
 }
+
+/// Guards against a caller that waits for nothing: when the limits of all servers deny a request for
+/// longer than it is retried, it is refused at once and told when to come back.
+#[gtest]
+fn a_request_that_limits_deny_is_refused_at_once() {
+    let started_at = Instant::now();
+    let mut attempts = Attempts::new(policy(started_at, true));
+    attempts.record_limited(Duration::from_millis(400), started_at);
+    expect_that!(
+        attempts.decide(started_at),
+        eq(Decision::Fail(RequestFailure::NotRun {
+            retry_after: Duration::from_millis(400),
+        }))
+    );
+    let mut attempts = Attempts::new(policy(started_at, true));
+    attempts.record_limited(Duration::from_millis(20), started_at);
+    expect_that!(
+        attempts.decide(started_at),
+        eq(Decision::WaitUntil(after(started_at, 20)))
+    );
+    expect_that!(attempts.decide(after(started_at, 20)), eq(Decision::Send));
+    // An attempt that may have run is never said not to have.
+    let mut attempts = Attempts::new(policy(started_at, true));
+    attempts.record_attempt(&Name::from("a"));
+    attempts.record_failure(AttemptFailure::MayHaveRun, started_at);
+    attempts.record_limited(Duration::from_millis(400), started_at);
+    expect_that!(
+        attempts.decide(started_at),
+        eq(Decision::Fail(RequestFailure::OutcomeUnknown))
+    );
+}
--- a/crates/shallotroute_fleet/tests/server.rs
+++ b/crates/shallotroute_fleet/tests/server.rs
@@ -6,6 +6,7 @@
 };
 
 use googletest::prelude::*;
+use shallotroute_fleet::limit::Class;
 use shallotroute_fleet::server::{Balancer, Outcome, Rank, Requirements, Server};
 use shallotroute_types::{name::Name, version::Version};
 
@@ -38,6 +39,7 @@
     avoid: &[],
     cached_on: None,
     batch_rank: None,
+    class: Class::Caller,
 };
 
 fn chosen(balancer: &Balancer, requirements: &Requirements<'_>, now: Instant) -> Option<String> {
--- a/crates/shallotroute_resident/src/forward.rs
+++ b/crates/shallotroute_resident/src/forward.rs
@@ -10,6 +10,7 @@
 use http_body_util::Full;
 use shallotroute_adapter::backend::{self, Head};
 use shallotroute_fleet::{
+    limit::Class,
     retry::{AttemptFailure, Attempts, Decision, Policy, RequestFailure},
     route::{Kind, Route},
     server::{Outcome, Requirements, Server},
@@ -20,6 +21,7 @@
 
 use crate::{
     generate::{discard_body, idle_timeout},
+    limit::{self, Unavailable},
     metric::Metrics,
     pool::{Connection, Failure},
     shared::Shared,
@@ -90,8 +92,10 @@
     request: &BackendRequest,
 ) -> AttemptOutcome {
     let service = route.service_for(&request.id);
-    let Some(server) = choose_server(shared, service, None, &[]) else {
-        return AttemptOutcome::NotRun("no server takes requests".to_owned());
+    let requirements = requirements(service, None, &[], Class::Batch);
+    let server = match limit::acquire_server(shared, &requirements).await {
+        Ok(server) => server,
+        Err(unavailable) => return AttemptOutcome::NotRun(unavailable.reason().to_owned()),
     };
     let timeout = request
         .timeout
@@ -129,7 +133,11 @@
     };
     loop {
         match forwarding.attempts.decide(shared.now()) {
-            Decision::Send => forwarding.start_attempt(),
+            Decision::Send => {
+                if let Some(outcome) = forwarding.start_attempt().await {
+                    return outcome;
+                }
+            }
             Decision::WaitUntil(until) => {
                 if let Some(outcome) = forwarding.wait_for_attempt(until).await {
                     return outcome;
@@ -157,40 +165,59 @@
 }
 
 impl Forwarding<'_> {
-    /// Starts an attempt at another server.
-    fn start_attempt(&mut self) {
-        let service = self.route.service_for(&self.request.id);
-        let chosen = choose_server(self.shared, service, None, self.attempts.servers());
-        match chosen {
-            Some(server) => {
+    /// Starts an attempt at another server. Returns the outcome for the caller if an attempt in progress
+    /// answers meanwhile, or `None` to go on.
+    async fn start_attempt(&mut self) -> Option<ForwardOutcome> {
+        let service = self.route.service_for(&self.request.id).clone();
+        let avoid = self.attempts.servers().to_vec();
+        let requirements = requirements(&service, None, &avoid, Class::Caller);
+        let shared = self.shared;
+        let mut acquiring = std::pin::pin!(limit::acquire_server(shared, &requirements));
+        let acquired = loop {
+            tokio::select! {
+                acquired = &mut acquiring => break acquired,
+                Some(Ok(ended)) = self.pending.join_next() => {
+                    if let Some(outcome) = self.end_attempt(ended) {
+                        return Some(outcome);
+                    }
+                }
+            }
+        };
+        match acquired {
+            Ok(server) => {
                 self.attempts.record_attempt(&server.id);
                 let request = self.request.clone();
-                let attempt = run_attempt(
-                    Arc::clone(self.shared),
-                    server,
-                    request,
-                    self.policy.deadline,
-                );
+                let attempt =
+                    run_attempt(Arc::clone(shared), server, request, self.policy.deadline);
                 self.pending.spawn(attempt);
             }
-            None => {
-                "no server takes requests".clone_into(&mut self.reason);
-                self.attempts.record_no_server(self.shared.now());
+            Err(unavailable) => {
+                unavailable.reason().clone_into(&mut self.reason);
+                record_unavailable(&mut self.attempts, unavailable, shared.now());
             }
         }
+        None
     }
 
     /// Waits until an attempt ends, at most until `deadline`. Returns the outcome for the caller,
     /// or `None` to go on.
     async fn wait_for_attempt(&mut self, deadline: Instant) -> Option<ForwardOutcome> {
         let ended = tokio::time::timeout_at(deadline.into(), self.pending.join_next()).await;
-        let Ok(Some(Ok((server, attempt_outcome)))) = ended else {
+        let Ok(Some(Ok(ended))) = ended else {
             // `join_next` does not wait if no attempt is in progress.
             if self.pending.is_empty() {
                 tokio::time::sleep_until(deadline.into()).await;
             }
             return None;
         };
+        self.end_attempt(ended)
+    }
+
+    /// Records the end of an attempt. Returns the outcome for the caller, or `None` to go on.
+    fn end_attempt(
+        &mut self,
+        (server, attempt_outcome): (Name, AttemptOutcome),
+    ) -> Option<ForwardOutcome> {
         let (attempt_failure, reason) = match attempt_outcome {
             AttemptOutcome::NotRun(reason) => (AttemptFailure::NotRun, reason),
             AttemptOutcome::Unreachable(reason) => (AttemptFailure::Unreachable, reason),
@@ -242,26 +269,31 @@
     }
 }
 
-/// Chooses a server of a service for a request, with the version `software` if one is required.
-/// Servers in `avoid` are not chosen. Returns `None` if no other server takes requests.
-pub(crate) fn choose_server(
-    shared: &Shared,
-    service: &str,
-    software: Option<&str>,
-    avoid: &[Name],
-) -> Option<Server> {
-    let requirements = Requirements {
+/// Returns the requirements of a request without a model for a server of a service, with the version
+/// `software` if one is required. Servers in `avoid` are not chosen.
+pub(crate) fn requirements<'a>(
+    service: &'a str,
+    software: Option<&'a str>,
+    avoid: &'a [Name],
+    class: Class,
+) -> Requirements<'a> {
+    Requirements {
         service,
         model: None,
         software,
         avoid,
         cached_on: None,
         batch_rank: None,
-    };
-    shared
-        .balancer()
-        .choose(&requirements, shared.now())
-        .cloned()
+        class,
+    }
+}
+
+/// Records that no server can be sent an attempt.
+pub(crate) fn record_unavailable(attempts: &mut Attempts, unavailable: Unavailable, now: Instant) {
+    match unavailable {
+        Unavailable::NoServer => attempts.record_no_server(now),
+        Unavailable::Limited(wait) => attempts.record_limited(wait, now),
+    }
 }
 
 /// Sends a request to a server and records the outcome. Dropping the future cancels the request.
--- a/crates/shallotroute_resident/src/generate.rs
+++ b/crates/shallotroute_resident/src/generate.rs
@@ -11,11 +11,15 @@
     job::{Event, GenerationEnd},
     record::Specification,
 };
-use shallotroute_fleet::server::{Outcome, Server};
+use shallotroute_fleet::{
+    limit::Class,
+    server::{Outcome, Server},
+};
 use shallotroute_types::{name::Name, version::Version};
 
 use crate::{
     job::Owned,
+    limit,
     metric::Metrics,
     pool::{Connection, Failure},
     shared::{InFlight, Shared},
@@ -98,6 +102,9 @@
                 "the server is draining or unknown, or has other software",
             );
         };
+        if !limit::acquire_permit(&self.shared, server, Class::Batch).await {
+            return End::limited();
+        }
         let id = self.specification.items[self.item].id.clone();
         let request = match self.request(server) {
             Ok(request) => request,
@@ -117,8 +124,16 @@
         };
         let reused = connection.is_reused;
         let mut result = connection.send(request.clone()).await;
-        if result.is_err() && reused {
-            // The server may have closed a pooled connection since its last use.
+        if let Err(failure) = &result
+            && reused
+        {
+            // The server may have closed a pooled connection since its last use. If it got the request, the
+            // next one is another one to its limit.
+            if matches!(failure, Failure::NoResponse(_))
+                && !limit::acquire_permit(&self.shared, server, Class::Batch).await
+            {
+                return End::limited();
+            }
             connection = match self.shared.pool.open(entry.address).await {
                 Ok(connection) => connection,
                 Err(failure) => {
@@ -359,6 +374,14 @@
         }
     }
 
+    fn limited() -> Self {
+        Self::new(
+            GenerationEnd::Rejected,
+            Outcome::Neutral,
+            "the server gets as many requests as its limit allows",
+        )
+    }
+
     fn software_changed() -> Self {
         Self::new(
             GenerationEnd::SoftwareChanged,
--- a/crates/shallotroute_resident/src/lib.rs
+++ b/crates/shallotroute_resident/src/lib.rs
@@ -14,6 +14,7 @@
 mod job;
 mod leader;
 mod ledger;
+mod limit;
 mod log;
 mod member;
 mod metric;
@@ -156,7 +157,7 @@
 impl Node {
     async fn start(settings: Settings) -> Result<Self> {
         let listen_at = settings.listen;
-        let shared = Shared::new(settings, Arc::new(System));
+        let (shared, observations) = Shared::new(settings, Arc::new(System));
         let open_requests = Arc::new(AtomicUsize::new(0));
         let callers_shutdown = CancellationToken::new();
         let shutdown = CancellationToken::new();
@@ -191,6 +192,7 @@
         tokio::spawn(remove_expired(Arc::clone(&shared)));
         tokio::spawn(capacity::run(Arc::clone(&shared)));
         tokio::spawn(resume::run(Arc::clone(&shared)));
+        tokio::spawn(limit::run(Arc::clone(&shared), observations));
         let leader = tokio::spawn(leader::run(Arc::clone(&shared), lease_receiver.clone()));
         Ok(Self {
             shared,
--- a/crates/shallotroute_resident/src/metric.rs
+++ b/crates/shallotroute_resident/src/metric.rs
@@ -58,6 +58,8 @@
     pub(crate) attempts: Family<Label, Counter>,
     /// Limits of backend servers that this node has seen, by event.
     pub(crate) limits: Family<Label, Counter>,
+    /// Claims for permits to send requests to servers with limits, by outcome.
+    pub(crate) permits: Family<Label, Counter>,
     /// Batch jobs by event.
     pub(crate) jobs: Family<Label, Counter>,
     /// Reads of results that this node served as the owner of the job, by what they returned.
@@ -100,6 +102,7 @@
             stream_copies: Family::default(),
             attempts: Family::default(),
             limits: Family::default(),
+            permits: Family::default(),
             jobs: Family::default(),
             pages: Family::default(),
             runs: Family::default(),
@@ -146,6 +149,11 @@
             "Limits that backend servers named, by event",
             self.limits.clone(),
         );
+        registry.register(
+            "permits",
+            "Claims for permits to send requests to servers with limits",
+            self.permits.clone(),
+        );
         self.register_jobs(registry);
         registry.register(
             "store_calls",
--- a/crates/shallotroute_resident/src/peer.rs
+++ b/crates/shallotroute_resident/src/peer.rs
@@ -9,6 +9,7 @@
 use shallotroute_batch::record::{self, Owner};
 use shallotroute_fleet::{
     capacity::Report,
+    limit::{Claim, Observation, Reply},
     resume::{Answer, Group},
 };
 use shallotroute_peer::{
@@ -25,7 +26,7 @@
 use tokio::net::TcpStream;
 
 use crate::{
-    capacity, resume,
+    capacity, limit, resume,
     shared::Shared,
     view::{self, Revisions, ViewUpdate},
 };
@@ -67,6 +68,10 @@
     async fn view_updates(revisions: Revisions, wait_ms: u64) -> Option<ViewUpdate>;
     /// Records what the caller's batch jobs lack and have in flight.
     async fn report_load(sender: Owner, report: Report);
+    /// Decides, as the home of a server or its deputy, whether the calling node may send it a request.
+    async fn take_permit(claim: Claim) -> Reply;
+    /// Records that the limit of a server whose home this node is has changed.
+    async fn report_limit(observation: Observation);
     /// Makes a call to the platform's store on behalf of the calling node.
     async fn relay_store_call(call: Call, timeout_ms: u64) -> RelayedResponse;
     /// Holds records of streams that the calling node has begun.
@@ -152,6 +157,14 @@
         capacity::record(&self.0, &sender, report);
     }
 
+    async fn take_permit(self, _: Context, claim: Claim) -> Reply {
+        limit::decide(&self.0, &claim)
+    }
+
+    async fn report_limit(self, _: Context, observation: Observation) {
+        limit::record(&self.0, &observation);
+    }
+
     async fn relay_store_call(self, _: Context, call: Call, timeout_ms: u64) -> RelayedResponse {
         let timeout = Duration::from_millis(timeout_ms);
         let answer = self.0.store.call_for_peer(&call, timeout).await.ok()?;
--- a/crates/shallotroute_resident/src/runner.rs
+++ b/crates/shallotroute_resident/src/runner.rs
@@ -16,6 +16,7 @@
     record::Specification,
 };
 use shallotroute_fleet::{
+    limit::Class,
     route::{Route, Table},
     server::{Rank, Requirements},
 };
@@ -607,6 +608,7 @@
         avoid: preference.avoid,
         cached_on: preference.cached_on.map(|name| &**name),
         batch_rank,
+        class: Class::Batch,
     };
     let server = balancer.choose(&requirements, shared.now())?;
     Some(Choice {
--- a/crates/shallotroute_resident/src/shared.rs
+++ b/crates/shallotroute_resident/src/shared.rs
@@ -10,19 +10,20 @@
 use shallotroute_batch::record::Owner;
 use shallotroute_fleet::{
     capacity::{Backlog, Board},
-    limit::Rate,
+    limit::{Observation, Rate},
     route::Table,
     server::{Balancer, Outcome, Rank},
     source,
 };
 use shallotroute_settings::site::SiteSettings as Settings;
 use shallotroute_types::{clock::Clock, name::Name, node::Incarnation, version::Version};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     checkpoint::Checkpoints,
     job::Registry,
+    limit::Limits,
     member::{Member, Members},
     metric::Metrics,
     peer::Peers,
@@ -59,6 +60,8 @@
     pub(crate) held_checkpoints: Checkpoints,
     /// The streams whose callers may come back, here or at another node.
     pub(crate) streams: Streams,
+    /// The limits that backend servers have named.
+    pub(crate) limits: Limits,
     /// The copies of what all nodes follow in the store, which this node passes on to others.
     pub(crate) view: View,
     /// Whether this node is to have an entry among the members.
@@ -92,7 +95,12 @@
 
 impl Shared {
     /// Creates the state of a node that has not read anything from the platform yet.
-    pub(crate) fn new(settings: Settings, clock: Arc<dyn Clock>) -> Arc<Self> {
+    ///
+    /// Also returns the changes of limits that [`crate::limit::run`] passes on.
+    pub(crate) fn new(
+        settings: Settings,
+        clock: Arc<dyn Clock>,
+    ) -> (Arc<Self>, mpsc::Receiver<Observation>) {
         let metrics = Arc::new(Metrics::new());
         let peers = Arc::new(Peers::new());
         let started_ms = unix_milliseconds(clock.wall_time());
@@ -106,7 +114,8 @@
         let balancer = Balancer::new(zone).with_seed(seed);
         let store = Store::new(settings.store, Arc::clone(&metrics), Arc::clone(&peers));
         let pool = Pool::new(CONNECT_TIMEOUT, metrics.connections.clone());
-        Arc::new(Self {
+        let (limits, observations) = Limits::new();
+        let shared = Arc::new(Self {
             settings,
             owner,
             clock,
@@ -121,6 +130,7 @@
             jobs: Registry::default(),
             held_checkpoints: Checkpoints::default(),
             streams: Streams::new(),
+            limits,
             view: View::default(),
             should_register: watch::channel(false).0,
             drain: CancellationToken::new(),
@@ -128,7 +138,8 @@
             board: Mutex::default(),
             backlog: Mutex::default(),
             has_host_list: watch::channel(false).0,
-        })
+        });
+        (shared, observations)
     }
 
     /// Returns this node as a source of the store's changes.
@@ -208,6 +219,7 @@
             spdlog::info!("limit of a server", kv: {
                 server = server.as_str(), event, per_second = rate.unwrap_or_default(),
             });
+            self.limits.announce(observation);
         }
     }
 
--- a/crates/shallotroute_resident/src/stream.rs
+++ b/crates/shallotroute_resident/src/stream.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use shallotroute_adapter::backend::{self, EventDecoder, Head};
 use shallotroute_fleet::{
+    limit::Class,
     resume::{self as decision, Origin, Source},
     retry::{AttemptFailure, Attempts, Decision, Policy, RequestFailure},
     route::{Route, Table},
@@ -23,6 +24,7 @@
     forward::{self, BackendRequest},
     generate::{discard_body, idle_timeout},
     ingress::{failure_response, server_response},
+    limit::{self, Unavailable},
     metric::Metrics,
     pool::{Connection, Failure},
     response, resume,
@@ -252,9 +254,12 @@
             Decision::Send => {
                 let software = target.software.as_deref();
                 let avoid = attempts.servers();
-                let Some(server) = forward::choose_server(shared, &target.service, software, avoid)
-                else {
-                    if target.software.is_some() && avoid.is_empty() {
+                let requirements =
+                    forward::requirements(&target.service, software, avoid, Class::Caller);
+                let acquired = limit::acquire_server(shared, &requirements).await;
+                let server = match acquired {
+                    Ok(server) => server,
+                    Err(Unavailable::NoServer) if target.software.is_some() && avoid.is_empty() => {
                         // Servers of a version that is being replaced do not come back soon.
                         let failure = RequestFailure::NotRun {
                             retry_after: resume::RETRY_AFTER,
@@ -262,9 +267,11 @@
                         let reason = "no server of the software version takes requests";
                         return Err((failure, reason.to_owned()));
                     }
-                    "no server takes requests".clone_into(&mut reason);
-                    attempts.record_no_server(shared.now());
-                    continue;
+                    Err(unavailable) => {
+                        unavailable.reason().clone_into(&mut reason);
+                        forward::record_unavailable(attempts, unavailable, shared.now());
+                        continue;
+                    }
                 };
                 attempts.record_attempt(&server.id);
                 let in_flight = shared.start_request(&server.id, None);
