fleet, resident: a request under which servers crash is known and blocked at all nodes

On the large site one ended 34 servers. Cause: nothing of a request outlived its attempt. A broken connection counted as an accident of the server, whatever ran there; the next server got the request within a millisecond, and each try at each node began anew. The class of fault is a retry without memory. Change: a request has a fingerprint (method, host, path, credentials, body). If its connection breaks before an answer and its process turns out to be gone, by a refused connection at once or by the host list within 8 s, that crash is held against each request that the process had not answered. Records go to the platform's store under the keys that all nodes follow, so that nodes that start or come back know them too; they last ten minutes. After the third crash the request is blocked everywhere: refused at once, not run if that try was not sent, outcome unknown if it was. Before that it is sent to one server at a time, and only while enough others are left. An answer clears a request, so that those that only ran beside it go on. Batch items and their scorings are never suspects. Other nodes pass over a process that has crashed. Why it works: what tells the request from its neighbours is repetition, and the record of it is in one place that all nodes read before they send.

--- a/crates/shallotroute/tests/soak.rs
+++ b/crates/shallotroute/tests/soak.rs
@@ -1,6 +1,6 @@
 //! Soak tests of node processes on a stand-in of the users' platform: a run without faults, a short
 //! seeded run with faults, a run with crashes around streams of two software versions, a run with servers
-//! that name limits, and a run with a store that stops responding.
+//! that name limits, a run with a request that crashes servers, and a run with a store that stops responding.
 
 use std::{path::Path, time::Duration};
 
@@ -128,3 +128,21 @@
     expect_no_findings(&report);
     expect_that!(report.successful_requests, ge(200));
 }
+
+/// Guards against one request that crashes server after server, at whichever nodes it comes again, and
+/// against nodes that say that it has not run.
+#[gtest]
+#[tokio::test]
+async fn a_request_that_crashes_servers_is_blocked_at_all_nodes() {
+    let report = run_soak(Options {
+        nodes: 6,
+        callers: 6,
+        stream_callers: 0,
+        duration: Duration::from_secs(20),
+        schedule: Schedule::DeadlyRequest,
+        ..OPTIONS
+    })
+    .await;
+    expect_no_findings(&report);
+    expect_that!(report.successful_requests, ge(200));
+}
--- a/crates/shallotroute_fleet/src/lib.rs
+++ b/crates/shallotroute_fleet/src/lib.rs
@@ -1,5 +1,5 @@
 //! Pure state machines for traffic to backend servers: routes, load balancing, retries and hedging,
-//! limits that servers name, rolling weight updates, the ranking of nodes in elections, at which software version streams go on,
+//! limits that servers name, requests under which servers crash, rolling weight updates, the ranking of nodes in elections, at which software version streams go on,
 //! and how nodes follow the platform's store. Start with [`server::Balancer`], [`route::Table`] and [`source::Selector`].
 
 pub mod capacity;
@@ -14,3 +14,4 @@
 pub mod software;
 pub mod source;
 pub mod stall;
+pub mod suspect;
--- a/crates/shallotroute_fleet/src/retry.rs
+++ b/crates/shallotroute_fleet/src/retry.rs
@@ -9,6 +9,8 @@
 
 use shallotroute_types::name::Name;
 
+use crate::suspect::Verdict;
+
 /// The share of the target latency after which a request is hedged, in percent. A request is about
 /// 25 ms of work, so that the second server can still respond within the target latency.
 const HEDGE_DELAY_PERCENT: u32 = 55;
@@ -93,6 +95,8 @@
     retry_at: Option<Instant>,
     /// Until when the limits of all servers deny an attempt.
     limited_until: Option<Instant>,
+    /// Whether servers crashed under the request before.
+    verdict: Verdict,
 }
 
 impl Attempts {
@@ -106,9 +110,17 @@
             was_rejected: false,
             retry_at: None,
             limited_until: None,
+            verdict: Verdict::Clear,
         }
     }
 
+    /// Sets whether the request may be sent, in view of servers that crashed under it. Returns whether the
+    /// verdict is of another kind than before.
+    pub fn set_verdict(&mut self, verdict: Verdict) -> bool {
+        let former = std::mem::replace(&mut self.verdict, verdict);
+        std::mem::discriminant(&former) != std::mem::discriminant(&verdict)
+    }
+
     /// Returns the servers that the request was sent to, in the order of their first attempts.
     pub fn servers(&self) -> &[Name] {
         &self.servers
@@ -163,6 +175,12 @@
         if self.may_have_run && (!policy.is_idempotent || self.is_exhausted()) {
             return Decision::Fail(RequestFailure::OutcomeUnknown);
         }
+        if let Verdict::Held { retry_after } | Verdict::Blocked { retry_after } = self.verdict {
+            return Decision::Fail(match self.may_have_run {
+                true => RequestFailure::OutcomeUnknown,
+                false => RequestFailure::NotRun { retry_after },
+            });
+        }
         let give_up_at = policy.started_at + policy.target_latency * RETRY_WINDOW_PERCENT / 100;
         let is_denied = self.limited_until.is_some_and(|until| until > give_up_at);
         match self.retry_at {
@@ -180,7 +198,10 @@
 
     fn decide_in_flight(&self, now: Instant) -> Decision {
         let policy = &self.policy;
-        let may_hedge = policy.is_idempotent && self.in_flight == 1 && !self.is_exhausted();
+        let may_hedge = policy.is_idempotent
+            && self.in_flight == 1
+            && !self.is_exhausted()
+            && self.verdict == Verdict::Clear;
         if !may_hedge {
             return Decision::WaitUntil(policy.deadline);
         }
--- a/crates/shallotroute_fleet/src/server.rs
+++ b/crates/shallotroute_fleet/src/server.rs
@@ -33,6 +33,10 @@
 /// other servers can't take soon.
 const LIMIT_COST: f64 = 1.0;
 
+/// The back-off of a process that is known to have crashed, unless it answers. The host list drops its entry or
+/// names another process before.
+const CRASH_BACKOFF: Duration = Duration::from_secs(10);
+
 /// The weight of one response time in the moving average of a server's latency.
 const RESPONSE_WEIGHT: f64 = 0.2;
 
@@ -565,6 +569,28 @@
         }
     }
 
+    /// Records that a server's process has crashed, as this node or another one has seen.
+    pub fn record_crash(&mut self, id: &str, born: u64, now: Instant) {
+        if let Some(entry) = self.entries.get_mut(id)
+            && entry.server.born == born
+        {
+            entry.back_off_until = Some(now + CRASH_BACKOFF);
+        }
+    }
+
+    /// Returns the number of a service's servers that take requests, and of all that are not draining.
+    pub fn available_servers(&self, service: &str, now: Instant) -> (usize, usize) {
+        let listed = || {
+            self.entries
+                .values()
+                .filter(|entry| &*entry.server.service == service && !entry.server.is_draining)
+        };
+        let is_available = |entry: &&Entry| {
+            entry.missing_since.is_none() && entry.back_off_until.is_none_or(|until| now >= until)
+        };
+        (listed().filter(is_available).count(), listed().count())
+    }
+
     /// Records the version that a server named in a response. Models that the host list does not
     /// name for the server are ignored.
     pub fn record_version(&mut self, id: &str, model: &str, version: Version) {
--- a/crates/shallotroute_resident/src/dump.rs
+++ b/crates/shallotroute_resident/src/dump.rs
@@ -36,6 +36,7 @@
         "named_versions": *shared.targets.borrow(),
         "servers": servers(shared),
         "recorded_streams": shared.streams.len(),
+        "suspects": suspects(shared),
         "jobs": shared.jobs.all_owned().iter().map(|owned| job(owned, shared.boot_time())).collect::<Vec<_>>(),
     })
 }
@@ -98,6 +99,11 @@
         .collect()
 }
 
+fn suspects(shared: &Shared) -> Value {
+    let (known, blocked) = shared.suspects.counts();
+    json!({ "requests": known, "blocked": blocked })
+}
+
 fn job(owned: &Owned, boot_time: Duration) -> Value {
     let progress = *owned.progress.borrow();
     let state = owned.state();
--- a/crates/shallotroute_resident/src/forward.rs
+++ b/crates/shallotroute_resident/src/forward.rs
@@ -14,6 +14,7 @@
     retry::{AttemptFailure, Attempts, Decision, Policy, RequestFailure},
     route::{Kind, Route},
     server::{Outcome, Requirements, Server},
+    suspect::Fingerprint,
 };
 use shallotroute_http::body;
 use shallotroute_types::name::Name;
@@ -25,6 +26,7 @@
     metric::Metrics,
     pool::{Connection, Failure},
     shared::Shared,
+    suspect,
 };
 
 /// The maximum size of a response body, which is held in memory.
@@ -38,6 +40,8 @@
 pub(crate) struct BackendRequest {
     /// The identity that its sender gave it.
     pub(crate) id: Arc<str>,
+    /// What is the same when a caller sends it again; `None` if no caller has sent it.
+    pub(crate) fingerprint: Option<Fingerprint>,
     pub(crate) method: Method,
     /// The path and query.
     pub(crate) target: String,
@@ -63,6 +67,8 @@
     Unreachable(String),
     /// There is no usable response, and the server may have run the request.
     MayHaveRun(String),
+    /// The connection broke before the whole response, and the server may have run the request.
+    Broken(String),
 }
 
 /// The outcome of forwarding a request, as the caller gets it.
@@ -132,6 +138,13 @@
         last_error_response: None,
     };
     loop {
+        let service = route.service_for(&forwarding.request.id);
+        suspect::judge(
+            shared,
+            &forwarding.request,
+            service,
+            &mut forwarding.attempts,
+        );
         match forwarding.attempts.decide(shared.now()) {
             Decision::Send => {
                 if let Some(outcome) = forwarding.start_attempt().await {
@@ -221,7 +234,9 @@
         let (attempt_failure, reason) = match attempt_outcome {
             AttemptOutcome::NotRun(reason) => (AttemptFailure::NotRun, reason),
             AttemptOutcome::Unreachable(reason) => (AttemptFailure::Unreachable, reason),
-            AttemptOutcome::MayHaveRun(reason) => (AttemptFailure::MayHaveRun, reason),
+            AttemptOutcome::MayHaveRun(reason) | AttemptOutcome::Broken(reason) => {
+                (AttemptFailure::MayHaveRun, reason)
+            }
             AttemptOutcome::Answer {
                 status,
                 headers,
@@ -318,13 +333,23 @@
         AttemptOutcome::Answer { .. } => (Outcome::Neutral, "error"),
         AttemptOutcome::NotRun(_) => (Outcome::Rejected, "not_run"),
         AttemptOutcome::Unreachable(_) => (Outcome::Failed, "unreachable"),
-        AttemptOutcome::MayHaveRun(_) => (Outcome::Failed, "unknown"),
+        AttemptOutcome::MayHaveRun(_) | AttemptOutcome::Broken(_) => (Outcome::Failed, "unknown"),
     };
     in_flight.finish(outcome);
+    if let Some(fingerprint) = &request.fingerprint {
+        match &attempt_outcome {
+            AttemptOutcome::Answer { .. } => suspect::record_answer(&shared, fingerprint),
+            AttemptOutcome::Broken(_) => {
+                suspect::record_break(&shared, fingerprint, &server).await;
+            }
+            _ => {}
+        }
+    }
     Metrics::count(&shared.metrics.attempts, label);
     if let AttemptOutcome::NotRun(reason)
     | AttemptOutcome::Unreachable(reason)
-    | AttemptOutcome::MayHaveRun(reason) = &attempt_outcome
+    | AttemptOutcome::MayHaveRun(reason)
+    | AttemptOutcome::Broken(reason) = &attempt_outcome
     {
         spdlog::info!("attempt failed", kv: {
             request = &*request.id,
@@ -369,7 +394,7 @@
     match result {
         Ok(response) => read_response(shared, &server.id, connection, &request.id, response).await,
         Err(Failure::Unsent(reason)) => AttemptOutcome::Unreachable(reason),
-        Err(Failure::NoResponse(reason)) => AttemptOutcome::MayHaveRun(reason),
+        Err(Failure::NoResponse(reason)) => AttemptOutcome::Broken(reason),
     }
 }
 
@@ -426,9 +451,7 @@
     let body = match body::read(content, MAX_RESPONSE_BYTES).await {
         Ok(body) => body,
         Err(error) => {
-            return AttemptOutcome::MayHaveRun(format!(
-                "failed to read the response body: {error}"
-            ));
+            return AttemptOutcome::Broken(format!("failed to read the response body: {error}"));
         }
     };
     if let Some(max_idle) = max_idle {
--- a/crates/shallotroute_resident/src/ingress.rs
+++ b/crates/shallotroute_resident/src/ingress.rs
@@ -27,7 +27,7 @@
     metric::Metrics,
     response,
     shared::Shared,
-    stream, trainer,
+    stream, suspect, trainer,
 };
 
 /// When a caller may retry a request to a node that has no configuration yet.
@@ -182,10 +182,12 @@
     let allowed = backend::request_timeout(&parts.headers)
         .unwrap_or(route.timeout)
         .min(route.timeout);
+    let fingerprint = suspect::fingerprint(&parts.method, &target, &parts.headers, &content);
     let mut headers = parts.headers;
     backend::remove_hop_by_hop_headers(&mut headers);
     BackendRequest {
         id: id.into(),
+        fingerprint: Some(fingerprint),
         method: parts.method,
         target,
         headers,
--- a/crates/shallotroute_resident/src/lib.rs
+++ b/crates/shallotroute_resident/src/lib.rs
@@ -29,6 +29,7 @@
 mod shared;
 mod store;
 mod stream;
+mod suspect;
 mod trainer;
 mod view;
 
@@ -157,7 +158,7 @@
 impl Node {
     async fn start(settings: Settings) -> Result<Self> {
         let listen_at = settings.listen;
-        let (shared, observations) = Shared::new(settings, Arc::new(System));
+        let (shared, inbox) = Shared::new(settings, Arc::new(System));
         let open_requests = Arc::new(AtomicUsize::new(0));
         let callers_shutdown = CancellationToken::new();
         let shutdown = CancellationToken::new();
@@ -192,7 +193,8 @@
         tokio::spawn(remove_expired(Arc::clone(&shared)));
         tokio::spawn(capacity::run(Arc::clone(&shared)));
         tokio::spawn(resume::run(Arc::clone(&shared)));
-        tokio::spawn(limit::run(Arc::clone(&shared), observations));
+        tokio::spawn(limit::run(Arc::clone(&shared), inbox.limits));
+        tokio::spawn(suspect::run(Arc::clone(&shared), inbox.suspects));
         let leader = tokio::spawn(leader::run(Arc::clone(&shared), lease_receiver.clone()));
         Ok(Self {
             shared,
--- a/crates/shallotroute_resident/src/metric.rs
+++ b/crates/shallotroute_resident/src/metric.rs
@@ -60,6 +60,8 @@
     pub(crate) limits: Family<Label, Counter>,
     /// Claims for permits to send requests to servers with limits, by outcome.
     pub(crate) permits: Family<Label, Counter>,
+    /// Requests under which backend servers crashed, by event.
+    pub(crate) suspects: Family<Label, Counter>,
     /// Batch jobs by event.
     pub(crate) jobs: Family<Label, Counter>,
     /// Reads of results that this node served as the owner of the job, by what they returned.
@@ -103,6 +105,7 @@
             attempts: Family::default(),
             limits: Family::default(),
             permits: Family::default(),
+            suspects: Family::default(),
             jobs: Family::default(),
             pages: Family::default(),
             runs: Family::default(),
@@ -144,16 +147,7 @@
             "Sends of requests to backend servers",
             self.attempts.clone(),
         );
-        registry.register(
-            "limits",
-            "Limits that backend servers named, by event",
-            self.limits.clone(),
-        );
-        registry.register(
-            "permits",
-            "Claims for permits to send requests to servers with limits",
-            self.permits.clone(),
-        );
+        self.register_servers(registry);
         self.register_jobs(registry);
         registry.register(
             "store_calls",
@@ -183,6 +177,24 @@
         );
     }
 
+    fn register_servers(&self, registry: &mut Registry) {
+        registry.register(
+            "limits",
+            "Limits that backend servers named, by event",
+            self.limits.clone(),
+        );
+        registry.register(
+            "permits",
+            "Claims for permits to send requests to servers with limits",
+            self.permits.clone(),
+        );
+        registry.register(
+            "suspects",
+            "Requests under which backend servers crashed, by event",
+            self.suspects.clone(),
+        );
+    }
+
     fn register_jobs(&self, registry: &mut Registry) {
         registry.register("jobs", "Batch jobs by event", self.jobs.clone());
         registry.register(
--- a/crates/shallotroute_resident/src/object.rs
+++ b/crates/shallotroute_resident/src/object.rs
@@ -4,12 +4,13 @@
 
 use bytes::Bytes;
 use shallotroute_adapter::registry::{self, Object};
-use shallotroute_fleet::{replica, server::Server};
+use shallotroute_fleet::{replica, server::Server, suspect::Process};
 use shallotroute_types::name::Name;
 
 use crate::{
     member,
     shared::{ActiveTable, Shared},
+    suspect,
     view::Prefix,
 };
 
@@ -103,15 +104,22 @@
     };
     let Some(value) = &change.value else {
         spdlog::info!("server removed from the host list", kv: { server = id.as_str() });
+        let process = running_process(shared, &id);
         shared.balancer().remove(&id, now);
+        // After an outage of the store, entries of live servers are missing too.
+        if !shared.members.borrow().is_recovering(now) {
+            confirm_crash(shared, process);
+        }
         return;
     };
     match decode_server(&id, change, value) {
         Some(server) => {
             let draining = server.is_draining;
             let service = server.service.clone();
+            let former = running_process(shared, &id);
             let started = shared.balancer().insert(server);
             if started {
+                confirm_crash(shared, former);
                 shared.streams.record_new_server(&service);
             }
             if started || draining {
@@ -124,6 +132,22 @@
     }
 }
 
+/// Returns the process that the host list names for a server; `None` if it has announced its end.
+fn running_process(shared: &Shared, id: &Name) -> Option<Process> {
+    let balancer = shared.balancer();
+    let server = balancer.get(id).filter(|server| !server.is_draining)?;
+    Some(Process {
+        server: server.id.clone(),
+        born: server.born,
+    })
+}
+
+fn confirm_crash(shared: &Shared, process: Option<Process>) {
+    if let Some(process) = process {
+        suspect::confirm_crash(shared, &process);
+    }
+}
+
 /// Decodes an entry of the host list; `None` if it can't be decoded.
 fn decode_server(id: &Name, change: &Change, value: &[u8]) -> Option<Server> {
     match registry::parse_server(id.clone(), value) {
@@ -138,6 +162,10 @@
 }
 
 fn apply_member_changes(shared: &Shared, changes: &[Change], is_first_read: bool) {
+    let changes: Vec<&Change> = changes
+        .iter()
+        .filter(|change| !suspect::apply(shared, change))
+        .collect();
     let own_key = member::node_key(&shared.owner.node);
     shared.members.send_modify(|members| {
         members.is_loaded |= is_first_read;
--- a/crates/shallotroute_resident/src/score.rs
+++ b/crates/shallotroute_resident/src/score.rs
@@ -62,6 +62,7 @@
     };
     let request = BackendRequest {
         id: scorer.id.as_str().into(),
+        fingerprint: None,
         method: Method::POST,
         target: scorer.path.clone(),
         headers,
--- a/crates/shallotroute_resident/src/shared.rs
+++ b/crates/shallotroute_resident/src/shared.rs
@@ -30,6 +30,7 @@
     pool::Pool,
     resume::Streams,
     store::Store,
+    suspect::{self, Tracker},
     view::View,
 };
 
@@ -62,6 +63,8 @@
     pub(crate) streams: Streams,
     /// The limits that backend servers have named.
     pub(crate) limits: Limits,
+    /// The requests under which backend servers crashed.
+    pub(crate) suspects: Tracker,
     /// The copies of what all nodes follow in the store, which this node passes on to others.
     pub(crate) view: View,
     /// Whether this node is to have an entry among the members.
@@ -77,6 +80,14 @@
     pub(crate) has_host_list: watch::Sender<bool>,
 }
 
+/// Changes that other nodes are told of, by the task that tells them.
+pub(crate) struct Inbox {
+    /// Changes of limits, for [`crate::limit::run`].
+    pub(crate) limits: mpsc::Receiver<Observation>,
+    /// Changes of requests under which servers crashed, for [`suspect::run`].
+    pub(crate) suspects: mpsc::Receiver<suspect::Change>,
+}
+
 /// A guard that counts a request as in flight at a backend server until it is dropped.
 pub(crate) struct InFlight {
     shared: Arc<Shared>,
@@ -96,11 +107,8 @@
 impl Shared {
     /// Creates the state of a node that has not read anything from the platform yet.
     ///
-    /// Also returns the changes of limits that [`crate::limit::run`] passes on.
-    pub(crate) fn new(
-        settings: Settings,
-        clock: Arc<dyn Clock>,
-    ) -> (Arc<Self>, mpsc::Receiver<Observation>) {
+    /// Also returns the changes that other nodes are told of.
+    pub(crate) fn new(settings: Settings, clock: Arc<dyn Clock>) -> (Arc<Self>, Inbox) {
         let metrics = Arc::new(Metrics::new());
         let peers = Arc::new(Peers::new());
         let started_ms = unix_milliseconds(clock.wall_time());
@@ -114,7 +122,8 @@
         let balancer = Balancer::new(zone).with_seed(seed);
         let store = Store::new(settings.store, Arc::clone(&metrics), Arc::clone(&peers));
         let pool = Pool::new(CONNECT_TIMEOUT, metrics.connections.clone());
-        let (limits, observations) = Limits::new();
+        let (limits, limit_changes) = Limits::new();
+        let (suspects, suspect_changes) = Tracker::new();
         let shared = Arc::new(Self {
             settings,
             owner,
@@ -131,6 +140,7 @@
             held_checkpoints: Checkpoints::default(),
             streams: Streams::new(),
             limits,
+            suspects,
             view: View::default(),
             should_register: watch::channel(false).0,
             drain: CancellationToken::new(),
@@ -139,7 +149,11 @@
             backlog: Mutex::default(),
             has_host_list: watch::channel(false).0,
         });
-        (shared, observations)
+        let inbox = Inbox {
+            limits: limit_changes,
+            suspects: suspect_changes,
+        };
+        (shared, inbox)
     }
 
     /// Returns this node as a source of the store's changes.
--- a/crates/shallotroute_resident/src/stream.rs
+++ b/crates/shallotroute_resident/src/stream.rs
@@ -29,6 +29,7 @@
     pool::{Connection, Failure},
     response, resume,
     shared::{InFlight, Shared},
+    suspect,
 };
 
 /// The maximum number of chunks that are buffered for a slow caller.
@@ -84,6 +85,8 @@
     NotRun(String),
     /// The server may have run the request.
     MayHaveRun(String),
+    /// The connection broke before the response, and the server may have run the request.
+    Broken(String),
 }
 
 /// How copying a stream to its caller ended.
@@ -148,6 +151,7 @@
         take_up,
         is_software_checked: false,
         is_recorded: false,
+        has_event: false,
         request,
         is_resumable,
         deadline: policy.deadline,
@@ -248,6 +252,7 @@
 ) -> Result<OpenStream, (RequestFailure, String)> {
     let mut reason = String::new();
     loop {
+        suspect::judge(shared, request, &target.service, attempts);
         match attempts.decide(shared.now()) {
             Decision::Fail(failure) => return Err((failure, reason)),
             Decision::WaitUntil(until) => tokio::time::sleep_until(until.into()).await,
@@ -287,6 +292,11 @@
                         reason = why;
                         AttemptFailure::MayHaveRun
                     }
+                    Ok(Err(OpenError::Broken(why))) => {
+                        reason = why;
+                        record_break(shared, request, &server).await;
+                        AttemptFailure::MayHaveRun
+                    }
                     Err(_) => {
                         "the server did not answer in time".clone_into(&mut reason);
                         AttemptFailure::MayHaveRun
@@ -298,6 +308,13 @@
     }
 }
 
+/// Records that a connection broke before the first event of a stream.
+async fn record_break(shared: &Shared, request: &BackendRequest, server: &Server) {
+    if let Some(fingerprint) = &request.fingerprint {
+        suspect::record_break(shared, fingerprint, server).await;
+    }
+}
+
 /// Opens a stream at one server.
 async fn open_at(
     shared: &Shared,
@@ -309,7 +326,7 @@
     let fail = |in_flight: InFlight, error: OpenError| {
         in_flight.finish(match error {
             OpenError::NotRun(_) => Outcome::Rejected,
-            OpenError::MayHaveRun(_) => Outcome::Failed,
+            OpenError::MayHaveRun(_) | OpenError::Broken(_) => Outcome::Failed,
         });
         Err(error)
     };
@@ -324,7 +341,7 @@
     let response = match connection.send(http_request).await {
         Ok(response) => response,
         Err(Failure::Unsent(reason)) => return fail(in_flight, OpenError::NotRun(reason)),
-        Err(Failure::NoResponse(reason)) => return fail(in_flight, OpenError::MayHaveRun(reason)),
+        Err(Failure::NoResponse(reason)) => return fail(in_flight, OpenError::Broken(reason)),
     };
     let (parts, body) = response.into_parts();
     let head = backend::parse_head(parts.status, &parts.headers, &request.id);
@@ -373,6 +390,8 @@
     is_software_checked: bool,
     /// Whether the origin of the stream has been recorded at this node.
     is_recorded: bool,
+    /// Whether the present server has sent an event.
+    has_event: bool,
     sender: mpsc::Sender<Result<Bytes, body::Error>>,
 }
 
@@ -381,6 +400,8 @@
         let mut opened = opened;
         loop {
             let server = opened.server.id.clone();
+            let chosen = opened.server.clone();
+            self.has_event = false;
             let can_resume =
                 self.is_resumable && opened.status.is_success() && opened.head.stamp.is_some();
             let end = match can_resume {
@@ -393,6 +414,10 @@
                 CopyEnd::CallerStalled => return self.record_end(&server, "caller_stalled", ""),
                 CopyEnd::Broken(reason) => reason,
             };
+            // A server that has sent an event has begun the request without a crash.
+            if !self.has_event {
+                record_break(&self.shared, &self.request, &chosen).await;
+            }
             if !can_resume {
                 return self.abort(&server, reason).await;
             }
@@ -451,10 +476,11 @@
                     return CopyEnd::Broken(error.to_string());
                 }
                 Some(Ok(frame)) => {
-                    if let Ok(bytes) = frame.into_data()
-                        && let Err(end) = self.send(bytes).await
-                    {
-                        return end;
+                    if let Ok(bytes) = frame.into_data() {
+                        self.record_event();
+                        if let Err(end) = self.send(bytes).await {
+                            return end;
+                        }
                     }
                 }
             }
@@ -532,6 +558,7 @@
             .map_err(|error| CopyEnd::Broken(error.to_string()))?
         {
             watchdog.record_event(self.shared.now());
+            self.record_event();
             if number <= self.last_event {
                 continue;
             }
@@ -546,6 +573,15 @@
         Ok(())
     }
 
+    /// Records that the present server has sent an event.
+    fn record_event(&mut self) {
+        if !std::mem::replace(&mut self.has_event, true)
+            && let Some(fingerprint) = &self.request.fingerprint
+        {
+            suspect::record_answer(&self.shared, fingerprint);
+        }
+    }
+
     /// Checks before the first event of a server that the host list still names the software version
     /// for which the server was chosen. It may have started again under its identity; a change that is
     /// listed only after the first event is not noticed.
