fleet, resident: nodes that start know the limits of servers before their first request

Cause: a node knew of a limit from the first answer of its server on. One that had just started, or that had taken over a batch job, sent its first requests without permits, as many at once as the server has slots. A notice only makes a node ask the home, which decides by the latest answer; what a node has seen itself counts more. Test: a_node_that_starts_knows_the_limit_before_its_first_request (the functions are new).

--- a/crates/shallotroute_fleet/src/limit.rs
+++ b/crates/shallotroute_fleet/src/limit.rs
@@ -52,6 +52,9 @@
 /// How long a home remembers a limit that no node asks about.
 const RETENTION: Duration = Duration::from_secs(60);
 
+/// How long a notice is kept that its home does not renew.
+pub const NOTICE_RETENTION: Duration = Duration::from_secs(60);
+
 /// The maximum number of servers whose limits a home divides; the least recently used ones yield.
 const MAX_BUCKETS: usize = 20_000;
 
@@ -70,6 +73,16 @@
     Silent,
 }
 
+/// What the home of a server tells all nodes through the platform's store, so that those that have just
+/// started know of the limit before their first request. It may be outdated: the home decides on each claim.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Notice {
+    /// The Unix time of the start of the server's process, in milliseconds.
+    pub born: u64,
+    /// The rate that was named last.
+    pub rate: Rate,
+}
+
 /// Whose request it is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Class {
@@ -160,6 +173,15 @@
         }
     }
 
+    /// Creates the knowledge of a limit from a notice at `now`. Any answer of the server is later.
+    pub fn from_notice(rate: Rate, now: Instant) -> Self {
+        let observed_at = now.checked_sub(NOTICE_RETENTION).unwrap_or(now);
+        Self {
+            observed_at,
+            ..Self::new(rate, now)
+        }
+    }
+
     /// Returns the rate that was named last.
     pub fn rate(&self) -> Rate {
         self.rate
@@ -284,6 +306,21 @@
         }
     }
 
+    /// Returns the notices of all servers whose home this node is.
+    pub fn notices(&self) -> BTreeMap<Name, Notice> {
+        let homes = self
+            .buckets
+            .iter()
+            .filter(|(_, bucket)| bucket.role == Role::Home);
+        homes
+            .filter_map(|(server, bucket)| {
+                let born = bucket.born;
+                let notice = bucket.rate.map(|rate| Notice { born, rate })?;
+                Some((server.clone(), notice))
+            })
+            .collect()
+    }
+
     /// Returns the number of servers whose limits are known.
     pub fn len(&self) -> usize {
         self.buckets.len()
--- a/crates/shallotroute_fleet/src/server.rs
+++ b/crates/shallotroute_fleet/src/server.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     capacity::Supply,
-    limit::{self, Claim, Class, Observation, Rate, Statement},
+    limit::{self, Claim, Class, Notice, Observation, Rate, Statement},
     software::{History, Knowledge},
 };
 
@@ -284,6 +284,18 @@
         })
     }
 
+    /// Records a limit of a server's process of which its home tells all nodes. What this node has seen
+    /// itself counts more.
+    pub fn record_notice(&mut self, id: &str, notice: &Notice, now: Instant) {
+        if let Some(entry) = self.entries.get_mut(id)
+            && entry.server.born == notice.born
+        {
+            entry
+                .limit
+                .get_or_insert_with(|| limit::Known::from_notice(notice.rate, now));
+        }
+    }
+
     /// Returns the claim for a permit to send a request to a server; `None` if the server has no limit.
     pub fn limit_claim(&self, id: &str, class: Class, now: Instant) -> Option<Claim> {
         let entry = self.entries.get(id)?;
--- a/crates/shallotroute_fleet/tests/limit.rs
+++ b/crates/shallotroute_fleet/tests/limit.rs
@@ -4,7 +4,10 @@
 
 use googletest::prelude::*;
 use shallotroute_fleet::{
-    limit::{Claim, Class, Divider, Known, Observation, Rate, Reply, Role, Statement, responsible},
+    limit::{
+        Claim, Class, Divider, Known, Notice, Observation, Rate, Reply, Role, Statement,
+        responsible,
+    },
     server::{Balancer, Requirements, Server},
 };
 use shallotroute_types::{name::Name, node::Id};
@@ -279,3 +282,40 @@
     );
     expect_that!(chosen(&balancer, Class::Caller, now), some(eq("a")));
 }
+
+/// Guards against a node that has just started and sends requests without a permit until a server's first
+/// answer, and against a notice that revives a limit which has ended.
+#[gtest]
+fn a_node_that_starts_knows_the_limit_before_its_first_request() {
+    let now = Instant::now();
+    let mut home = Divider::default();
+    home.record(&observation(1, Some(4.0), Duration::ZERO), now);
+    expect_that!(home.notices().is_empty(), eq(true));
+    home.decide(&claim(4.0, Duration::ZERO, Class::Caller), Role::Home, now);
+    let notice = Notice {
+        born: 1,
+        rate: rate(4.0),
+    };
+    expect_that!(home.notices().get("a"), some(eq(&notice)));
+    let mut balancer = Balancer::new("near".into());
+    balancer.insert(server("a"));
+    let of_another_process = Notice {
+        born: 7,
+        ..notice.clone()
+    };
+    balancer.record_notice("a", &of_another_process, now);
+    expect_that!(
+        balancer.limit_claim("a", Class::Caller, now).is_none(),
+        eq(true)
+    );
+    balancer.record_notice("a", &notice, now);
+    let claim = balancer.limit_claim("a", Class::Caller, now);
+    let claim = claim.expect("the limit should be known");
+    home.record(
+        &observation(1, None, Duration::ZERO),
+        now + Duration::from_secs(1),
+    );
+    expect_that!(home.notices().is_empty(), eq(true));
+    let later = now + Duration::from_secs(2);
+    expect_that!(home.decide(&claim, Role::Home, later), eq(Reply::Unlimited));
+}
