fleet: a request is held back after its second crash, not its first

Cause: after one crash a request went only to a service with two servers that took requests. Where servers fail for other reasons that refuses requests which only ran there, as the last server would have served them. Change: after one crash it is sent to one server at a time; after two, while three servers are available.

--- a/crates/shallotroute_fleet/src/suspect.rs
+++ b/crates/shallotroute_fleet/src/suspect.rs
@@ -3,8 +3,8 @@
 //! A request may crash each server that begins to run it, and come again at any node. It is told from the
 //! requests that only ran beside it by repetition: a crash is held against each request that the server
 //! had not answered, a success clears a request, and after [`MAX_CRASHES`] crashes it is blocked at all nodes.
-//! Until then it is sent only while enough other servers of the service are left, and no second copy of
-//! it is sent.
+//! Until then no second copy of it is sent, and after the second crash it is sent only while two other servers
+//! of the service are left.
 //!
 //! Answers the load pattern of a small service whose servers crash one after the other within a
 //! fraction of a second, so that no caller is served.
@@ -162,13 +162,16 @@
             return Verdict::Clear;
         }
         let crashes = entry.record.crashed.len();
-        // The more crashes, the more servers have to be left.
+        // So many that one more crash leaves two.
         let needed = match now < entry.last_crash_at + RESTART_PERIOD {
-            true => crashes + 1,
-            false => (crashes + 1).min(listed),
+            true => MAX_CRASHES,
+            false => MAX_CRASHES.min(listed),
         };
         match crashes {
             0 => Verdict::Clear,
+            // Most requests under which one server crashed only ran beside another one, or the server failed
+            // by itself.
+            1 => Verdict::Suspect,
             MAX_CRASHES.. => Verdict::Blocked { retry_after },
             _ if available < needed => Verdict::Held {
                 retry_after: HOLD_RETRY_AFTER,
