--- a/crates/shallotroute/examples/soak.rs
+++ b/crates/shallotroute/examples/soak.rs
@@ -38,6 +38,14 @@
     #[argh(switch)]
     software_switches: bool,
 
+    /// only servers that name limits
+    #[argh(switch)]
+    limits: bool,
+
+    /// only a request that crashes each server that runs it
+    #[argh(switch)]
+    deadly_request: bool,
+
     /// seconds of faults for each seed (12)
     #[argh(option, default = "12")]
     seconds: u64,
@@ -47,6 +55,24 @@
     jobs: u64,
 }
 
+impl Arguments {
+    fn schedule(&self) -> Schedule {
+        match self {
+            Self { limits: true, .. } => Schedule::Limits,
+            Self {
+                deadly_request: true,
+                ..
+            } => Schedule::DeadlyRequest,
+            Self {
+                software_switches: true,
+                ..
+            } => Schedule::SoftwareSwitches,
+            Self { crashes: true, .. } => Schedule::Crashes,
+            Self { .. } => Schedule::Random,
+        }
+    }
+}
+
 #[tokio::main]
 async fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
@@ -67,11 +93,7 @@
                     callers: arguments.callers,
                     stream_callers: arguments.stream_callers,
                     duration: Duration::from_secs(arguments.seconds),
-                    schedule: match (arguments.software_switches, arguments.crashes) {
-                        (true, _) => Schedule::SoftwareSwitches,
-                        (false, true) => Schedule::Crashes,
-                        (false, false) => Schedule::Random,
-                    },
+                    schedule: arguments.schedule(),
                 };
                 let binary = binary.clone();
                 tokio::spawn(async move { soak::run(&binary, options).await })
