--- a/crates/shallotroute_resident/src/lib.rs
+++ b/crates/shallotroute_resident/src/lib.rs
@@ -193,7 +193,7 @@
         tokio::spawn(remove_expired(Arc::clone(&shared)));
         tokio::spawn(capacity::run(Arc::clone(&shared)));
         tokio::spawn(resume::run(Arc::clone(&shared)));
-        tokio::spawn(limit::publish(Arc::clone(&shared)));
+        tokio::spawn(limit::notice::run(Arc::clone(&shared)));
         tokio::spawn(limit::run(Arc::clone(&shared), inbox.limits));
         tokio::spawn(suspect::run(Arc::clone(&shared), inbox.suspects));
         let leader = tokio::spawn(leader::run(Arc::clone(&shared), lease_receiver.clone()));
--- a/crates/shallotroute_resident/src/limit.rs
+++ b/crates/shallotroute_resident/src/limit.rs
@@ -3,20 +3,21 @@
 
 use std::{
     collections::BTreeMap,
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
 
-use shallotroute_adapter::store::Write;
-use shallotroute_batch::record;
 use shallotroute_fleet::{
-    limit::{self, Claim, Class, Divider, NOTICE_RETENTION, Notice, Observation, Reply, Role},
+    limit::{self, Claim, Class, Divider, Observation, Reply, Role},
     server::{Requirements, Server},
 };
 use shallotroute_types::{name::Name, node::Id};
 use tokio::sync::mpsc;
 
-use crate::{metric::Metrics, object, peer::Peers, shared::Shared, store};
+use crate::{metric::Metrics, peer::Peers, shared::Shared};
+
+pub(crate) mod notice;
 
 /// The timeout of a call to the home of a server, which takes a few milliseconds; a node with a small
 /// share of a core may pause for a tenth of a second.
@@ -28,9 +29,6 @@
 /// The maximum number of servers that are asked for in turn for one request.
 const MAX_CLAIMS: usize = 4;
 
-/// The maximum number of notices that one write contains.
-const MAX_NOTICES: usize = 16;
-
 /// The number of observations that wait to be sent to homes. Further ones are dropped: the home also
 /// learns of a limit from the claims.
 const QUEUE_LENGTH: usize = 256;
@@ -115,104 +113,6 @@
     }
 }
 
-/// The prefix of the notices of limits. It is among the keys that all nodes follow.
-const PREFIX: &str = "shallotroute/member/limit/";
-
-/// The interval at which notices are written; limits that change more often are divided all the same.
-const NOTICE_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Tells all nodes of the limits whose home this node is, for as long as the process runs.
-pub(crate) async fn publish(shared: Arc<Shared>) {
-    let mut published: BTreeMap<Name, (Notice, Instant)> = BTreeMap::new();
-    loop {
-        tokio::time::sleep(NOTICE_INTERVAL).await;
-        let now = shared.now();
-        let notices = {
-            let mut divider = shared.limits.divider();
-            divider.expire(now);
-            divider.notices()
-        };
-        let is_current = |server: &Name, notice: &Notice| {
-            let written = published.get(server);
-            written
-                .is_some_and(|(written, at)| written == notice && now < *at + NOTICE_RETENTION / 2)
-        };
-        let changed: Vec<(Name, Notice)> = notices
-            .iter()
-            .filter(|(server, notice)| !is_current(server, notice))
-            .take(MAX_NOTICES)
-            .map(|(server, notice)| (server.clone(), notice.clone()))
-            .collect();
-        let ended: Vec<Name> = published
-            .keys()
-            .filter(|server| !notices.contains_key(*server))
-            .take(MAX_NOTICES)
-            .cloned()
-            .collect();
-        if changed.is_empty() && ended.is_empty() {
-            continue;
-        }
-        match write_notices(&shared, &changed, &ended).await {
-            Ok(()) => {
-                published.extend(
-                    changed
-                        .into_iter()
-                        .map(|(server, notice)| (server, (notice, now))),
-                );
-                published.retain(|server, _| !ended.contains(server));
-            }
-            Err(error) => spdlog::warn!("failed to tell other nodes of limits; retrying", kv: {
-                servers = changed.len() + ended.len(), error = error.to_string(),
-            }),
-        }
-    }
-}
-
-async fn write_notices(
-    shared: &Shared,
-    changed: &[(Name, Notice)],
-    ended: &[Name],
-) -> store::Result<()> {
-    let lease = match changed.is_empty() {
-        true => 0,
-        false => shared.store.grant(NOTICE_RETENTION).await?.id,
-    };
-    let puts = changed
-        .iter()
-        .map(|(server, notice)| (key(server), record::encode(notice), lease));
-    let write = Write {
-        puts: puts.collect(),
-        removals: ended.iter().map(key).collect(),
-        ..Write::default()
-    };
-    shared.store.write(&write).await.map(|_| ())
-}
-
-/// Applies a change of the store's keys. Returns whether it is about the limit of a server.
-pub(crate) fn apply(shared: &Shared, change: &object::Change) -> bool {
-    let Some(server) = change.key.strip_prefix(PREFIX) else {
-        return false;
-    };
-    // When a notice ends, the next claim or answer tells whether the limit has ended too.
-    let Some(value) = &change.value else {
-        return true;
-    };
-    match record::decode::<Notice>("limit", value) {
-        Ok(notice) => {
-            let now = shared.now();
-            shared.balancer().record_notice(server, &notice, now);
-        }
-        Err(error) => spdlog::warn!("failed to decode the notice of a limit", kv: {
-            key = change.key.as_str(), error = error.to_string(),
-        }),
-    }
-    true
-}
-
-fn key(server: &Name) -> String {
-    format!("{PREFIX}{server}")
-}
-
 /// Records what another node has seen of the limit of a server whose home or deputy this node is.
 pub(crate) fn record(shared: &Shared, observation: &Observation) {
     shared.limits.divider().record(observation, shared.now());
@@ -336,7 +236,7 @@
 /// A node that divides the rate of a server.
 struct Node {
     id: Id,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
 }
 
 /// Returns the home of a server and its deputy.
--- a/crates/shallotroute_resident/src/object.rs
+++ b/crates/shallotroute_resident/src/object.rs
@@ -8,7 +8,8 @@
 use shallotroute_types::name::Name;
 
 use crate::{
-    limit, member,
+    limit::notice,
+    member,
     shared::{ActiveTable, Shared},
     suspect,
     view::Prefix,
@@ -164,7 +165,7 @@
 fn apply_member_changes(shared: &Shared, changes: &[Change], is_first_read: bool) {
     let changes: Vec<&Change> = changes
         .iter()
-        .filter(|change| !suspect::apply(shared, change) && !limit::apply(shared, change))
+        .filter(|change| !suspect::apply(shared, change) && !notice::apply(shared, change))
         .collect();
     let own_key = member::node_key(&shared.owner.node);
     shared.members.send_modify(|members| {
