--- a/crates/shallotroute_fleet/src/server.rs
+++ b/crates/shallotroute_fleet/src/server.rs
@@ -33,8 +33,8 @@
 /// other servers can't take soon.
 const LIMIT_COST: f64 = 1.0;
 
-/// The back-off of a process that is known to have crashed, unless it answers. The host list drops its entry or
-/// names another process before.
+/// The back-off of a process that is known to have crashed. The host list drops its entry or names another
+/// process before.
 const CRASH_BACKOFF: Duration = Duration::from_secs(10);
 
 /// The weight of one response time in the moving average of a server's latency.
