resident: the prefix of suspects is checked, and a write that is given up is logged

The assertion that all nodes follow the records compared the lengths of two prefixes, so that a wrong prefix would have passed. After the last try the log said that the write would be tried again, and it was not. Change: the assertion compares the prefixes; giving up is logged with the change and the number of tries.

--- a/crates/shallotroute_resident/src/member.rs
+++ b/crates/shallotroute_resident/src/member.rs
@@ -157,6 +157,19 @@
     }
 }
 
+/// Returns whether all nodes follow the keys with a prefix, as they follow those of the members.
+pub(crate) const fn is_followed(prefix: &str) -> bool {
+    let (followed, prefix) = (PREFIX.as_bytes(), prefix.as_bytes());
+    let mut index = 0;
+    while index < followed.len() {
+        if index >= prefix.len() || prefix[index] != followed[index] {
+            return false;
+        }
+        index += 1;
+    }
+    true
+}
+
 /// Returns the key of a node's entry.
 pub(crate) fn node_key(node: &str) -> String {
     format!("{NODE_PREFIX}{node}")
--- a/crates/shallotroute_resident/src/suspect.rs
+++ b/crates/shallotroute_resident/src/suspect.rs
@@ -242,13 +242,17 @@
 pub(crate) async fn run(shared: Arc<Shared>, mut changes: mpsc::Receiver<Change>) {
     let mut lease = None;
     while let Some(change) = changes.recv().await {
+        let mut is_written = false;
         for _ in 0..WRITE_TRIES {
             let written = match &change {
                 Change::Crashed(request) => write(&shared, request, &mut lease).await,
                 Change::Cleared(request) => remove(&shared, request).await,
             };
             match written {
-                Ok(()) => break,
+                Ok(()) => {
+                    is_written = true;
+                    break;
+                }
                 // The lease may have ended.
                 Err(Error::NotFound) => lease = None,
                 Err(error) => {
@@ -259,6 +263,11 @@
                 }
             }
         }
+        if !is_written {
+            spdlog::error!("gave up storing the record of a request; other nodes do not know it", kv: {
+                change = format!("{change:?}"), tries = WRITE_TRIES,
+            });
+        }
     }
 }
 
@@ -321,6 +330,6 @@
 }
 
 const _: () = assert!(
-    PREFIX.len() > member::PREFIX.len(),
-    "all nodes follow the keys of the members"
+    member::is_followed(PREFIX),
+    "nodes have to learn of requests under which servers crashed"
 );
