resident: the prefix of notices of limits is checked; a failed announcement says why

Nothing tied the prefix of the notices to the keys that nodes follow, and the log of an announcement that failed left out the reason. Change: an assertion at compile time, as for suspects; the reason is logged.

--- a/crates/shallotroute_resident/src/limit.rs
+++ b/crates/shallotroute_resident/src/limit.rs
@@ -104,9 +104,10 @@
                 CALL_TIMEOUT,
                 |client, context| async move { client.report_limit(context, observation).await },
             );
-            if call.await.is_err() {
+            if let Err(error) = call.await {
                 spdlog::debug!("failed to pass a limit on", kv: {
                     node = node.id.as_str(), role = format!("{role:?}"),
+                    reason = format!("{error:?}"),
                 });
             }
         }
--- a/crates/shallotroute_resident/src/limit/notice.rs
+++ b/crates/shallotroute_resident/src/limit/notice.rs
@@ -12,11 +12,16 @@
 use shallotroute_fleet::limit::{NOTICE_RETENTION, Notice};
 use shallotroute_types::name::Name;
 
-use crate::{object, shared::Shared, store};
+use crate::{member, object, shared::Shared, store};
 
 /// The prefix of the notices. It is among the keys that all nodes follow.
 const PREFIX: &str = "shallotroute/member/limit/";
 
+const _: () = assert!(
+    member::is_followed(PREFIX),
+    "nodes that start have to learn of limits"
+);
+
 /// The interval at which notices are written. The home divides a limit that changes more often all the
 /// same.
 const INTERVAL: Duration = Duration::from_secs(1);
