--- a/crates/shallotroute/examples/soak.rs
+++ b/crates/shallotroute/examples/soak.rs
@@ -42,6 +42,10 @@
     #[argh(switch)]
     limits: bool,
 
+    /// only cuts of most nodes' links to the backend servers
+    #[argh(switch)]
+    stranded: bool,
+
     /// only a request that crashes each server that runs it
     #[argh(switch)]
     deadly_request: bool,
@@ -59,6 +63,7 @@
     fn schedule(&self) -> Schedule {
         match self {
             Self { limits: true, .. } => Schedule::Limits,
+            Self { stranded: true, .. } => Schedule::Stranded,
             Self {
                 deadly_request: true,
                 ..
--- a/crates/shallotroute/tests/soak.rs
+++ b/crates/shallotroute/tests/soak.rs
@@ -146,3 +146,22 @@
     expect_no_findings(&report);
     expect_that!(report.successful_requests, ge(200));
 }
+
+/// Guards against nodes that serve no caller while they have lost their links to all backend servers and other
+/// nodes have not, and against crashes that they believe to see meanwhile.
+#[gtest]
+#[tokio::test]
+async fn callers_of_nodes_without_links_to_servers_are_served_through_other_nodes() {
+    let report = run_soak(Options {
+        nodes: 6,
+        callers: 4,
+        stream_callers: 2,
+        duration: Duration::from_secs(24),
+        schedule: Schedule::Stranded,
+        ..OPTIONS
+    })
+    .await;
+    expect_no_findings(&report);
+    expect_that!(report.successful_requests, ge(100));
+    expect_that!(report.completed_steps, ge(2));
+}
--- a/crates/shallotroute_fleet/src/lib.rs
+++ b/crates/shallotroute_fleet/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod capacity;
 pub mod election;
 pub mod limit;
+pub mod link;
 pub mod replica;
 pub mod resume;
 pub mod retry;
--- a/crates/shallotroute_fleet/src/retry.rs
+++ b/crates/shallotroute_fleet/src/retry.rs
@@ -52,6 +52,8 @@
     NotRun,
     /// The server could not be reached and did not run the request.
     Unreachable,
+    /// Neither this node nor another one reaches servers, so that the request did not run.
+    NoWay,
     /// The request may have run at the server.
     MayHaveRun,
 }
@@ -95,6 +97,8 @@
     retry_at: Option<Instant>,
     /// Until when the limits of all servers deny an attempt.
     limited_until: Option<Instant>,
+    /// Whether no server can be reached from here in any way.
+    has_no_way: bool,
     /// Whether servers crashed under the request before.
     verdict: Verdict,
 }
@@ -110,6 +114,7 @@
             was_rejected: false,
             retry_at: None,
             limited_until: None,
+            has_no_way: false,
             verdict: Verdict::Clear,
         }
     }
@@ -121,6 +126,11 @@
         std::mem::discriminant(&former) != std::mem::discriminant(&verdict)
     }
 
+    /// Returns the policy of the request.
+    pub fn policy(&self) -> &Policy {
+        &self.policy
+    }
+
     /// Returns the servers that the request was sent to, in the order of their first attempts.
     pub fn servers(&self) -> &[Name] {
         &self.servers
@@ -141,6 +151,7 @@
         match failure {
             AttemptFailure::MayHaveRun => self.may_have_run = true,
             AttemptFailure::NotRun => self.was_rejected = true,
+            AttemptFailure::NoWay => self.has_no_way = true,
             AttemptFailure::Unreachable => {}
         }
         if failure != AttemptFailure::MayHaveRun && self.is_exhausted() {
@@ -148,6 +159,14 @@
         }
     }
 
+    /// Records that an attempt at a server has no answer because this node lost its links. The request may have
+    /// run; the server may be tried again.
+    pub fn record_link_loss(&mut self, server: &Name) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.may_have_run = true;
+        self.servers.retain(|tried| tried != server);
+    }
+
     /// Records that no server is available for an attempt.
     pub fn record_no_server(&mut self, now: Instant) {
         self.retry_at = Some(now + RETRY_DELAY);
@@ -181,6 +200,12 @@
                 false => RequestFailure::NotRun { retry_after },
             });
         }
+        if self.has_no_way {
+            return Decision::Fail(match self.may_have_run {
+                true => RequestFailure::OutcomeUnknown,
+                false => self.not_run_failure(now),
+            });
+        }
         let give_up_at = policy.started_at + policy.target_latency * RETRY_WINDOW_PERCENT / 100;
         let is_denied = self.limited_until.is_some_and(|until| until > give_up_at);
         match self.retry_at {
--- a/crates/shallotroute_fleet/src/server.rs
+++ b/crates/shallotroute_fleet/src/server.rs
@@ -590,6 +590,25 @@
         }
     }
 
+    /// Returns the servers other than `except` by which the node's links are checked: those without failures first,
+    /// in an order that depends on `random`.
+    pub fn witnesses(&self, except: Option<&str>, random: u64) -> Vec<Server> {
+        let mut witnesses: Vec<&Entry> = self
+            .entries
+            .values()
+            .filter(|entry| !entry.server.is_draining && entry.missing_since.is_none())
+            .filter(|entry| Some(&*entry.server.id) != except)
+            .collect();
+        witnesses.sort_by_key(|entry| {
+            let position = xxh3_64_with_seed(entry.server.id.as_bytes(), random);
+            (entry.failures, position)
+        });
+        witnesses
+            .into_iter()
+            .map(|entry| entry.server.clone())
+            .collect()
+    }
+
     /// Returns the number of a service's servers that take requests, and of all that are not draining.
     pub fn available_servers(&self, service: &str, now: Instant) -> (usize, usize) {
         let listed = || {
--- a/crates/shallotroute_fleet/tests/retry.rs
+++ b/crates/shallotroute_fleet/tests/retry.rs
@@ -212,3 +212,46 @@
         eq(Decision::Fail(RequestFailure::OutcomeUnknown))
     );
 }
+
+/// Guards against a caller that waits although no server can be reached in any way.
+#[gtest]
+fn a_request_without_any_way_to_a_server_is_refused_at_once() {
+    let started_at = Instant::now();
+    let mut attempts = Attempts::new(policy(started_at, true));
+    attempts.record_attempt(&Name::from("a"));
+    attempts.record_failure(AttemptFailure::NoWay, started_at);
+    expect_that!(
+        attempts.decide(started_at),
+        matches_pattern!(Decision::Fail(matches_pattern!(
+            RequestFailure::NotRun { .. }
+        )))
+    );
+}
+
+/// Guards against a request that is said not to have run after its connection was lost with the links.
+#[gtest]
+fn a_request_that_was_lost_with_the_links_may_have_run() {
+    let started_at = Instant::now();
+    let mut attempts = Attempts::new(policy(started_at, false));
+    attempts.record_attempt(&Name::from("a"));
+    attempts.record_link_loss(&Name::from("a"));
+    expect_that!(
+        attempts.decide(started_at),
+        eq(Decision::Fail(RequestFailure::OutcomeUnknown))
+    );
+}
+
+/// Guards against attempts that are used up on connections that hung with the links.
+#[gtest]
+fn attempts_that_were_lost_with_the_links_do_not_use_up_servers() {
+    let started_at = Instant::now();
+    let mut attempts = Attempts::new(policy(started_at, true));
+    for id in ["a", "b"] {
+        attempts.record_attempt(&Name::from(id));
+    }
+    for id in ["a", "b"] {
+        attempts.record_link_loss(&Name::from(id));
+    }
+    expect_that!(attempts.servers(), is_empty());
+    expect_that!(attempts.decide(after(started_at, 500)), eq(Decision::Send));
+}
--- a/crates/shallotroute_fleet/tests/server.rs
+++ b/crates/shallotroute_fleet/tests/server.rs
@@ -353,3 +353,16 @@
     expect_that!(balancer.insert(restarted), eq(true));
     expect_that!(chosen(&balancer, &ANY, now), some(eq("a")));
 }
+
+#[gtest]
+fn links_are_checked_by_servers_without_failures_first() {
+    let mut balancer = balancer(&["a", "b", "c", "d"]);
+    let now = Instant::now();
+    balancer.record_end("b", Outcome::Failed, now);
+    balancer.record_leaving("c", now);
+    for random in 0..10 {
+        let witnesses = balancer.witnesses(Some("a"), random);
+        let ids: Vec<&str> = witnesses.iter().map(|server| &*server.id).collect();
+        expect_that!(ids, elements_are![eq(&"d"), eq(&"b")]);
+    }
+}
--- a/crates/shallotroute_http/src/server.rs
+++ b/crates/shallotroute_http/src/server.rs
@@ -95,6 +95,30 @@
     builder
 }
 
+/// Serves one connection until it ends.
+pub async fn serve_connection(stream: TcpStream, handler: Arc<dyn Handler>, peer: SocketAddr) {
+    let builder = builder(handler.options());
+    let connection = builder.serve_connection(TokioIo::new(stream), service(handler, peer));
+    if let Err(error) = connection.await {
+        spdlog::debug!("connection from {} failed: {}", peer, error);
+    }
+}
+
+fn service(
+    handler: Arc<dyn Handler>,
+    peer: SocketAddr,
+) -> impl hyper::service::Service<
+    Request<Incoming>,
+    Response = Response<Body>,
+    Error = Infallible,
+    Future: Send + 'static,
+> {
+    service_fn(move |request| {
+        let response = Arc::clone(&handler).handle(request, peer);
+        async move { Ok::<_, Infallible>(response.await) }
+    })
+}
+
 fn spawn_connection(
     builder: &Builder<TokioExecutor>,
     graceful: &GracefulShutdown,
@@ -103,11 +127,7 @@
     peer: SocketAddr,
 ) {
     let _ = stream.set_nodelay(true);
-    let handler = Arc::clone(handler);
-    let service = service_fn(move |request| {
-        let response = Arc::clone(&handler).handle(request, peer);
-        async move { Ok::<_, Infallible>(response.await) }
-    });
+    let service = service(Arc::clone(handler), peer);
     let connection = builder
         .serve_connection_with_upgrades(TokioIo::new(stream), service)
         .into_owned();
--- a/crates/shallotroute_peer/src/service.rs
+++ b/crates/shallotroute_peer/src/service.rs
@@ -17,6 +17,9 @@
     /// Batch jobs and relayed calls to the platform's store, between nodes on the users' platform.
     #[display("jobs")]
     Jobs,
+    /// Requests that a node passes on to backend servers for another one, over HTTP.
+    #[display("relay")]
+    Relay,
 }
 
 impl Kind {
@@ -27,6 +30,7 @@
             Self::Requests => 2,
             Self::Rollouts => 3,
             Self::Jobs => 4,
+            Self::Relay => 5,
         }
     }
 
@@ -37,6 +41,7 @@
             2 => Some(Self::Requests),
             3 => Some(Self::Rollouts),
             4 => Some(Self::Jobs),
+            5 => Some(Self::Relay),
             _ => None,
         }
     }
--- a/crates/shallotroute_resident/src/forward.rs
+++ b/crates/shallotroute_resident/src/forward.rs
@@ -23,6 +23,7 @@
 use crate::{
     generate::{discard_body, idle_timeout},
     limit::{self, Unavailable},
+    link::Sender,
     metric::Metrics,
     pool::{Connection, Failure},
     shared::Shared,
@@ -65,10 +66,14 @@
     NotRun(String),
     /// The server could not be reached and did not run the request.
     Unreachable(String),
+    /// Neither this node nor another one reaches servers, so that the request did not run.
+    NoWay(String),
     /// There is no usable response, and the server may have run the request.
     MayHaveRun(String),
     /// The connection broke before the whole response, and the server may have run the request.
     Broken(String),
+    /// This node lost its links before the whole response, and the server may have run the request.
+    LinkLost(String),
 }
 
 /// The outcome of forwarding a request, as the caller gets it.
@@ -107,7 +112,10 @@
         .timeout
         .min(route.target_latency * SEND_ONCE_TIMEOUT_FACTOR);
     let deadline = shared.now() + timeout;
-    run_attempt(Arc::clone(shared), server, request.clone(), deadline)
+    // The sender sends it again when there is no answer.
+    let is_idempotent = true;
+    let request = request.clone();
+    run_attempt(Arc::clone(shared), server, request, deadline, is_idempotent)
         .await
         .1
 }
@@ -200,8 +208,13 @@
             Ok(server) => {
                 self.attempts.record_attempt(&server.id);
                 let request = self.request.clone();
+                let Policy {
+                    deadline,
+                    is_idempotent,
+                    ..
+                } = self.policy;
                 let attempt =
-                    run_attempt(Arc::clone(shared), server, request, self.policy.deadline);
+                    run_attempt(Arc::clone(shared), server, request, deadline, is_idempotent);
                 self.pending.spawn(attempt);
             }
             Err(unavailable) => {
@@ -237,6 +250,12 @@
             AttemptOutcome::MayHaveRun(reason) | AttemptOutcome::Broken(reason) => {
                 (AttemptFailure::MayHaveRun, reason)
             }
+            AttemptOutcome::NoWay(reason) => (AttemptFailure::NoWay, reason),
+            AttemptOutcome::LinkLost(reason) => {
+                self.reason = reason;
+                self.attempts.record_link_loss(&server);
+                return None;
+            }
             AttemptOutcome::Answer {
                 status,
                 headers,
@@ -317,10 +336,11 @@
     server: Server,
     request: BackendRequest,
     deadline: Instant,
+    is_idempotent: bool,
 ) -> (Name, AttemptOutcome) {
     let in_flight = shared.start_request(&server.id, None);
     let started_at = shared.now();
-    let pending = exchange(&shared, &server, &request, deadline);
+    let pending = exchange(&shared, &server, &request, deadline, is_idempotent);
     let attempt_outcome = match tokio::time::timeout_at(deadline.into(), pending).await {
         Ok(attempt_outcome) => attempt_outcome,
         Err(_) => AttemptOutcome::MayHaveRun(format!("{} did not answer in time", server.id)),
@@ -333,6 +353,8 @@
         AttemptOutcome::Answer { .. } => (Outcome::Neutral, "error"),
         AttemptOutcome::NotRun(_) => (Outcome::Rejected, "not_run"),
         AttemptOutcome::Unreachable(_) => (Outcome::Failed, "unreachable"),
+        AttemptOutcome::NoWay(_) => (Outcome::Rejected, "no_way"),
+        AttemptOutcome::LinkLost(_) => (Outcome::Neutral, "link_lost"),
         AttemptOutcome::MayHaveRun(_) | AttemptOutcome::Broken(_) => (Outcome::Failed, "unknown"),
     };
     in_flight.finish(outcome);
@@ -348,8 +370,10 @@
     Metrics::count(&shared.metrics.attempts, label);
     if let AttemptOutcome::NotRun(reason)
     | AttemptOutcome::Unreachable(reason)
+    | AttemptOutcome::NoWay(reason)
     | AttemptOutcome::MayHaveRun(reason)
-    | AttemptOutcome::Broken(reason) = &attempt_outcome
+    | AttemptOutcome::Broken(reason)
+    | AttemptOutcome::LinkLost(reason) = &attempt_outcome
     {
         spdlog::info!("attempt failed", kv: {
             request = &*request.id,
@@ -364,37 +388,22 @@
 
 /// Sends a request to a server and reads its response.
 async fn exchange(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     server: &Server,
     request: &BackendRequest,
     deadline: Instant,
+    is_idempotent: bool,
 ) -> AttemptOutcome {
-    let mut connection = match shared.pool.get(server.address).await {
-        Ok(connection) => connection,
-        Err(failure) => return AttemptOutcome::Unreachable(failure.reason().to_owned()),
-    };
-    let is_reused = connection.is_reused;
-    let mut result = match build_request(shared, server, request, deadline) {
-        Ok(http_request) => connection.send(http_request).await,
-        Err(error) => return AttemptOutcome::NotRun(error.to_string()),
-    };
-    // The server may have closed a reused connection, so a new one is opened once.
-    if let Err(Failure::Unsent(_)) = &result
-        && is_reused
-    {
-        connection = match shared.pool.open(server.address).await {
-            Ok(connection) => connection,
-            Err(failure) => return AttemptOutcome::Unreachable(failure.reason().to_owned()),
-        };
-        result = match build_request(shared, server, request, deadline) {
-            Ok(http_request) => connection.send(http_request).await,
-            Err(error) => return AttemptOutcome::NotRun(error.to_string()),
-        };
-    }
-    match result {
-        Ok(response) => read_response(shared, &server.id, connection, &request.id, response).await,
+    let sender = Sender::new(shared, server).with_idempotent(is_idempotent);
+    let sent = sender.send(|| build_request(shared, server, request, deadline));
+    match sent.await {
+        Ok((connection, response)) => {
+            read_response(shared, &server.id, connection, &request.id, response).await
+        }
         Err(Failure::Unsent(reason)) => AttemptOutcome::Unreachable(reason),
-        Err(Failure::NoResponse(reason)) => AttemptOutcome::Broken(reason),
+        Err(Failure::NoResponse { reason, .. }) => AttemptOutcome::Broken(reason),
+        Err(Failure::NoWay(reason)) => AttemptOutcome::NoWay(reason),
+        Err(Failure::LinkLost(reason)) => AttemptOutcome::LinkLost(reason),
     }
 }
 
@@ -451,7 +460,11 @@
     let body = match body::read(content, MAX_RESPONSE_BYTES).await {
         Ok(body) => body,
         Err(error) => {
-            return AttemptOutcome::Broken(format!("failed to read the response body: {error}"));
+            let reason = format!("failed to read the response body: {error}");
+            return match shared.links.blames_server(&connection) {
+                true => AttemptOutcome::Broken(reason),
+                false => AttemptOutcome::LinkLost(reason),
+            };
         }
     };
     if let Some(max_idle) = max_idle {
--- a/crates/shallotroute_resident/src/generate.rs
+++ b/crates/shallotroute_resident/src/generate.rs
@@ -20,6 +20,7 @@
 use crate::{
     job::Owned,
     limit,
+    link::Sender,
     metric::Metrics,
     pool::{Connection, Failure},
     shared::{InFlight, Shared},
@@ -116,40 +117,36 @@
                 );
             }
         };
-        let mut connection = match self.shared.pool.get(entry.address).await {
-            Ok(connection) => connection,
-            Err(failure) => {
-                return End::new(GenerationEnd::Rejected, Outcome::Failed, failure.reason());
-            }
-        };
-        let reused = connection.is_reused;
-        let mut result = connection.send(request.clone()).await;
-        if let Err(failure) = &result
-            && reused
+        let sender = Sender::new(&self.shared, &entry).with_idempotent(true);
+        let build = || Ok(request.clone());
+        let mut result = sender.send(build).await;
+        if let Err(Failure::NoResponse {
+            is_reused: true, ..
+        }) = &result
         {
             // The server may have closed a pooled connection since its last use. If it got the request, the
             // next one is another one to its limit.
-            if matches!(failure, Failure::NoResponse(_))
-                && !limit::acquire_permit(&self.shared, server, Class::Batch).await
-            {
+            if !limit::acquire_permit(&self.shared, server, Class::Batch).await {
                 return End::limited();
             }
-            connection = match self.shared.pool.open(entry.address).await {
-                Ok(connection) => connection,
-                Err(failure) => {
-                    return End::new(GenerationEnd::Rejected, Outcome::Failed, failure.reason());
-                }
-            };
-            result = connection.send(request).await;
+            result = sender.with_new_connection().send(build).await;
         }
         match result {
-            Ok(response) => self.read_response(server, &id, connection, response).await,
+            Ok((connection, response)) => {
+                self.read_response(server, &id, connection, response).await
+            }
             Err(Failure::Unsent(reason)) => {
                 End::new(GenerationEnd::Rejected, Outcome::Failed, &reason)
             }
-            Err(Failure::NoResponse(reason)) => {
+            Err(Failure::NoWay(reason)) => {
+                End::new(GenerationEnd::Rejected, Outcome::Rejected, &reason)
+            }
+            Err(Failure::NoResponse { reason, .. }) => {
                 End::new(GenerationEnd::Interrupted, Outcome::Failed, &reason)
             }
+            Err(Failure::LinkLost(reason)) => {
+                End::new(GenerationEnd::Interrupted, Outcome::Neutral, &reason)
+            }
         }
     }
 
@@ -280,11 +277,14 @@
         let mut last_event_at = self.shared.now();
         let mut event_count = 0_u32;
         let fail = |reason: &str| End::new(GenerationEnd::Interrupted, Outcome::Failed, reason);
-        while let Some(bytes) = self.next_bytes(server, &mut body).await {
+        while let Some(bytes) = self.next_bytes(server, &connection, &mut body).await {
             match bytes {
                 Ok(bytes) => events.push(&bytes),
                 Err(end) => return end,
             }
+            self.shared
+                .links
+                .record_heard(&connection, self.shared.now());
             loop {
                 let event = match events.next_event() {
                     Ok(Some(event)) => event,
@@ -334,13 +334,22 @@
 
     /// Returns the next bytes of a stream, `None` at its end, or an error if the stream failed or the
     /// server's entry no longer names the software for which it was chosen.
-    async fn next_bytes(&self, server: &Name, body: &mut Incoming) -> Option<Result<Bytes, End>> {
+    async fn next_bytes(
+        &self,
+        server: &Name,
+        connection: &Connection,
+        body: &mut Incoming,
+    ) -> Option<Result<Bytes, End>> {
         loop {
             let frame = match body.frame().await? {
                 Ok(frame) => frame,
                 Err(error) => {
                     let reason = format!("the stream failed: {error}");
-                    let end = End::new(GenerationEnd::Interrupted, Outcome::Failed, &reason);
+                    let outcome = match self.shared.links.blames_server(connection) {
+                        true => Outcome::Failed,
+                        false => Outcome::Neutral,
+                    };
+                    let end = End::new(GenerationEnd::Interrupted, outcome, &reason);
                     return Some(Err(end));
                 }
             };
--- a/crates/shallotroute_resident/src/ingress.rs
+++ b/crates/shallotroute_resident/src/ingress.rs
@@ -44,10 +44,10 @@
 pub(crate) struct Readiness(pub(crate) Arc<Shared>);
 
 /// A guard that counts a request as in progress until it is dropped.
-struct OpenRequest(Arc<AtomicUsize>);
+pub(crate) struct OpenRequest(Arc<AtomicUsize>);
 
 impl OpenRequest {
-    fn new(count: &Arc<AtomicUsize>) -> Self {
+    pub(crate) fn new(count: &Arc<AtomicUsize>) -> Self {
         count.fetch_add(1, Ordering::Relaxed);
         Self(Arc::clone(count))
     }
--- a/crates/shallotroute_resident/src/lib.rs
+++ b/crates/shallotroute_resident/src/lib.rs
@@ -15,6 +15,7 @@
 mod leader;
 mod ledger;
 mod limit;
+mod link;
 mod log;
 mod member;
 mod metric;
@@ -22,6 +23,7 @@
 mod peer;
 mod pool;
 mod presence;
+mod relay;
 mod response;
 mod resume;
 mod runner;
@@ -164,7 +166,13 @@
         let shutdown = CancellationToken::new();
         let peers = listen("other nodes", listen_at.peers).await?;
         let acceptor: Arc<dyn Service> = Arc::new(Acceptor(Arc::clone(&shared)));
-        let services: Services = [(Kind::Jobs, acceptor)].into_iter().collect();
+        let relay: Arc<dyn Service> = Arc::new(relay::Acceptor {
+            shared: Arc::clone(&shared),
+            open_requests: Arc::clone(&open_requests),
+        });
+        let services: Services = [(Kind::Jobs, acceptor), (Kind::Relay, relay)]
+            .into_iter()
+            .collect();
         tokio::spawn(serve(peers, Arc::new(services), shutdown.clone()));
         let metrics = listen("metrics", listen_at.metrics).await?;
         let endpoint = Arc::new(Endpoint {
@@ -193,6 +201,7 @@
         tokio::spawn(remove_expired(Arc::clone(&shared)));
         tokio::spawn(capacity::run(Arc::clone(&shared)));
         tokio::spawn(resume::run(Arc::clone(&shared)));
+        tokio::spawn(link::run(Arc::clone(&shared)));
         tokio::spawn(limit::notice::run(Arc::clone(&shared)));
         tokio::spawn(limit::run(Arc::clone(&shared), inbox.limits));
         tokio::spawn(suspect::run(Arc::clone(&shared), inbox.suspects));
--- /dev/null
+++ b/crates/shallotroute_resident/src/link.rs
@@ -0,0 +1,482 @@
+//! Sends requests to backend servers over the node's own links or, while these are lost, through other nodes. Finds
+//! out which of the two holds. The decisions are in [`shallotroute_fleet::link`].
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use futures::{StreamExt, stream::FuturesUnordered};
+use http::{Request, Response};
+use hyper::body::Incoming;
+use shallotroute_fleet::{
+    link::{Check, Finding, Links, RECHECK_INTERVAL, Relays, SILENCE, State},
+    server::Server,
+};
+use shallotroute_types::{name::Name, node::Id};
+use tokio::{
+    sync::{Mutex as AsyncMutex, watch},
+    time::timeout,
+};
+
+use crate::{
+    metric::Metrics,
+    peer::Peers,
+    pool::{Connection, Endpoint, Failure, RequestBody},
+    relay,
+    shared::Shared,
+};
+
+/// How long a connection of another node's check may take. A node with a small share of a core may pause for a tenth
+/// of a second.
+const REMOTE_PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// The timeout of a call that asks another node whether it reaches servers: two connections in a row, and the call.
+const CALL_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// How long the connection of a check is kept for the next request.
+const PROBE_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The number of servers that a check tries before other nodes are asked.
+const CHECKED_SERVERS: usize = 2;
+
+/// The number of servers that have to be out of reach before the node gives up trying.
+const MAX_CHECKED_SERVERS: usize = 8;
+
+/// How often other nodes are asked whether they reach servers, each time some that were not asked before.
+const MAX_ASK_ROUNDS: usize = 3;
+
+/// A response whose body is still to be read, and the connection that it arrives on.
+pub(crate) type Exchange = (Connection, Response<Incoming>);
+
+/// What this node knows of its links, and its calls to other nodes about theirs.
+pub(crate) struct Monitor {
+    links: Mutex<Links>,
+    relays: Mutex<Relays>,
+    state: watch::Sender<State>,
+    /// Held while the links are checked, so that requests that fail together share one check.
+    checking: AsyncMutex<()>,
+    /// Calls with a short timeout, whose failures must not close the connections of other calls.
+    peers: Peers,
+}
+
+/// How a request is sent to a server.
+#[derive(Clone, Copy)]
+pub(crate) struct Sender<'a> {
+    shared: &'a Arc<Shared>,
+    server: &'a Server,
+    /// Whether the request may run again elsewhere when the links are lost while it waits for its answer.
+    is_idempotent: bool,
+    /// Whether an idle connection may carry it.
+    uses_idle: bool,
+}
+
+impl Monitor {
+    /// Creates the state of a node whose links work.
+    pub(crate) fn new() -> Self {
+        Self {
+            links: Mutex::default(),
+            relays: Mutex::default(),
+            state: watch::Sender::default(),
+            checking: AsyncMutex::default(),
+            peers: Peers::new(),
+        }
+    }
+
+    /// Returns the state of the links.
+    pub(crate) fn state(&self) -> State {
+        *self.state.borrow()
+    }
+
+    /// Returns a receiver of the state.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<State> {
+        self.state.subscribe()
+    }
+
+    /// Records that bytes arrived on a connection.
+    pub(crate) fn record_heard(&self, connection: &Connection, now: Instant) {
+        if connection.is_direct() {
+            self.lock().record_heard(now);
+        }
+    }
+
+    /// Returns whether the failure of a connection is the fault of its server, as far as this node can tell.
+    pub(crate) fn blames_server(&self, connection: &Connection) -> bool {
+        connection.is_direct() && self.lock().blames_server(connection.opened_at)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Links> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn relays(&self) -> MutexGuard<'_, Relays> {
+        self.relays.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records that a relay is of no use at present.
+    pub(crate) fn record_relay_failure(&self, relay: &Id, reason: &str, now: Instant) {
+        if self.relays().record_failure(relay, now) {
+            spdlog::info!("another node relays no requests to servers", kv: {
+                node = relay.as_str(), reason,
+            });
+        }
+    }
+}
+
+impl<'a> Sender<'a> {
+    /// Creates a sender of a request that may run once at most.
+    pub(crate) fn new(shared: &'a Arc<Shared>, server: &'a Server) -> Self {
+        Self {
+            shared,
+            server,
+            is_idempotent: false,
+            uses_idle: true,
+        }
+    }
+
+    /// Sets whether the request may run again elsewhere.
+    pub(crate) fn with_idempotent(self, is_idempotent: bool) -> Self {
+        Self {
+            is_idempotent,
+            ..self
+        }
+    }
+
+    /// Has the request sent on a new connection.
+    pub(crate) fn with_new_connection(self) -> Self {
+        Self {
+            uses_idle: false,
+            ..self
+        }
+    }
+
+    /// Sends a request to the server, through another node if this one has lost its links. `build` builds the
+    /// request with the time that is left.
+    ///
+    /// # Errors
+    ///
+    /// Returns how far the request got. If it was unsent, it will not run.
+    pub(crate) async fn send(
+        &self,
+        build: impl Fn() -> Result<Request<RequestBody>, http::Error>,
+    ) -> Result<Exchange, Failure> {
+        let shared = self.shared;
+        if shared.links.state() == State::Sound {
+            match self.send_direct(&build).await {
+                Err(Failure::Unsent(_)) if shared.links.state() != State::Sound => {}
+                result => return result,
+            }
+        }
+        if self.uses_idle
+            && shared.links.lock().may_use_open_connections()
+            && let Some(connection) = shared.pool.take_idle(self.server.address.into())
+        {
+            match self.exchange(connection, build_request(&build)?).await {
+                Err(Failure::Unsent(_)) => {}
+                result => return result,
+            }
+        }
+        match shared.links.state() {
+            State::Isolated => Err(Failure::NoWay(
+                "this node reaches no server, and no other node does".to_owned(),
+            )),
+            State::Sound | State::Lost => relay::send(shared, self.server, &build).await,
+        }
+    }
+
+    /// Sends a request over the node's own links. If no connection can be opened, returns when it is known whether
+    /// that is the fault of the links.
+    ///
+    /// # Errors
+    ///
+    /// Returns how far the request got.
+    pub(crate) async fn send_direct(
+        &self,
+        build: impl Fn() -> Result<Request<RequestBody>, http::Error>,
+    ) -> Result<Exchange, Failure> {
+        let shared = self.shared;
+        let idle = self
+            .uses_idle
+            .then(|| shared.pool.take_idle(self.server.address.into()))
+            .flatten();
+        if let Some(connection) = idle {
+            // The server may have closed the connection since its last use.
+            match self.exchange(connection, build_request(&build)?).await {
+                Err(Failure::Unsent(_)) => {}
+                result => return result,
+            }
+        }
+        let result = match shared.pool.open(self.server.address).await {
+            Ok(connection) => {
+                shared.links.lock().record_opened(shared.now());
+                self.exchange(connection, build_request(&build)?).await
+            }
+            Err(failure) => Err(failure),
+        };
+        if matches!(result, Err(Failure::Unsent(_))) {
+            let now = shared.now();
+            if shared.links.lock().is_doubtful(now) {
+                check(shared, self.server, now).await;
+            }
+        }
+        result
+    }
+
+    /// Sends a request on a connection and waits for the head of the response. Has the links checked if no server
+    /// is heard of meanwhile.
+    async fn exchange(
+        &self,
+        mut connection: Connection,
+        request: Request<RequestBody>,
+    ) -> Result<Exchange, Failure> {
+        let shared = self.shared;
+        let sent_at = shared.now();
+        let result = {
+            let mut sending = std::pin::pin!(connection.send(request));
+            loop {
+                tokio::select! {
+                    result = &mut sending => break result,
+                    () = tokio::time::sleep(SILENCE) => {}
+                }
+                let now = shared.now();
+                let links = shared.links.lock();
+                if self.is_idempotent && links.is_stranded(sent_at, now) {
+                    break Err(Failure::LinkLost(format!(
+                        "{}: lost the links to the servers",
+                        self.server.id
+                    )));
+                }
+                if links.is_suspiciously_silent(sent_at, now) {
+                    let (shared, server) = (Arc::clone(shared), self.server.clone());
+                    tokio::spawn(async move { check(&shared, &server, now).await });
+                }
+            }
+        };
+        match result {
+            Ok(response) => {
+                shared.links.record_heard(&connection, shared.now());
+                Ok((connection, response))
+            }
+            Err(Failure::NoResponse { reason, .. }) if !shared.links.blames_server(&connection) => {
+                Err(Failure::LinkLost(reason))
+            }
+            Err(failure) => Err(failure),
+        }
+    }
+}
+
+/// Builds a request for a server.
+pub(crate) fn build_request(
+    build: impl Fn() -> Result<Request<RequestBody>, http::Error>,
+) -> Result<Request<RequestBody>, Failure> {
+    build().map_err(|error| Failure::Unsent(error.to_string()))
+}
+
+/// Checks the links after the connection to a server has failed or was silent, unless that was done since
+/// `failed_at`.
+async fn check(shared: &Shared, suspect: &Server, failed_at: Instant) {
+    let _checking = shared.links.checking.lock().await;
+    if !shared.links.lock().is_checked_since(failed_at) {
+        perform_check(shared, Some(suspect), true).await;
+    }
+}
+
+/// Tries to open connections to servers and, with `should_ask`, asks other nodes if there is none.
+async fn perform_check(shared: &Shared, suspect: Option<&Server>, should_ask: bool) {
+    let began_at = shared.now();
+    let mut servers = witnesses(shared, suspect);
+    servers.splice(0..0, suspect.cloned());
+    servers.truncate(MAX_CHECKED_SERVERS);
+    if servers.is_empty() {
+        return;
+    }
+    let rest = servers.split_off(CHECKED_SERVERS.min(servers.len()));
+    let mut has_opened = reaches_any(shared, &servers).await;
+    let mut is_reached_by_others = None;
+    if !has_opened && should_ask {
+        let ids: Vec<Name> = servers.iter().map(|server| server.id.clone()).collect();
+        let is_reached = ask(shared, &ids).await == Finding::Reached;
+        // Before no way is left, all ways are tried.
+        has_opened = !is_reached && reaches_any(shared, &rest).await;
+        is_reached_by_others = Some(is_reached);
+    }
+    let check = Check {
+        has_opened,
+        is_reached_by_others,
+    };
+    let changed = shared
+        .links
+        .lock()
+        .record_check(check, began_at, shared.now());
+    if let Some(state) = changed {
+        record_state(shared, state);
+    }
+}
+
+/// Tells the parts of this node that the state of the links has changed.
+fn record_state(shared: &Shared, state: State) {
+    let name = match state {
+        State::Sound => "sound",
+        State::Lost => "lost",
+        State::Isolated => "isolated",
+    };
+    Metrics::count(&shared.metrics.links, name);
+    spdlog::info!("state of the links to the servers changed", kv: { state = name });
+    shared.links.state.send_replace(state);
+}
+
+/// Answers another node that asks whether this one reaches any of some servers.
+pub(crate) async fn find(shared: &Shared, servers: &[Name]) -> Finding {
+    if shared.links.state() != State::Sound {
+        return Finding::Unknown;
+    }
+    let known: Vec<Server> = {
+        let balancer = shared.balancer();
+        servers
+            .iter()
+            .filter_map(|id| balancer.get(id).cloned())
+            .collect()
+    };
+    let mut probes: FuturesUnordered<_> = known
+        .iter()
+        .map(|server| probe(shared, server, REMOTE_PROBE_TIMEOUT))
+        .collect();
+    let mut finding = Finding::Refused;
+    while let Some(found) = probes.next().await {
+        match found {
+            Finding::Reached => return Finding::Reached,
+            Finding::Refused => {}
+            Finding::Silent | Finding::Unknown => finding = Finding::Silent,
+        }
+    }
+    let witnesses: Vec<Server> = witnesses(shared, None)
+        .into_iter()
+        .filter(|server| !servers.contains(&server.id))
+        .take(CHECKED_SERVERS)
+        .collect();
+    match !known.is_empty() && reaches_any(shared, &witnesses).await {
+        true => finding,
+        false => Finding::Unknown,
+    }
+}
+
+/// Asks other nodes whether they reach any of some servers, several at a time, until one can tell.
+async fn ask(shared: &Shared, servers: &[Name]) -> Finding {
+    let Some(first) = servers.first() else {
+        return Finding::Unknown;
+    };
+    for _ in 0..MAX_ASK_ROUNDS {
+        // Those that could not tell are not chosen again.
+        let relays = relays(shared, first);
+        let mut answers: FuturesUnordered<_> = relays
+            .iter()
+            .map(|relay| ask_one(shared, relay, servers))
+            .collect();
+        while let Some(finding) = answers.next().await {
+            if finding != Finding::Unknown {
+                return finding;
+            }
+        }
+    }
+    Finding::Unknown
+}
+
+async fn ask_one(shared: &Shared, relay: &RelayNode, servers: &[Name]) -> Finding {
+    let asked = servers.to_vec();
+    let call = shared
+        .links
+        .peers
+        .call(relay.address, CALL_TIMEOUT, |client, context| async move {
+            client.find_servers(context, asked).await
+        });
+    let reason = match call.await {
+        Ok(Finding::Unknown) => "it can't tell whether it reaches servers".to_owned(),
+        Ok(finding) => return finding,
+        Err(error) => format!("{error:?}"),
+    };
+    let now = shared.now();
+    shared.links.record_relay_failure(&relay.id, &reason, now);
+    Finding::Unknown
+}
+
+/// A node that may relay requests, and its address.
+pub(crate) struct RelayNode {
+    pub(crate) id: Id,
+    pub(crate) address: std::net::SocketAddr,
+}
+
+/// Returns the nodes that may relay requests to a server, in the order in which they are tried.
+pub(crate) fn relays(shared: &Shared, server: &Name) -> Vec<RelayNode> {
+    let members = shared.members.borrow();
+    let candidates = members
+        .linked_nodes()
+        .map(|(id, member)| (id, member.capacity));
+    let now = shared.now();
+    let chosen = shared
+        .links
+        .relays()
+        .choose(candidates, &shared.owner.node, server, now);
+    chosen
+        .into_iter()
+        .filter_map(|id| {
+            let address = members.address(&id)?;
+            Some(RelayNode { id, address })
+        })
+        .collect()
+}
+
+/// Returns other servers than `suspect`, by which the links are checked.
+fn witnesses(shared: &Shared, suspect: Option<&Server>) -> Vec<Server> {
+    let except = suspect.map(|server| &*server.id);
+    shared.balancer().witnesses(except, rand::random())
+}
+
+/// Returns whether a connection to any of the servers can be opened.
+async fn reaches_any(shared: &Shared, servers: &[Server]) -> bool {
+    let mut openings: FuturesUnordered<_> =
+        servers.iter().map(|server| open(shared, server)).collect();
+    while let Some(is_open) = openings.next().await {
+        if is_open {
+            return true;
+        }
+    }
+    false
+}
+
+async fn open(shared: &Shared, server: &Server) -> bool {
+    let opened = shared.pool.open(Endpoint::Server(server.address)).await;
+    let Ok(connection) = opened else {
+        return false;
+    };
+    shared.links.lock().record_opened(shared.now());
+    shared.pool.put(connection, PROBE_IDLE_TIMEOUT);
+    true
+}
+
+/// Opens a connection to a server within `limit`.
+async fn probe(shared: &Shared, server: &Server, limit: Duration) -> Finding {
+    match timeout(limit, open(shared, server)).await {
+        Ok(true) => Finding::Reached,
+        Ok(false) => Finding::Refused,
+        Err(_) => Finding::Silent,
+    }
+}
+
+/// Checks lost links until they are back, for as long as the process runs.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    let mut state = shared.links.subscribe();
+    loop {
+        if state
+            .wait_for(|state| *state != State::Sound)
+            .await
+            .is_err()
+        {
+            return;
+        }
+        tokio::time::sleep(RECHECK_INTERVAL).await;
+        let _checking = shared.links.checking.lock().await;
+        // Lost links are known not to be the servers' failure; whether a relay is left shows when one is needed.
+        let should_ask = shared.links.state() == State::Isolated;
+        perform_check(&shared, None, should_ask).await;
+    }
+}
--- a/crates/shallotroute_resident/src/member.rs
+++ b/crates/shallotroute_resident/src/member.rs
@@ -119,6 +119,11 @@
             .is_some_and(|reconnected_at| now < reconnected_at + RECOVERY_PERIOD)
     }
 
+    /// Returns the nodes that are not leaving.
+    pub(crate) fn linked_nodes(&self) -> impl Iterator<Item = (&Id, &Member)> {
+        self.nodes.iter().filter(|(_, member)| !member.leaving)
+    }
+
     /// Returns the node that runs the batch jobs of a route; `None` if all nodes are leaving.
     pub(crate) fn node_for(&self, key: &str) -> Option<&Member> {
         let candidates = self.nodes.iter().filter(|(_, member)| !member.leaving);
--- a/crates/shallotroute_resident/src/metric.rs
+++ b/crates/shallotroute_resident/src/metric.rs
@@ -60,6 +60,10 @@
     pub(crate) limits: Family<Label, Counter>,
     /// Claims for permits to send requests to servers with limits, by outcome.
     pub(crate) permits: Family<Label, Counter>,
+    /// Changes of the state of this node's links to the backend servers, by new state.
+    pub(crate) links: Family<Label, Counter>,
+    /// Requests that this node has relayed, and those for which it sought a relay, by outcome.
+    pub(crate) relays: Family<Label, Counter>,
     /// Requests under which backend servers crashed, by event.
     pub(crate) suspects: Family<Label, Counter>,
     /// Batch jobs by event.
@@ -105,6 +109,8 @@
             attempts: Family::default(),
             limits: Family::default(),
             permits: Family::default(),
+            links: Family::default(),
+            relays: Family::default(),
             suspects: Family::default(),
             jobs: Family::default(),
             pages: Family::default(),
@@ -188,6 +194,16 @@
             "Claims for permits to send requests to servers with limits",
             self.permits.clone(),
         );
+        registry.register(
+            "links",
+            "Changes of the state of the links to the backend servers, by new state",
+            self.links.clone(),
+        );
+        registry.register(
+            "relays",
+            "Requests that were passed on to a server by another node than their own",
+            self.relays.clone(),
+        );
         registry.register(
             "suspects",
             "Requests under which backend servers crashed, by event",
--- a/crates/shallotroute_resident/src/peer.rs
+++ b/crates/shallotroute_resident/src/peer.rs
@@ -10,6 +10,7 @@
 use shallotroute_fleet::{
     capacity::Report,
     limit::{Claim, Observation, Reply},
+    link::Finding,
     resume::{Answer, Group},
 };
 use shallotroute_peer::{
@@ -26,7 +27,7 @@
 use tokio::net::TcpStream;
 
 use crate::{
-    capacity, limit, resume,
+    capacity, limit, link, resume,
     shared::Shared,
     view::{self, Revisions, ViewUpdate},
 };
@@ -74,6 +75,8 @@
     async fn report_limit(observation: Observation);
     /// Makes a call to the platform's store on behalf of the calling node.
     async fn relay_store_call(call: Call, timeout_ms: u64) -> RelayedResponse;
+    /// Returns how this node finds some servers, of which one suffices.
+    async fn find_servers(servers: Vec<Name>) -> Finding;
     /// Holds records of streams that the calling node has begun.
     async fn hold_streams(groups: Vec<Group>);
     /// Returns what this node knows of the origin of a stream. `id` is the identity of the request
@@ -171,6 +174,10 @@
         Some((answer.status.as_u16(), answer.body.to_vec()))
     }
 
+    async fn find_servers(self, _: Context, servers: Vec<Name>) -> Finding {
+        link::find(&self.0, &servers).await
+    }
+
     async fn hold_streams(self, _: Context, groups: Vec<Group>) {
         self.0.streams.hold(groups, self.0.now());
     }
--- a/crates/shallotroute_resident/src/pool.rs
+++ b/crates/shallotroute_resident/src/pool.rs
@@ -1,4 +1,5 @@
-//! A pool of HTTP/1 connections to backend servers or to the platform's store.
+//! A pool of HTTP/1 connections to backend servers, to nodes that relay requests to them, or to the platform's
+//! store.
 
 use std::{
     collections::HashMap,
@@ -9,6 +10,7 @@
 };
 
 use bytes::Bytes;
+use derive_more::Display;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::{
@@ -17,6 +19,7 @@
 };
 use hyper_util::rt::TokioIo;
 use prometheus_client::metrics::counter::Counter;
+use shallotroute_peer::{service::Kind, stream};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
@@ -29,10 +32,10 @@
 
 /// How long sent bytes may stay unacknowledged before the connection is closed
 /// (`TCP_USER_TIMEOUT`).
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
+pub(crate) const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The maximum number of idle connections to one address.
-const MAX_IDLE_PER_ADDRESS: usize = 64;
+/// The maximum number of idle connections to one endpoint.
+const MAX_IDLE_PER_ENDPOINT: usize = 64;
 
 /// The maximum size of a connection's read and write buffers; requests and responses have a few
 /// hundred bytes.
@@ -46,9 +49,35 @@
 pub(crate) enum Failure {
     /// No byte of the request was sent.
     Unsent(String),
+    /// No byte of the request was sent, since neither this node nor another one reaches servers.
+    NoWay(String),
     /// The connection failed after bytes of the request were sent and before the response head
     /// arrived; the server may have run the request.
-    NoResponse(String),
+    NoResponse {
+        reason: String,
+        /// Whether the connection had carried a request before.
+        is_reused: bool,
+    },
+    /// The node lost its links to the servers, or the relay failed, after bytes of the request were sent. The server
+    /// may have run the request, and the failure says nothing about it.
+    LinkLost(String),
+}
+
+/// Where a connection leads.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub(crate) enum Endpoint {
+    /// A backend server or the store.
+    #[display("{_0}")]
+    Server(SocketAddr),
+    /// A node that relays requests to backend servers, at its address for other nodes.
+    #[display("relay {_0}")]
+    Relay(SocketAddr),
+}
+
+impl From<SocketAddr> for Endpoint {
+    fn from(address: SocketAddr) -> Self {
+        Self::Server(address)
+    }
 }
 
 /// An open connection that carries one request at a time and closes when dropped.
@@ -57,7 +86,9 @@
     sender: SendRequest<RequestBody>,
     /// The task that drives the connection's input and output.
     task: AbortHandle,
-    address: SocketAddr,
+    endpoint: Endpoint,
+    /// When the connection was opened.
+    pub(crate) opened_at: Instant,
     /// Whether the connection has carried a request before, so that its server may have closed it
     /// by now.
     pub(crate) is_reused: bool,
@@ -69,12 +100,12 @@
     expires: Instant,
 }
 
-/// A pool of idle connections by address.
+/// A pool of idle connections by endpoint.
 #[derive(Debug)]
 pub(crate) struct Pool {
-    idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+    idle: Mutex<HashMap<Endpoint, Vec<Idle>>>,
     connect_timeout: Duration,
-    /// The number of connections that were opened, or tried to be.
+    /// The number of connections that were opened, or tried to be, without those to relays.
     opened: Counter,
 }
 
@@ -93,10 +124,11 @@
     /// # Errors
     ///
     /// Returns [`Failure::Unsent`] if no connection can be opened.
-    pub(crate) async fn get(&self, address: SocketAddr) -> Result<Connection, Failure> {
-        match self.take_idle(address) {
+    pub(crate) async fn get(&self, endpoint: impl Into<Endpoint>) -> Result<Connection, Failure> {
+        let endpoint = endpoint.into();
+        match self.take_idle(endpoint) {
             Some(connection) => Ok(connection),
-            None => self.open(address).await,
+            None => self.open(endpoint).await,
         }
     }
 
@@ -105,16 +137,19 @@
     /// # Errors
     ///
     /// Returns [`Failure::Unsent`] if the server can't be reached within the pool's timeout.
-    pub(crate) async fn open(&self, address: SocketAddr) -> Result<Connection, Failure> {
-        self.opened.inc();
-        let opened = timeout(self.connect_timeout, open(address)).await;
+    pub(crate) async fn open(&self, endpoint: impl Into<Endpoint>) -> Result<Connection, Failure> {
+        let endpoint = endpoint.into();
+        if matches!(endpoint, Endpoint::Server(_)) {
+            self.opened.inc();
+        }
+        let opened = timeout(self.connect_timeout, open(endpoint)).await;
         match opened {
             Ok(Ok(connection)) => Ok(connection),
             Ok(Err(error)) => Err(Failure::Unsent(format!(
-                "failed to connect to {address}: {error}"
+                "failed to connect to {endpoint}: {error}"
             ))),
             Err(_) => Err(Failure::Unsent(format!(
-                "failed to connect to {address}: timed out"
+                "failed to connect to {endpoint}: timed out"
             ))),
         }
     }
@@ -127,9 +162,9 @@
         connection.is_reused = true;
         let now = Instant::now();
         self.with_idle(|idle| {
-            let connections = idle.entry(connection.address).or_default();
+            let connections = idle.entry(connection.endpoint).or_default();
             connections.retain(|idle| idle.expires > now && !idle.connection.sender.is_closed());
-            if connections.len() < MAX_IDLE_PER_ADDRESS {
+            if connections.len() < MAX_IDLE_PER_ENDPOINT {
                 connections.push(Idle {
                     connection,
                     expires: now + max_idle,
@@ -150,10 +185,11 @@
         });
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    /// Takes an idle connection if there is one.
+    pub(crate) fn take_idle(&self, endpoint: Endpoint) -> Option<Connection> {
         let now = Instant::now();
         self.with_idle(|idle| {
-            let connections = idle.get_mut(&address)?;
+            let connections = idle.get_mut(&endpoint)?;
             while let Some(last) = connections.pop() {
                 if last.expires > now && last.connection.sender.is_ready() {
                     return Some(last.connection);
@@ -163,12 +199,17 @@
         })
     }
 
-    fn with_idle<T>(&self, action: impl FnOnce(&mut HashMap<SocketAddr, Vec<Idle>>) -> T) -> T {
+    fn with_idle<T>(&self, action: impl FnOnce(&mut HashMap<Endpoint, Vec<Idle>>) -> T) -> T {
         action(&mut self.idle.lock().unwrap_or_else(PoisonError::into_inner))
     }
 }
 
 impl Connection {
+    /// Returns whether the connection leads to its server without a relay.
+    pub(crate) fn is_direct(&self) -> bool {
+        matches!(self.endpoint, Endpoint::Server(_))
+    }
+
     /// Sends a request and returns the response, whose body is still to be read.
     pub(crate) async fn send(
         &mut self,
@@ -179,10 +220,13 @@
             .await
             .map_err(|mut error| {
                 let is_unsent = error.take_message().is_some();
-                let text = format!("{}: {}", self.address, error.into_error());
+                let text = format!("{}: {}", self.endpoint, error.into_error());
                 match is_unsent {
                     true => Failure::Unsent(text),
-                    false => Failure::NoResponse(text),
+                    false => Failure::NoResponse {
+                        reason: text,
+                        is_reused: self.is_reused,
+                    },
                 }
             })
     }
@@ -198,21 +242,21 @@
     /// Returns a description of the failure for logs.
     pub(crate) fn reason(&self) -> &str {
         match self {
-            Self::Unsent(reason) | Self::NoResponse(reason) => reason,
+            Self::Unsent(reason)
+            | Self::NoWay(reason)
+            | Self::NoResponse { reason, .. }
+            | Self::LinkLost(reason) => reason,
         }
     }
 }
 
-async fn open(address: SocketAddr) -> io::Result<Connection> {
-    let stream = TcpStream::connect(address).await?;
+async fn open(endpoint: Endpoint) -> io::Result<Connection> {
+    let stream = match endpoint {
+        Endpoint::Server(address) => TcpStream::connect(address).await?,
+        Endpoint::Relay(address) => stream::connect(address, Kind::Relay).await?,
+    };
     stream.set_nodelay(true)?;
-    let socket = SockRef::from(&stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_PROBES);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    watch_peer(&stream)?;
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
@@ -220,13 +264,25 @@
         .map_err(io::Error::other)?;
     let task = tokio::spawn(async move {
         if let Err(error) = connection.await {
-            spdlog::debug!("connection ended", kv: { peer = address.to_string(), error = error.to_string() });
+            spdlog::debug!("connection ended", kv: { peer = endpoint.to_string(), error = error.to_string() });
         }
     });
     Ok(Connection {
         sender,
         task: task.abort_handle(),
-        address,
+        endpoint,
+        opened_at: Instant::now(),
         is_reused: false,
     })
 }
+
+/// Has the system close a connection whose peer has vanished.
+pub(crate) fn watch_peer(stream: &TcpStream) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_INTERVAL)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_PROBES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+}
--- a/crates/shallotroute_resident/src/shared.rs
+++ b/crates/shallotroute_resident/src/shared.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicUsize},
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
@@ -11,6 +11,7 @@
 use shallotroute_fleet::{
     capacity::{Backlog, Board},
     limit::{Observation, Rate},
+    link,
     route::Table,
     server::{Balancer, Outcome, Rank},
     source,
@@ -24,6 +25,7 @@
     checkpoint::Checkpoints,
     job::Registry,
     limit::Limits,
+    link::Monitor,
     member::{Member, Members},
     metric::Metrics,
     peer::Peers,
@@ -63,6 +65,10 @@
     pub(crate) streams: Streams,
     /// The limits that backend servers have named.
     pub(crate) limits: Limits,
+    /// Whether this node's links to the backend servers work.
+    pub(crate) links: Monitor,
+    /// The number of requests in progress that this node relays for others.
+    pub(crate) relayed: AtomicUsize,
     /// The requests under which backend servers crashed.
     pub(crate) suspects: Tracker,
     /// The copies of what all nodes follow in the store, which this node passes on to others.
@@ -140,6 +146,8 @@
             held_checkpoints: Checkpoints::default(),
             streams: Streams::new(),
             limits,
+            links: Monitor::new(),
+            relayed: AtomicUsize::new(0),
             suspects,
             view: View::default(),
             should_register: watch::channel(false).0,
@@ -208,11 +216,12 @@
         self.backlog.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns whether the node can serve callers: it has a configuration and the host list, and
-    /// does not drain.
+    /// Returns whether the node can serve callers: it has a configuration and the host list, reaches servers
+    /// in some way, and does not drain.
     pub(crate) fn is_ready(&self) -> bool {
         self.active_table.borrow().is_some()
             && *self.has_host_list.borrow()
+            && self.links.state() != link::State::Isolated
             && !self.drain.is_cancelled()
     }
 
--- a/crates/shallotroute_resident/src/store.rs
+++ b/crates/shallotroute_resident/src/store.rs
@@ -401,8 +401,10 @@
             .send(request)
             .await
             .map_err(|failure| match failure {
-                Failure::Unsent(reason) => Error::NotApplied(reason),
-                Failure::NoResponse(reason) => Error::OutcomeUnknown(reason),
+                Failure::Unsent(reason) | Failure::NoWay(reason) => Error::NotApplied(reason),
+                Failure::NoResponse { reason, .. } | Failure::LinkLost(reason) => {
+                    Error::OutcomeUnknown(reason)
+                }
             })?;
         let status = response.status();
         let body = body::read(response.into_body(), MAX_RESPONSE_BYTES)
--- a/crates/shallotroute_resident/src/stream.rs
+++ b/crates/shallotroute_resident/src/stream.rs
@@ -25,6 +25,7 @@
     generate::{discard_body, idle_timeout},
     ingress::{failure_response, server_response},
     limit::{self, Unavailable},
+    link::Sender,
     metric::Metrics,
     pool::{Connection, Failure},
     response, resume,
@@ -83,10 +84,14 @@
 enum OpenError {
     /// The server did not run the request, or could not be reached.
     NotRun(String),
+    /// Neither this node nor another one reaches servers, so that the request did not run.
+    NoWay(String),
     /// The server may have run the request.
     MayHaveRun(String),
     /// The connection broke before the response, and the server may have run the request.
     Broken(String),
+    /// This node lost its links before the response, and the server may have run the request.
+    LinkLost(String),
 }
 
 /// How copying a stream to its caller ended.
@@ -95,6 +100,8 @@
     Complete,
     /// The stream broke off, or had no event for too long.
     Broken(String),
+    /// The stream broke off because this node or a relay lost its links.
+    LinkLost(String),
     /// The caller closed its connection.
     CallerLeft,
     /// The caller has not read its stream until the deadline of its request.
@@ -280,34 +287,38 @@
                 };
                 attempts.record_attempt(&server.id);
                 let in_flight = shared.start_request(&server.id, None);
-                let opening = open_at(shared, &server, request, deadline, in_flight);
-                let attempt_failure = match tokio::time::timeout_at(deadline.into(), opening).await
-                {
+                let opening = open_at(shared, &server, request, attempts.policy(), in_flight);
+                let error = match tokio::time::timeout_at(deadline.into(), opening).await {
                     Ok(Ok(opened)) => return Ok(opened),
-                    Ok(Err(OpenError::NotRun(why))) => {
-                        reason = why;
-                        AttemptFailure::NotRun
-                    }
-                    Ok(Err(OpenError::MayHaveRun(why))) => {
-                        reason = why;
-                        AttemptFailure::MayHaveRun
-                    }
-                    Ok(Err(OpenError::Broken(why))) => {
-                        reason = why;
-                        record_break(shared, request, &server).await;
-                        AttemptFailure::MayHaveRun
-                    }
-                    Err(_) => {
-                        "the server did not answer in time".clone_into(&mut reason);
-                        AttemptFailure::MayHaveRun
-                    }
+                    Ok(Err(error)) => error,
+                    Err(_) => OpenError::MayHaveRun("the server did not answer in time".to_owned()),
                 };
-                attempts.record_failure(attempt_failure, shared.now());
+                if matches!(error, OpenError::Broken(_)) {
+                    record_break(shared, request, &server).await;
+                }
+                reason = record_error(attempts, &server.id, error, shared.now());
             }
         }
     }
 }
 
+/// Records that an attempt to open a stream failed. Returns why, for the log.
+fn record_error(attempts: &mut Attempts, server: &Name, error: OpenError, now: Instant) -> String {
+    let (failure, reason) = match error {
+        OpenError::NotRun(reason) => (AttemptFailure::NotRun, reason),
+        OpenError::NoWay(reason) => (AttemptFailure::NoWay, reason),
+        OpenError::MayHaveRun(reason) | OpenError::Broken(reason) => {
+            (AttemptFailure::MayHaveRun, reason)
+        }
+        OpenError::LinkLost(reason) => {
+            attempts.record_link_loss(server);
+            return reason;
+        }
+    };
+    attempts.record_failure(failure, now);
+    reason
+}
+
 /// Records that a connection broke before the first event of a stream.
 async fn record_break(shared: &Shared, request: &BackendRequest, server: &Server) {
     if let Some(fingerprint) = &request.fingerprint {
@@ -317,31 +328,33 @@
 
 /// Opens a stream at one server.
 async fn open_at(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     server: &Server,
     request: &BackendRequest,
-    deadline: Instant,
+    policy: &Policy,
     in_flight: InFlight,
 ) -> Result<OpenStream, OpenError> {
     let fail = |in_flight: InFlight, error: OpenError| {
         in_flight.finish(match error {
-            OpenError::NotRun(_) => Outcome::Rejected,
+            OpenError::NotRun(_) | OpenError::NoWay(_) => Outcome::Rejected,
             OpenError::MayHaveRun(_) | OpenError::Broken(_) => Outcome::Failed,
+            OpenError::LinkLost(_) => Outcome::Neutral,
         });
         Err(error)
     };
-    let mut connection = match shared.pool.get(server.address).await {
-        Ok(connection) => connection,
-        Err(failure) => return fail(in_flight, OpenError::NotRun(failure.reason().to_owned())),
-    };
-    let http_request = match forward::build_request(shared, server, request, deadline) {
-        Ok(http_request) => http_request,
-        Err(error) => return fail(in_flight, OpenError::NotRun(error.to_string())),
-    };
-    let response = match connection.send(http_request).await {
-        Ok(response) => response,
-        Err(Failure::Unsent(reason)) => return fail(in_flight, OpenError::NotRun(reason)),
-        Err(Failure::NoResponse(reason)) => return fail(in_flight, OpenError::Broken(reason)),
+    let sender = Sender::new(shared, server).with_idempotent(policy.is_idempotent);
+    let sent = sender.send(|| forward::build_request(shared, server, request, policy.deadline));
+    let (connection, response) = match sent.await {
+        Ok(exchange) => exchange,
+        Err(failure) => {
+            let error = match failure {
+                Failure::Unsent(reason) => OpenError::NotRun(reason),
+                Failure::NoResponse { reason, .. } => OpenError::Broken(reason),
+                Failure::NoWay(reason) => OpenError::NoWay(reason),
+                Failure::LinkLost(reason) => OpenError::LinkLost(reason),
+            };
+            return fail(in_flight, error);
+        }
     };
     let (parts, body) = response.into_parts();
     let head = backend::parse_head(parts.status, &parts.headers, &request.id);
@@ -412,12 +425,15 @@
                 CopyEnd::Complete => return self.record_end(&server, "answered", ""),
                 CopyEnd::CallerLeft => return self.record_end(&server, "caller_left", ""),
                 CopyEnd::CallerStalled => return self.record_end(&server, "caller_stalled", ""),
-                CopyEnd::Broken(reason) => reason,
+                CopyEnd::Broken(reason) => {
+                    // A server that has sent an event has begun the request without a crash.
+                    if !self.has_event {
+                        record_break(&self.shared, &self.request, &chosen).await;
+                    }
+                    reason
+                }
+                CopyEnd::LinkLost(reason) => reason,
             };
-            // A server that has sent an event has begun the request without a crash.
-            if !self.has_event {
-                record_break(&self.shared, &self.request, &chosen).await;
-            }
             if !can_resume {
                 return self.abort(&server, reason).await;
             }
@@ -472,10 +488,12 @@
                     return CopyEnd::Complete;
                 }
                 Some(Err(error)) => {
-                    in_flight.finish(Outcome::Failed);
-                    return CopyEnd::Broken(error.to_string());
+                    return self.end_failed(&connection, in_flight, error.to_string());
                 }
                 Some(Ok(frame)) => {
+                    self.shared
+                        .links
+                        .record_heard(&connection, self.shared.now());
                     if let Ok(bytes) = frame.into_data() {
                         self.record_event();
                         if let Err(end) = self.send(bytes).await {
@@ -506,8 +524,8 @@
                 frame = body.frame() => frame,
                 () = self.sender.closed() => return CopyEnd::CallerLeft,
                 () = tokio::time::sleep_until(event_deadline.into()) => {
-                    in_flight.finish(Outcome::Failed);
-                    return CopyEnd::Broken("timed out waiting for an event".to_owned());
+                    let reason = "timed out waiting for an event".to_owned();
+                    return self.end_failed(&connection, in_flight, reason);
                 }
             };
             let bytes = match frame {
@@ -525,14 +543,16 @@
                     return CopyEnd::Complete;
                 }
                 Some(Err(error)) => {
-                    in_flight.finish(Outcome::Failed);
-                    return CopyEnd::Broken(error.to_string());
+                    return self.end_failed(&connection, in_flight, error.to_string());
                 }
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(bytes) => bytes,
                     Err(_) => continue,
                 },
             };
+            self.shared
+                .links
+                .record_heard(&connection, self.shared.now());
             events.push(&bytes);
             match self.send_events(&mut events, &mut watchdog, &server).await {
                 Ok(()) => {}
@@ -545,6 +565,17 @@
         }
     }
 
+    /// Records that the connection of a stream failed.
+    fn end_failed(&self, connection: &Connection, in_flight: InFlight, reason: String) -> CopyEnd {
+        match self.shared.links.blames_server(connection) {
+            true => {
+                in_flight.finish(Outcome::Failed);
+                CopyEnd::Broken(reason)
+            }
+            false => CopyEnd::LinkLost(reason),
+        }
+    }
+
     /// Sends all complete events to the caller, except those that it already has. They come
     /// from `server`.
     async fn send_events(
--- a/crates/shallotroute_standin/src/proxy.rs
+++ b/crates/shallotroute_standin/src/proxy.rs
@@ -1,5 +1,6 @@
 //! Proxies on loopback addresses that inject network faults into TCP connections and UDP datagrams.
 
+mod link;
 mod tcp;
 mod udp;
 
@@ -10,7 +11,11 @@
 
 use tokio::sync::watch;
 
-pub use self::{tcp::Tcp, udp::Udp};
+pub use self::{
+    link::{Cut, Link},
+    tcp::Tcp,
+    udp::Udp,
+};
 
 /// The faults of a proxy; the default forwards everything.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
