fleet, resident: lost links to servers are no evidence of crashes, and back-offs do not outlive them

Callers saw: none crashed, and yet requests were held back, and healthy servers were passed over at all hosts for 10 s. Cause: a reset connection and a refused probe were taken for the crash of the server's process. A host that loses its links sees just that, and told all hosts through the store. Class: a conclusion about others from one's own broken links. Change: a crash is confirmed by a refused connection only if a second node with sound links is refused too, or there is no second node; otherwise the host list tells, as before. A node that finds its links lost forgets connections that broke and the failures that it held against servers.

--- a/crates/shallotroute_fleet/src/server.rs
+++ b/crates/shallotroute_fleet/src/server.rs
@@ -590,6 +590,16 @@
         }
     }
 
+    /// Forgets all failures and the back-offs after them: this node has lost its links, and what it has observed says
+    /// nothing about the servers.
+    pub fn clear_failures(&mut self) {
+        for entry in self.entries.values_mut() {
+            if std::mem::take(&mut entry.failures) > 0 {
+                entry.back_off_until = None;
+            }
+        }
+    }
+
     /// Returns the servers other than `except` by which the node's links are checked: those without failures first,
     /// in an order that depends on `random`.
     pub fn witnesses(&self, except: Option<&str>, random: u64) -> Vec<Server> {
--- a/crates/shallotroute_fleet/src/suspect.rs
+++ b/crates/shallotroute_fleet/src/suspect.rs
@@ -246,6 +246,11 @@
         }
     }
 
+    /// Forgets all broken connections: the node lost its own links.
+    pub fn discard_broken(&mut self) {
+        self.pending.clear();
+    }
+
     fn make_room(&mut self, now: Instant) {
         if self.entries.len() < MAX_REQUESTS {
             return;
--- a/crates/shallotroute_fleet/tests/server.rs
+++ b/crates/shallotroute_fleet/tests/server.rs
@@ -354,6 +354,22 @@
     expect_that!(chosen(&balancer, &ANY, now), some(eq("a")));
 }
 
+/// Guards against back-offs that a node set while it had lost its own links and that outlive the loss.
+#[gtest]
+fn failures_are_forgotten_and_rejections_are_not() {
+    let mut balancer = balancer(&["a", "b"]);
+    let now = Instant::now();
+    balancer.record_end("a", Outcome::Failed, now);
+    balancer.record_end("b", Outcome::Rejected, now);
+    balancer.clear_failures();
+    let back_offs: Vec<bool> = balancer
+        .summaries(now)
+        .iter()
+        .map(|summary| summary.back_off.is_zero())
+        .collect();
+    expect_that!(back_offs, elements_are![eq(&true), eq(&false)]);
+}
+
 #[gtest]
 fn links_are_checked_by_servers_without_failures_first() {
     let mut balancer = balancer(&["a", "b", "c", "d"]);
--- a/crates/shallotroute_resident/src/link.rs
+++ b/crates/shallotroute_resident/src/link.rs
@@ -27,6 +27,10 @@
     shared::Shared,
 };
 
+/// How long a connection that tells whether a process has ended may take. A process that has crashed refuses it at
+/// once.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// How long a connection of another node's check may take. A node with a small share of a core may pause for a tenth
 /// of a second.
 const REMOTE_PROBE_TIMEOUT: Duration = Duration::from_millis(200);
@@ -322,9 +326,39 @@
     };
     Metrics::count(&shared.metrics.links, name);
     spdlog::info!("state of the links to the servers changed", kv: { state = name });
+    if state != State::Sound {
+        // What this node has observed since the loss says nothing about the servers.
+        shared.balancer().clear_failures();
+        shared.suspects.discard_broken();
+    }
     shared.links.state.send_replace(state);
 }
 
+/// Finds out whether a server's process still accepts connections. That it refuses them has to be seen by two nodes
+/// whose links work: links may be lost one after the other, and some only.
+pub(crate) async fn examine(shared: &Shared, server: &Server) -> Finding {
+    if shared.links.state() == State::Sound {
+        let began_at = shared.now();
+        let finding = probe(shared, server, PROBE_TIMEOUT).await;
+        if finding != Finding::Refused {
+            return finding;
+        }
+        check(shared, server, began_at).await;
+    }
+    let has_others = {
+        let members = shared.members.borrow();
+        let mut others = members
+            .linked_nodes()
+            .filter(|(id, _)| **id != shared.owner.node);
+        others.next().is_some()
+    };
+    match shared.links.state() {
+        State::Isolated => Finding::Unknown,
+        State::Sound if !has_others => Finding::Refused,
+        State::Sound | State::Lost => ask(shared, std::slice::from_ref(&server.id)).await,
+    }
+}
+
 /// Answers another node that asks whether this one reaches any of some servers.
 pub(crate) async fn find(shared: &Shared, servers: &[Name]) -> Finding {
     if shared.links.state() != State::Sound {
--- a/crates/shallotroute_resident/src/suspect.rs
+++ b/crates/shallotroute_resident/src/suspect.rs
@@ -10,6 +10,7 @@
 use shallotroute_adapter::store::{Write, WriteOutcome};
 use shallotroute_batch::record;
 use shallotroute_fleet::{
+    link::{Finding, State},
     retry::Attempts,
     server::Server,
     suspect::{Fingerprint, Process, RETENTION, Record, Suspects, Verdict},
@@ -19,7 +20,7 @@
 
 use crate::{
     forward::BackendRequest,
-    member,
+    link, member,
     metric::Metrics,
     object,
     shared::Shared,
@@ -29,13 +30,6 @@
 /// The prefix of the records of requests. It is among the keys that all nodes follow.
 const PREFIX: &str = "shallotroute/member/suspect/";
 
-/// How long a connection to a server whose connections broke may take. A process that has crashed
-/// refuses it at once; a host that is gone is noticed by its entry in the host list.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
-
-/// How long the connection of a probe is kept for the next request.
-const PROBE_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// The number of changes that wait to be written. Further ones are known at this node only.
 const QUEUE_LENGTH: usize = 256;
 
@@ -76,6 +70,11 @@
         self.lock().counts()
     }
 
+    /// Forgets the connections that broke and may yet turn out to be crashes.
+    pub(crate) fn discard_broken(&self) {
+        self.lock().discard_broken();
+    }
+
     fn lock(&self) -> MutexGuard<'_, Suspects> {
         self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -161,12 +160,11 @@
         .suspects
         .lock()
         .record_break(request, process.clone(), shared.now());
-    let probe = tokio::time::timeout(PROBE_TIMEOUT, shared.pool.open(server.address)).await;
-    match probe {
-        Ok(Ok(connection)) => shared.pool.put(connection, PROBE_IDLE_TIMEOUT),
-        Ok(Err(_)) => confirm_crash(shared, &process),
+    match link::examine(shared, server).await {
+        Finding::Refused => confirm_crash(shared, &process),
+        _ if shared.links.state() != State::Sound => shared.suspects.discard_broken(),
         // The host list tells later.
-        Err(_) => {}
+        Finding::Reached | Finding::Silent | Finding::Unknown => {}
     }
 }
 
