fleet, resident: nodes without links to servers neither lead nor are given batch jobs, and are not asked to relay

Callers saw: model servers had no orders, and new batch jobs began at hosts that reach no server. Cause: leaders and owners of jobs are chosen among the registered nodes, whatever these reach. Change: a registered node that has lost its links says so in the store, under its lease. Jobs go to nodes with links while there are any; nodes with links also register in place of sources without them, so that enough relays are known. A leader without links steps down once none of its orders can arrive late; orders are never relayed, since servers judge them by the node that sends them.

--- a/crates/shallotroute_resident/src/leader.rs
+++ b/crates/shallotroute_resident/src/leader.rs
@@ -20,6 +20,7 @@
 use shallotroute_batch::record::{self, Owner};
 use shallotroute_fleet::{
     election::Vacancy,
+    link::State,
     rolling_update::{Order, OrderOutcome, Planner, Report},
     server::Server,
 };
@@ -30,8 +31,10 @@
     claim,
     generate::idle_timeout,
     ledger,
+    link::Sender,
     member::{LEADER_KEY, LeaderRecord, Members},
     metric::Metrics,
+    pool::UNACKNOWLEDGED_TIMEOUT,
     presence::Lease,
     shared::Shared,
     view,
@@ -50,6 +53,9 @@
 /// The timeout of an order or a report.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// How long an order may still arrive after its call was given up: the system then ends the connection.
+const ABANDONED_ORDER_TIMEOUT: Duration = UNACKNOWLEDGED_TIMEOUT;
+
 /// The timeout of a call that asks a process without a member entry whether it runs a job.
 const MISSING_OWNER_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -78,6 +84,8 @@
     reported_empty: BTreeSet<Name>,
     /// Whether a server has rejected an order because it has seen a higher fencing number.
     is_fenced: Arc<AtomicBool>,
+    /// When the last order without an answer was sent.
+    unanswered_at: Arc<Mutex<Option<Instant>>>,
     /// Notified when a server's load has ended, so that the next order is sent at once.
     load_ended: Arc<Notify>,
 }
@@ -167,6 +175,15 @@
     }
 }
 
+/// Returns whether this node has lost its links to the servers and another registered node has not.
+fn is_stranded(shared: &Shared) -> bool {
+    let members = shared.members.borrow();
+    let mut others = members
+        .linked_nodes()
+        .filter(|(id, _)| **id != shared.owner.node);
+    shared.links.state() != State::Sound && others.next().is_some()
+}
+
 /// Writes this node as the leader if the leadership is still vacant after this node's election
 /// delay. The leadership ends with the lease `lease_id`. `expected` is the revision of the vacant record,
 /// or 0 if there is none. Returns the fencing number, or `None` if this node is not elected.
@@ -177,6 +194,9 @@
     live_nodes: &[Name],
     expected: u64,
 ) -> Option<Fence> {
+    if is_stranded(shared) {
+        return None;
+    }
     tokio::time::sleep(vacancy.campaign_delay(&shared.owner.node, live_nodes, RANK_KEY)).await;
     let observed = shared
         .members
@@ -245,6 +265,7 @@
             live_owners: BTreeSet::new(),
             reported_empty: BTreeSet::new(),
             is_fenced: Arc::default(),
+            unanswered_at: Arc::default(),
             load_ended: Arc::default(),
         }
     }
@@ -265,14 +286,35 @@
             step_down(&self.shared, self.fence).await;
             return;
         }
+        if self.should_hand_over() {
+            spdlog::warn!("lost the links to the servers; stepping down", kv: {
+                fence = self.fence.0,
+            });
+            step_down(&self.shared, self.fence).await;
+            return;
+        }
         self.send_orders();
         self.report_empty_hosts().await;
         self.scan_for_orphans().await;
     }
 
-    /// Returns whether the delay before the first order is over and the lease of the leadership lasts long
-    /// enough for an order.
+    /// Returns whether another node is to lead, since this one reaches no server and another one does. Orders are not
+    /// relayed: servers judge them by the node that sends them.
+    ///
+    /// An order without an answer may arrive until the system gives up its connection.
+    fn should_hand_over(&self) -> bool {
+        let now = self.shared.now();
+        let is_order_pending = lock(&self.unanswered_at)
+            .is_some_and(|at| now < at + CALL_TIMEOUT + ABANDONED_ORDER_TIMEOUT);
+        is_stranded(&self.shared) && !is_order_pending
+    }
+
+    /// Returns whether the node's links work, the delay before the first order is over and the lease of the leadership
+    /// lasts long enough for an order.
     fn can_order(&self) -> bool {
+        if self.shared.links.state() != State::Sound {
+            return false;
+        }
         let lasts = |lease: Lease| self.shared.boot_time() + LEASE_MARGIN < lease.valid_until;
         let lease = *self.lease.borrow();
         self.shared.now() >= self.orders_allowed_from
@@ -301,6 +343,7 @@
                 fence: self.fence,
                 planner: Arc::clone(&self.planner),
                 is_fenced: Arc::clone(&self.is_fenced),
+                unanswered_at: Arc::clone(&self.unanswered_at),
             })
         };
         for task in checks.iter().filter_map(task) {
@@ -512,6 +555,7 @@
     fence: Fence,
     planner: Arc<Mutex<Planner>>,
     is_fenced: Arc<AtomicBool>,
+    unanswered_at: Arc<Mutex<Option<Instant>>>,
 }
 
 impl ServerTask {
@@ -570,9 +614,11 @@
             false => Mode::Continue,
         };
         let request = engine::order_request(order, mode, &self.shared.owner.node, self.fence);
+        let sent_at = self.shared.now();
         match self.call(request).await {
             Ok((status, _)) => engine::parse_reply(status),
             Err(reason) => {
+                *lock(&self.unanswered_at) = Some(sent_at);
                 spdlog::warn!("server did not respond to order", kv: {
                     server = self.server.id.as_str(), reason = reason.as_str(),
                 });
@@ -621,18 +667,12 @@
         request: http::Request<Vec<u8>>,
     ) -> Result<(http::StatusCode, bytes::Bytes), String> {
         let exchange = async {
-            let mut connection = self
-                .shared
-                .pool
-                .get(self.server.address)
-                .await
-                .map_err(|failure| failure.reason().to_owned())?;
             let mut request = request.map(|body| Full::new(bytes::Bytes::from(body)));
             let host = http::HeaderValue::from_str(&self.server.address.to_string())
                 .map_err(|error| error.to_string())?;
             request.headers_mut().insert(http::header::HOST, host);
-            let response = connection
-                .send(request)
+            let (connection, response) = Sender::new(&self.shared, &self.server)
+                .send_direct(|| Ok(request.clone()))
                 .await
                 .map_err(|failure| failure.reason().to_owned())?;
             let (parts, body) = response.into_parts();
--- a/crates/shallotroute_resident/src/lib.rs
+++ b/crates/shallotroute_resident/src/lib.rs
@@ -202,6 +202,7 @@
         tokio::spawn(capacity::run(Arc::clone(&shared)));
         tokio::spawn(resume::run(Arc::clone(&shared)));
         tokio::spawn(link::run(Arc::clone(&shared)));
+        tokio::spawn(link::publish(Arc::clone(&shared), lease_receiver.clone()));
         tokio::spawn(limit::notice::run(Arc::clone(&shared)));
         tokio::spawn(limit::run(Arc::clone(&shared), inbox.limits));
         tokio::spawn(suspect::run(Arc::clone(&shared), inbox.suspects));
--- a/crates/shallotroute_resident/src/link.rs
+++ b/crates/shallotroute_resident/src/link.rs
@@ -23,6 +23,7 @@
     metric::Metrics,
     peer::Peers,
     pool::{Connection, Endpoint, Failure, RequestBody},
+    presence::{self, Lease},
     relay,
     shared::Shared,
 };
@@ -496,6 +497,38 @@
     }
 }
 
+/// Has the other nodes know whether this one has lost its links, for as long as the process runs. Only a registered
+/// node is asked to relay requests, to run jobs or to lead.
+pub(crate) async fn publish(shared: Arc<Shared>, mut lease: watch::Receiver<Option<Lease>>) {
+    let mut state = shared.links.subscribe();
+    // The lease under which the loss is published.
+    let mut published = None;
+    loop {
+        let is_sound = *state.borrow_and_update() == State::Sound;
+        let current = lease.borrow_and_update().map(|lease| lease.id);
+        let wanted = current.filter(|_| !is_sound);
+        if wanted != published {
+            match presence::write_stranded(&shared, wanted).await {
+                Ok(()) => published = wanted,
+                Err(error) => {
+                    spdlog::debug!("failed to publish the state of the links; retrying", kv: {
+                        error = error.to_string(),
+                    });
+                    tokio::time::sleep(RECHECK_INTERVAL).await;
+                    continue;
+                }
+            }
+        }
+        let changed = tokio::select! {
+            changed = state.changed() => changed,
+            changed = lease.changed() => changed,
+        };
+        if changed.is_err() {
+            return;
+        }
+    }
+}
+
 /// Checks lost links until they are back, for as long as the process runs.
 pub(crate) async fn run(shared: Arc<Shared>) {
     let mut state = shared.links.subscribe();
--- a/crates/shallotroute_resident/src/member.rs
+++ b/crates/shallotroute_resident/src/member.rs
@@ -2,7 +2,7 @@
 //! its node renews its lease.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -18,6 +18,9 @@
 /// The prefix of nodes' entries.
 const NODE_PREFIX: &str = "shallotroute/member/node/";
 
+/// The prefix of the keys that exist while a registered node has lost its links to the backend servers.
+const STRANDED_PREFIX: &str = "shallotroute/member/stranded/";
+
 /// The key of the leadership.
 pub(crate) const LEADER_KEY: &str = "shallotroute/member/duty";
 
@@ -59,6 +62,8 @@
 pub(crate) struct Members {
     /// The live nodes.
     pub(crate) nodes: BTreeMap<Id, Member>,
+    /// The nodes that have lost their links to the backend servers.
+    pub(crate) stranded: BTreeSet<Id>,
     /// The leadership; `None` if there is no record of it, as after the leader's lease has ended.
     pub(crate) leadership: Option<Leadership>,
     /// When the store responded again after an outage; entries may be missing for
@@ -85,6 +90,10 @@
             }
             return;
         }
+        if let Some(node) = key.strip_prefix(STRANDED_PREFIX) {
+            self.stranded.insert(Id::from(node));
+            return;
+        }
         let Some(node) = key.strip_prefix(NODE_PREFIX) else {
             return;
         };
@@ -102,6 +111,9 @@
             self.leadership = None;
             return;
         }
+        if let Some(node) = key.strip_prefix(STRANDED_PREFIX) {
+            self.stranded.remove(node);
+        }
         if let Some(node) = key.strip_prefix(NODE_PREFIX) {
             self.nodes.remove(node);
         }
@@ -119,18 +131,28 @@
             .is_some_and(|reconnected_at| now < reconnected_at + RECOVERY_PERIOD)
     }
 
-    /// Returns the nodes that are not leaving.
-    pub(crate) fn linked_nodes(&self) -> impl Iterator<Item = (&Id, &Member)> {
-        self.nodes.iter().filter(|(_, member)| !member.leaving)
+    /// Returns the nodes that reach backend servers and are not leaving.
+    pub(crate) fn linked_nodes(&self) -> impl Iterator<Item = (&Id, &Member)> + Clone {
+        self.staying_nodes()
+            .filter(|(id, _)| !self.stranded.contains(*id))
     }
 
     /// Returns the node that runs the batch jobs of a route; `None` if all nodes are leaving.
     pub(crate) fn node_for(&self, key: &str) -> Option<&Member> {
-        let candidates = self.nodes.iter().filter(|(_, member)| !member.leaving);
-        let id = election::job_node(candidates.map(|(id, member)| (id, member.capacity)), key)?;
+        let linked = self
+            .linked_nodes()
+            .map(|(id, member)| (id, member.capacity));
+        let all = self
+            .staying_nodes()
+            .map(|(id, member)| (id, member.capacity));
+        let id = election::job_node(linked, key).or_else(|| election::job_node(all, key))?;
         self.nodes.get(id)
     }
 
+    fn staying_nodes(&self) -> impl Iterator<Item = (&Id, &Member)> + Clone {
+        self.nodes.iter().filter(|(_, member)| !member.leaving)
+    }
+
     /// Returns the nodes that may run batch jobs.
     pub(crate) fn job_nodes(&self) -> impl Iterator<Item = &Member> {
         let candidates = || self.nodes.values().filter(|member| !member.leaving);
@@ -140,15 +162,12 @@
 
     /// Returns the nodes that are not leaving, as sources of the store's changes.
     pub(crate) fn source_nodes(&self) -> Vec<source::Node> {
-        self.nodes
-            .iter()
-            .filter(|(_, member)| !member.leaving)
-            .map(|(id, member)| source::Node {
-                id: id.clone(),
-                zone: member.zone.clone(),
-                capacity: member.capacity,
-            })
-            .collect()
+        self.staying_nodes().map(source_node).collect()
+    }
+
+    /// Returns the nodes among [`Members::source_nodes`] that reach backend servers.
+    pub(crate) fn linked_source_nodes(&self) -> Vec<source::Node> {
+        self.linked_nodes().map(source_node).collect()
     }
 
     /// Returns the address at which a node answers other nodes.
@@ -175,6 +194,19 @@
     true
 }
 
+fn source_node((id, member): (&Id, &Member)) -> source::Node {
+    source::Node {
+        id: id.clone(),
+        zone: member.zone.clone(),
+        capacity: member.capacity,
+    }
+}
+
+/// Returns the key that exists while a node has lost its links to the backend servers.
+pub(crate) fn stranded_key(node: &str) -> String {
+    format!("{STRANDED_PREFIX}{node}")
+}
+
 /// Returns the key of a node's entry.
 pub(crate) fn node_key(node: &str) -> String {
     format!("{NODE_PREFIX}{node}")
--- a/crates/shallotroute_resident/src/presence.rs
+++ b/crates/shallotroute_resident/src/presence.rs
@@ -5,7 +5,7 @@
 
 use shallotroute_adapter::store::{Write, WriteOutcome};
 use shallotroute_batch::record;
-use shallotroute_fleet::source;
+use shallotroute_fleet::{link::State, source};
 use tokio::{sync::watch, time::Instant};
 use tokio_util::sync::CancellationToken;
 
@@ -111,11 +111,17 @@
     let node = shared.source_node();
     let mut members = shared.members.subscribe();
     let mut should_register = shared.should_register.subscribe();
+    let mut links = shared.links.subscribe();
     loop {
         let (is_loaded, registered, has_former_entry) = {
             let members = members.borrow_and_update();
             let has_former_entry = members.nodes.contains_key(&node.id);
-            (members.is_loaded, members.source_nodes(), has_former_entry)
+            // A node that reaches servers also stands in for those that can't relay requests.
+            let registered = match *links.borrow_and_update() {
+                State::Sound => members.linked_source_nodes(),
+                State::Lost | State::Isolated => members.source_nodes(),
+            };
+            (members.is_loaded, registered, has_former_entry)
         };
         if *should_register.borrow_and_update() || (is_loaded && has_former_entry) {
             break;
@@ -131,6 +137,7 @@
         tokio::select! {
             () = delay => break,
             _ = members.changed() => {}
+            _ = links.changed() => {}
             _ = should_register.changed() => {}
         }
     }
@@ -201,6 +208,27 @@
     }
 }
 
+/// Writes under a lease that this node has lost its links to the backend servers, or removes that if there is no
+/// lease.
+///
+/// # Errors
+///
+/// Returns an error if the store does not confirm the write.
+pub(crate) async fn write_stranded(shared: &Shared, lease_id: Option<u64>) -> Result<()> {
+    let key = member::stranded_key(&shared.owner.node);
+    let write = match lease_id {
+        Some(lease_id) => Write {
+            puts: vec![(key, Vec::new(), lease_id)],
+            ..Write::default()
+        },
+        None => Write {
+            removals: vec![key],
+            ..Write::default()
+        },
+    };
+    shared.store.write(&write).await.map(|_| ())
+}
+
 async fn renew(shared: &Shared, id: u64) -> Result<Lease> {
     let requested_at = shared.boot_time();
     let renewed = shared.store.renew(id).await?;
