resident, soak: a suspended relay is passed over; the dump tells the state of the links

Cause: the host of a suspended relay still accepts connections, so that each request through it waited until it was given up. Change: a request that is given up after 0.5 s without a response counts as a failure of its relay. The dump has the state of the links and the nodes that have lost theirs.

--- a/crates/shallotroute/tests/soak.rs
+++ b/crates/shallotroute/tests/soak.rs
@@ -156,7 +156,7 @@
         nodes: 6,
         callers: 4,
         stream_callers: 2,
-        duration: Duration::from_secs(24),
+        duration: Duration::from_secs(30),
         schedule: Schedule::Stranded,
         ..OPTIONS
     })
--- a/crates/shallotroute_fleet/src/link.rs
+++ b/crates/shallotroute_fleet/src/link.rs
@@ -13,7 +13,6 @@
     time::{Duration, Instant},
 };
 
-use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use shallotroute_types::{name::Name, node::Id};
 
@@ -54,20 +53,28 @@
 const MAX_RELAYS: usize = 3;
 
 /// The state of a node's links to the backend servers.
-#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum State {
     /// They work, or nothing speaks against it.
     #[default]
-    #[display("sound")]
     Sound,
     /// The node reaches no server, and other nodes do.
-    #[display("lost")]
     Lost,
     /// Neither this node nor any other that it can ask reaches a server.
-    #[display("isolated")]
     Isolated,
 }
 
+impl State {
+    /// Returns the name for logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Sound => "sound",
+            Self::Lost => "lost",
+            Self::Isolated => "isolated",
+        }
+    }
+}
+
 /// How a node found a server, or several of which one suffices.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Finding {
--- a/crates/shallotroute_resident/src/dump.rs
+++ b/crates/shallotroute_resident/src/dump.rs
@@ -32,6 +32,7 @@
             })).collect::<Vec<_>>(),
         })),
         "view": view(shared),
+        "links": shared.links.state().name(),
         "members": members(shared),
         "named_versions": *shared.targets.borrow(),
         "servers": servers(shared),
@@ -72,6 +73,7 @@
             "capacity": member.capacity,
             "leaving": member.leaving,
         })).collect::<Vec<_>>(),
+        "stranded": members.stranded,
     })
 }
 
--- a/crates/shallotroute_resident/src/link.rs
+++ b/crates/shallotroute_resident/src/link.rs
@@ -320,11 +320,7 @@
 
 /// Tells the parts of this node that the state of the links has changed.
 fn record_state(shared: &Shared, state: State) {
-    let name = match state {
-        State::Sound => "sound",
-        State::Lost => "lost",
-        State::Isolated => "isolated",
-    };
+    let name = state.name();
     Metrics::count(&shared.metrics.links, name);
     spdlog::info!("state of the links to the servers changed", kv: { state = name });
     if state != State::Sound {
--- a/crates/shallotroute_resident/src/relay.rs
+++ b/crates/shallotroute_resident/src/relay.rs
@@ -7,7 +7,7 @@
         Arc,
         atomic::{AtomicUsize, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -22,7 +22,7 @@
     server::{Handler, serve_connection},
 };
 use shallotroute_peer::stream::Service;
-use shallotroute_types::name::Name;
+use shallotroute_types::{name::Name, node::Id};
 use tokio::net::TcpStream;
 
 use crate::{
@@ -43,6 +43,9 @@
 /// The maximum number of requests that a node relays at a time.
 const MAX_RELAYED: usize = 512;
 
+/// How long a request is given a relay's response before its end without one counts as a failure of the relay.
+const RESPONSE_PATIENCE: Duration = Duration::from_millis(500);
+
 /// The maximum size of a request body if there is no configuration yet.
 const MAX_BODY_BYTES: usize = 1 << 20;
 
@@ -99,7 +102,9 @@
     let mut reason = "no other node is known to reach servers".to_owned();
     for relay in link::relays(shared, &server.id) {
         let endpoint = Endpoint::Relay(relay.address);
+        let patience = Patience::new(shared, &relay.id);
         let result = send_through(shared, server, endpoint, &build).await;
+        patience.end();
         let label = match &result {
             Ok(_) => "answered",
             Err(RelayFailure::Declined(_)) => "declined",
@@ -119,6 +124,40 @@
     Err(Failure::NoWay(reason))
 }
 
+/// A guard that passes a relay over for a while if the request is given up without a response: the relay may be
+/// suspended, so that its host still accepts connections.
+struct Patience<'a> {
+    shared: &'a Shared,
+    relay: &'a Id,
+    began_at: Instant,
+    is_over: bool,
+}
+
+impl<'a> Patience<'a> {
+    fn new(shared: &'a Shared, relay: &'a Id) -> Self {
+        Self {
+            shared,
+            relay,
+            began_at: shared.now(),
+            is_over: false,
+        }
+    }
+
+    fn end(mut self) {
+        self.is_over = true;
+    }
+}
+
+impl Drop for Patience<'_> {
+    fn drop(&mut self) {
+        let now = self.shared.now();
+        if !self.is_over && now >= self.began_at + RESPONSE_PATIENCE {
+            let links = &self.shared.links;
+            links.record_relay_failure(self.relay, "a request was given up", now);
+        }
+    }
+}
+
 /// Why a relay returned no response of the server.
 enum RelayFailure {
     /// The request was not sent to the server, and another relay may send it.
