--- a/crates/shallotroute_fleet/src/link.rs
+++ b/crates/shallotroute_fleet/src/link.rs
@@ -44,7 +44,7 @@
 const RELAY_BACKOFF_MIN: Duration = Duration::from_millis(500);
 
 /// The longest time for which a node is not asked again.
-const RELAY_BACKOFF_MAX: Duration = Duration::from_secs(4);
+const RELAY_BACKOFF_MAX: Duration = Duration::from_secs(2);
 
 /// How long after its last failure a relay counts as sound again.
 const RELAY_RECOVERY_PERIOD: Duration = Duration::from_secs(8);
--- a/crates/shallotroute_resident/src/link.rs
+++ b/crates/shallotroute_resident/src/link.rs
@@ -16,6 +16,7 @@
 use shallotroute_types::{name::Name, node::Id};
 use tokio::{
     sync::{Mutex as AsyncMutex, watch},
+    task::JoinHandle,
     time::timeout,
 };
 
@@ -39,6 +40,9 @@
 /// The timeout of a call that asks another node whether it reaches servers: two connections in a row, and the call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// How long a connection may take before the links are checked; a packet to a server takes a few milliseconds.
+const SLOW_CONNECT: Duration = Duration::from_millis(100);
+
 /// How long the connection of a check is kept for the next request.
 const PROBE_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -211,22 +215,51 @@
                 result => return result,
             }
         }
-        let result = match shared.pool.open(self.server.address).await {
-            Ok(connection) => {
-                shared.links.lock().record_opened(shared.now());
-                self.exchange(connection, build_request(&build)?).await
-            }
+        let began_at = shared.now();
+        let result = match self.open().await {
+            Ok(connection) => self.exchange(connection, build_request(&build)?).await,
             Err(failure) => Err(failure),
         };
-        if matches!(result, Err(Failure::Unsent(_))) {
-            let now = shared.now();
-            if shared.links.lock().is_doubtful(now) {
-                check(shared, self.server, now).await;
-            }
+        if matches!(result, Err(Failure::Unsent(_)))
+            && let Some(check) = self.start_check(began_at)
+        {
+            // It only fails if the process exits.
+            let _ = check.await;
         }
         result
     }
 
+    /// Opens a connection to the server. The links are checked meanwhile if that takes long: the sender may give up
+    /// before it is known to have failed.
+    async fn open(&self) -> Result<Connection, Failure> {
+        let shared = self.shared;
+        let began_at = shared.now();
+        let mut opening = std::pin::pin!(shared.pool.open(self.server.address));
+        let opened = match timeout(SLOW_CONNECT, &mut opening).await {
+            Ok(opened) => opened,
+            Err(_) => {
+                self.start_check(began_at);
+                opening.await
+            }
+        };
+        if opened.is_ok() {
+            shared.links.lock().record_opened(shared.now());
+        }
+        opened
+    }
+
+    /// Has the links checked if they may be at fault that a connection which was begun at `began_at` is not open. The
+    /// check goes on if the request is given up.
+    fn start_check(&self, began_at: Instant) -> Option<JoinHandle<()>> {
+        let shared = self.shared;
+        if !shared.links.lock().is_doubtful(shared.now()) {
+            return None;
+        }
+        let (shared, server) = (Arc::clone(shared), self.server.clone());
+        let check = async move { check(&shared, &server, began_at).await };
+        Some(tokio::spawn(check))
+    }
+
     /// Sends a request on a connection and waits for the head of the response. Has the links checked if no server
     /// is heard of meanwhile.
     async fn exchange(
@@ -456,6 +489,12 @@
         .collect()
 }
 
+/// Returns whether a node is left that may relay requests.
+fn has_relay(shared: &Shared) -> bool {
+    let any_server = Name::from("");
+    !relays(shared, &any_server).is_empty()
+}
+
 /// Returns other servers than `suspect`, by which the links are checked.
 fn witnesses(shared: &Shared, suspect: Option<&Server>) -> Vec<Server> {
     let except = suspect.map(|server| &*server.id);
@@ -538,8 +577,7 @@
         }
         tokio::time::sleep(RECHECK_INTERVAL).await;
         let _checking = shared.links.checking.lock().await;
-        // Lost links are known not to be the servers' failure; whether a relay is left shows when one is needed.
-        let should_ask = shared.links.state() == State::Isolated;
+        let should_ask = shared.links.state() == State::Isolated || !has_relay(&shared);
         perform_check(&shared, None, should_ask).await;
     }
 }
