--- a/crates/shallotroute_fleet/src/server.rs
+++ b/crates/shallotroute_fleet/src/server.rs
@@ -600,6 +600,11 @@
         }
     }
 
+    /// Returns whether the last request or connection at a server failed.
+    pub fn has_failures(&self, id: &str) -> bool {
+        self.entries.get(id).is_some_and(|entry| entry.failures > 0)
+    }
+
     /// Returns the servers other than `except` by which the node's links are checked: those without failures first,
     /// in an order that depends on `random`.
     pub fn witnesses(&self, except: Option<&str>, random: u64) -> Vec<Server> {
--- a/crates/shallotroute_fleet/src/suspect.rs
+++ b/crates/shallotroute_fleet/src/suspect.rs
@@ -246,19 +246,6 @@
         }
     }
 
-    /// Records that a process that was taken to have crashed while it had some requests has not.
-    pub fn retract_crash(&mut self, requests: &[Fingerprint], process: &Process) {
-        for request in requests {
-            let Some(entry) = self.entries.get_mut(request) else {
-                continue;
-            };
-            entry.record.crashed.remove(process);
-            if entry.record.crashed.is_empty() {
-                self.entries.remove(request);
-            }
-        }
-    }
-
     /// Forgets all broken connections: the node lost its own links.
     pub fn discard_broken(&mut self) {
         self.pending.clear();
--- a/crates/shallotroute_fleet/tests/suspect.rs
+++ b/crates/shallotroute_fleet/tests/suspect.rs
@@ -206,21 +206,3 @@
     expect_that!(balancer.available_servers("desk", now), eq((2, 2)));
     expect_that!(balancer.available_servers("other", now), eq((0, 0)));
 }
-
-/// Guards against crashes that a node took for granted just before it noticed that its own links were lost.
-#[gtest]
-fn a_retracted_crash_is_no_longer_held_against_its_requests() {
-    let now = Instant::now();
-    let mut suspects = Suspects::default();
-    let process = |server: &str| Process {
-        server: Name::from(server),
-        born: 1,
-    };
-    let request = |name: &str| Fingerprint(Name::from(name));
-    suspects.record_crash(&request("one"), process("a"), now);
-    suspects.record_crash(&request("one"), process("b"), now);
-    suspects.record_crash(&request("two"), process("b"), now);
-    suspects.retract_crash(&[request("one"), request("two")], &process("b"));
-    expect_that!(suspects.record(&request("one")).crashed, len(eq(1)));
-    expect_that!(suspects.counts(), eq((1, 0)));
-}
--- a/crates/shallotroute_resident/src/link.rs
+++ b/crates/shallotroute_resident/src/link.rs
@@ -49,6 +49,9 @@
 /// The number of servers that a check tries before other nodes are asked.
 const CHECKED_SERVERS: usize = 2;
 
+/// The number of other servers that have to accept connections when a node says that one does not.
+const STEADY_WITNESSES: usize = 4;
+
 /// The number of servers that have to be out of reach before the node gives up trying.
 const MAX_CHECKED_SERVERS: usize = 8;
 
@@ -374,6 +377,9 @@
             return finding;
         }
         check(shared, server, began_at).await;
+        if !are_links_steady(shared, std::slice::from_ref(&server.id)).await {
+            return Finding::Unknown;
+        }
     }
     let has_others = {
         let members = shared.members.borrow();
@@ -413,17 +419,29 @@
             Finding::Silent | Finding::Unknown => finding = Finding::Silent,
         }
     }
-    let witnesses: Vec<Server> = witnesses(shared, None)
-        .into_iter()
-        .filter(|server| !servers.contains(&server.id))
-        .take(CHECKED_SERVERS)
-        .collect();
-    match !known.is_empty() && reaches_any(shared, &witnesses).await {
+    match !known.is_empty() && are_links_steady(shared, servers).await {
         true => finding,
         false => Finding::Unknown,
     }
 }
 
+/// Returns whether all of several servers without failures, other than `except`, accept connections. Links that are
+/// lost may go one after the other, so that one connection proves little.
+async fn are_links_steady(shared: &Shared, except: &[Name]) -> bool {
+    let witnesses: Vec<Server> = {
+        let balancer = shared.balancer();
+        balancer
+            .witnesses(None, rand::random())
+            .into_iter()
+            .filter(|server| !except.contains(&server.id) && !balancer.has_failures(&server.id))
+            .take(STEADY_WITNESSES)
+            .collect()
+    };
+    let openings = witnesses.iter().map(|server| open(shared, server));
+    let opened = futures::future::join_all(openings).await;
+    !opened.is_empty() && opened.into_iter().all(|is_open| is_open)
+}
+
 /// Asks other nodes whether they reach any of some servers, several at a time, until one can tell.
 async fn ask(shared: &Shared, servers: &[Name]) -> Finding {
     let Some(first) = servers.first() else {
--- a/crates/shallotroute_resident/src/stream.rs
+++ b/crates/shallotroute_resident/src/stream.rs
@@ -320,7 +320,7 @@
 }
 
 /// Records that a connection broke before the first event of a stream.
-async fn record_break(shared: &Arc<Shared>, request: &BackendRequest, server: &Server) {
+async fn record_break(shared: &Shared, request: &BackendRequest, server: &Server) {
     if let Some(fingerprint) = &request.fingerprint {
         suspect::record_break(shared, fingerprint, server).await;
     }
--- a/crates/shallotroute_resident/src/suspect.rs
+++ b/crates/shallotroute_resident/src/suspect.rs
@@ -30,9 +30,6 @@
 /// The prefix of the records of requests. It is among the keys that all nodes follow.
 const PREFIX: &str = "shallotroute/member/suspect/";
 
-/// How long a server has to refuse connections before other nodes are told that it has crashed.
-const SETTLING_TIME: Duration = Duration::from_millis(150);
-
 /// The number of changes that wait to be written. Further ones are known at this node only.
 const QUEUE_LENGTH: usize = 256;
 
@@ -153,8 +150,8 @@
 }
 
 /// Records that the connection to a server broke before it answered a request. Returns when it is known whether the
-/// server refuses connections, as it does after a crash. Other nodes are told once that has settled.
-pub(crate) async fn record_break(shared: &Arc<Shared>, request: &Fingerprint, server: &Server) {
+/// server refuses connections, as it does after a crash.
+pub(crate) async fn record_break(shared: &Shared, request: &Fingerprint, server: &Server) {
     let process = Process {
         server: server.id.clone(),
         born: server.born,
@@ -164,79 +161,37 @@
         .lock()
         .record_break(request, process.clone(), shared.now());
     match link::examine(shared, server).await {
-        Finding::Refused => {
-            let requests = hold_crash(shared, &process);
-            if !requests.is_empty() {
-                let settling = settle(Arc::clone(shared), server.clone(), process, requests);
-                tokio::spawn(settling);
-            }
-        }
+        Finding::Refused => confirm_crash(shared, &process),
         _ if shared.links.state() != State::Sound => shared.suspects.discard_broken(),
         // The host list tells later.
         Finding::Reached | Finding::Silent | Finding::Unknown => {}
     }
 }
 
-/// Examines a server again that refused connections, and tells the other nodes if it still does: several hosts may
-/// lose their links within some milliseconds, one link after the other.
-async fn settle(shared: Arc<Shared>, server: Server, process: Process, requests: Vec<Fingerprint>) {
-    tokio::time::sleep(SETTLING_TIME).await;
-    let finding = link::examine(&shared, &server).await;
-    if finding == Finding::Refused {
-        return announce_crash(&shared, &process, &requests);
-    }
-    let now = shared.now();
-    let mut suspects = shared.suspects.lock();
-    suspects.retract_crash(&requests, &process);
-    // Another process may listen there by now, of which the host list tells.
-    if finding == Finding::Reached && shared.links.state() == State::Sound {
-        for request in &requests {
-            suspects.record_break(request, process.clone(), now);
-        }
-    }
-}
-
 /// Records that a process is gone without having announced it: a crash, if requests broke at it shortly
 /// before.
 pub(crate) fn confirm_crash(shared: &Shared, process: &Process) {
-    let requests = hold_crash(shared, process);
-    announce_crash(shared, process, &requests);
-}
-
-/// Holds a crash against the requests that broke at a process shortly before, at this node only. Returns those against
-/// which it was not held yet.
-fn hold_crash(shared: &Shared, process: &Process) -> Vec<Fingerprint> {
     let now = shared.now();
     let mut suspects = shared.suspects.lock();
-    let mut held = Vec::new();
+    let mut changed = Vec::new();
     for request in suspects.take_broken(process, now) {
-        if suspects
-            .record_crash(&request, process.clone(), now)
-            .is_some()
-        {
-            held.push(request);
+        if let Some(record) = suspects.record_crash(&request, process.clone(), now) {
+            changed.push((request, record.crashed.len()));
         }
     }
-    held
-}
-
-/// Tells the other nodes of a crash that is held against some requests, unless they have been answered since.
-fn announce_crash(shared: &Shared, process: &Process, requests: &[Fingerprint]) {
-    for request in requests {
-        let record = shared.suspects.lock().record(request);
-        if !record.crashed.contains(process) {
-            continue;
-        }
-        let now = shared.now();
-        shared
-            .balancer()
-            .record_crash(&process.server, process.born, now);
+    drop(suspects);
+    if changed.is_empty() {
+        return;
+    }
+    shared
+        .balancer()
+        .record_crash(&process.server, process.born, now);
+    for (request, crashes) in changed {
         Metrics::count(&shared.metrics.suspects, "crash");
         spdlog::info!("server crashed under a request", kv: {
-            fingerprint = request.0.as_str(), server = process.server.as_str(),
-            crashes = record.crashed.len(),
+            fingerprint = request.0.as_str(), server = process.server.as_str(), crashes,
         });
-        shared.suspects.announce(Change::Crashed(request.clone()));
+        shared.suspects.announce(Change::Crashed(request));
     }
 }
 
