--- a/crates/shallotroute_fleet/src/link.rs
+++ b/crates/shallotroute_fleet/src/link.rs
@@ -55,7 +55,7 @@
 /// The state of a node's links to the backend servers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum State {
-    /// They work, or nothing speaks against it.
+    /// The links work, or no check has found otherwise.
     #[default]
     Sound,
     /// The node reaches no server, and other nodes do.
