--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -2,7 +2,7 @@
 //! connection is expected. Requests of an `unsafe` route may still run once at most, and none that is answered with
 //! 503 may run.
 
-#[path = "../standin/mod.rs"]
+#[path = "../standin.rs"]
 mod standin;
 
 use std::{
@@ -62,13 +62,6 @@
     runs: Mutex<BTreeMap<String, Vec<String>>>,
 }
 
-/// What the requests at one sampler share.
-#[derive(Default)]
-struct Load {
-    in_progress: AtomicUsize,
-    answers: AtomicUsize,
-}
-
 fn main() {
     let folder = env::args().nth(1).expect("a temporary folder");
     let folder = Path::new(&folder);
@@ -83,9 +76,9 @@
         runs: Mutex::default(),
     });
     for number in 0..SAMPLERS {
-        let (service, load) = (Arc::clone(&service), Arc::new(Load::default()));
+        let (service, answers) = (Arc::clone(&service), Arc::new(AtomicUsize::new(0)));
         let connected =
-            move || connection_handler(Arc::clone(&service), Arc::clone(&load), number < FAULTY);
+            move || connection_handler(Arc::clone(&service), Arc::clone(&answers), number < FAULTY);
         let zone = ["colombo", "gampaha", "kalutara"][number % 3];
         Sampler::start(&format!("i-{number}"), "quote-desk", zone, SLOTS, connected)
             .register(&store, "[]");
@@ -218,7 +211,11 @@
 }
 
 /// Returns the handler of one connection to a sampler.
-fn connection_handler(service: Arc<Service>, load: Arc<Load>, is_faulty: bool) -> Box<Handler> {
+fn connection_handler(
+    service: Arc<Service>,
+    answers: Arc<AtomicUsize>,
+    is_faulty: bool,
+) -> Box<Handler> {
     // The second answer that is sent before the answer to the next request.
     let extra: Mutex<Option<(u16, String)>> = Mutex::default();
     Box::new(move |sampler, request, stream| {
@@ -233,7 +230,9 @@
             let headers = [("X-Request-Id", id.as_str()), ("X-Not-Executed", "1")];
             return write_response(stream, 421, &headers, b"").is_ok();
         }
+        // Only while the disruption lasts.
         let repeated = extra.lock().unwrap().take();
+        let repeated = repeated.filter(|_| service.has_extras.load(Ordering::SeqCst));
         let has_extra = repeated.is_some();
         if let Some((status, of)) = repeated {
             service.record.line(&format!(
@@ -247,24 +246,18 @@
                 return false;
             }
         }
-        let is_full = load.in_progress.fetch_add(1, Ordering::SeqCst) >= SLOTS + QUEUE;
-        let status = match is_full {
-            true => 503,
-            false => {
+        let status = match sampler.take_slot(QUEUE) {
+            None => 503,
+            Some(_slot) => {
                 service.record.line(&format!("{} runs {id}", sampler.id));
-                service
-                    .runs
-                    .lock()
-                    .unwrap()
-                    .entry(id.clone())
-                    .or_default()
-                    .push(sampler.id.clone());
+                let mut runs = service.runs.lock().unwrap();
+                runs.entry(id.clone()).or_default().push(sampler.id.clone());
+                drop(runs);
                 thread::sleep(WORK);
                 200
             }
         };
-        load.in_progress.fetch_sub(1, Ordering::SeqCst);
-        let number = load.answers.fetch_add(1, Ordering::SeqCst);
+        let number = answers.fetch_add(1, Ordering::SeqCst);
         if is_faulty
             && !has_extra
             && service.has_extras.load(Ordering::SeqCst)
--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -1,7 +1,7 @@
 //! Samplers crash while clients receive resumable streams, and one other sampler answers a part of its requests
 //! with 500. Each stream that ends as complete has to have all of its events and nothing else.
 
-#[path = "../standin/mod.rs"]
+#[path = "../standin.rs"]
 mod standin;
 
 use std::{
@@ -38,13 +38,16 @@
 /// The time between two crashes.
 const CRASH_INTERVAL: Duration = Duration::from_secs(5);
 
-const CRASHES: usize = 14;
+const CRASHES: usize = 12;
 
 const EVENTS: u64 = 24;
 const EVENT_INTERVAL: Duration = Duration::from_millis(40);
 
 const CLIENTS: usize = 48;
 
+/// As in the site file, three for each slot.
+const QUEUE: usize = 24;
+
 const HOST: &str = "ficu95.example";
 const MODELS: &str = r#"[{"name":"daka510000","version":1,"adapters":[]}]"#;
 const CONFIGURATION: &str = r#"{"version":1,"routes":[{"name":"chat","host":"ficu95.example","prefix":"/chat/","kind":"stream","resumable":true,"timeoutMs":10000,"targetLatencyMs":500,"priority":1,"service":"quote-llm","maxAttempts":3}],"services":[{"name":"quote-llm","healthPath":"/healthz","maxConns":150,"protocol":"h1","tls":false,"engine":{"slots":8,"kvCapacity":91993,"models":[{"name":"daka510000"}]}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":33554432,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
@@ -251,12 +254,17 @@
         .header("X-Expect-Instance")
         .is_some_and(|expected| expected != sampler.id)
     {
-        let headers = [
-            ("X-Request-Id", id.as_str()),
-            ("X-Instance-Id", &sampler.id),
-        ];
+        let headers = [("X-Request-Id", id.as_str()), ("X-Not-Executed", "1")];
         return write_response(stream, 421, &headers, b"").is_ok();
     }
+    // It queues a few requests, and rejects those beyond them.
+    let Some(_slot) = sampler.take_slot(QUEUE) else {
+        let headers = [("X-Request-Id", id.as_str()), ("X-Not-Executed", "1")];
+        return write_response(stream, 503, &headers, b"").is_ok();
+    };
+    if sampler.is_down() {
+        return false;
+    }
     let after: u64 = request
         .header("Last-Event-Id")
         .and_then(|text| text.parse().ok())
--- a/review/standin/mod.rs
+++ b/review/standin.rs
@@ -3,11 +3,17 @@
 
 #![allow(dead_code, reason = "each case uses a part of the stand-ins")]
 
+#[path = "standin_http.rs"]
 pub mod http;
+#[path = "standin_json.rs"]
 pub mod json;
+#[path = "standin_node.rs"]
 pub mod node;
+#[path = "standin_record.rs"]
 pub mod record;
+#[path = "standin_sampler.rs"]
 pub mod sampler;
+#[path = "standin_store.rs"]
 pub mod store;
 
 /// Returns whether the case is to run with its disruption; `TROUBLE=0` leaves the disruption out.
--- a/review/standin/sampler.rs
+++ b/review/standin_sampler.rs
@@ -5,7 +5,7 @@
     io::BufReader,
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
-        Arc, Mutex,
+        Arc, Condvar, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
@@ -35,6 +35,24 @@
     born: AtomicU64,
     is_down: AtomicBool,
     connections: Mutex<Vec<TcpStream>>,
+    load: Mutex<Load>,
+    has_free_slot: Condvar,
+}
+
+#[derive(Default)]
+struct Load {
+    running: usize,
+    waiting: usize,
+}
+
+/// A slot of a sampler, which is free again when this is dropped.
+pub struct Slot<'a>(&'a Sampler);
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        self.0.load.lock().unwrap().running -= 1;
+        self.0.has_free_slot.notify_one();
+    }
 }
 
 /// Answers one request on a connection. The connection is closed if it returns `false`.
@@ -59,12 +77,32 @@
             born: AtomicU64::new(unix_ms()),
             is_down: AtomicBool::new(false),
             connections: Mutex::default(),
+            load: Mutex::default(),
+            has_free_slot: Condvar::new(),
         });
         let serving = Arc::clone(&sampler);
         thread::spawn(move || serving.listen(listener, &connected));
         sampler
     }
 
+    /// Waits for a slot, in which one request runs at a time. Returns `None` if so many requests as `queue` wait
+    /// already; the sampler then rejects the request.
+    pub fn take_slot(&self, queue: usize) -> Option<Slot<'_>> {
+        let mut load = self.load.lock().unwrap();
+        if load.running >= self.slots {
+            if load.waiting >= queue {
+                return None;
+            }
+            load.waiting += 1;
+            while load.running >= self.slots {
+                load = self.has_free_slot.wait(load).unwrap();
+            }
+            load.waiting -= 1;
+        }
+        load.running += 1;
+        Some(Slot(self))
+    }
+
     pub fn is_down(&self) -> bool {
         self.is_down.load(Ordering::SeqCst)
     }
