--- a/crates/shallotroute_resident/src/forward.rs
+++ b/crates/shallotroute_resident/src/forward.rs
@@ -450,7 +450,10 @@
         return AttemptOutcome::NotRun(format!("the server answered {}", parts.status));
     }
     if !head.has_matching_id {
-        return AttemptOutcome::MayHaveRun("the response belongs to another request".to_owned());
+        return AttemptOutcome::MayHaveRun(format!(
+            "the server answered {} to another request",
+            parts.status
+        ));
     }
     if parts.status.is_success() && (head.stamp.is_none() || head.is_encoded) {
         return AttemptOutcome::MayHaveRun(
--- a/crates/shallotroute_resident/src/generate.rs
+++ b/crates/shallotroute_resident/src/generate.rs
@@ -230,7 +230,7 @@
             return End::new(
                 GenerationEnd::Interrupted,
                 Outcome::Failed,
-                "the response belongs to another request",
+                &format!("the server responded {} to another request", parts.status),
             );
         }
         let status = parts.status;
