resident: a late copy of a response counts neither as a report nor as the response to an order

Callers saw: nothing; a model server kept its old version of the weights, with its samples too old for their step. Reports and orders go over the pooled connections of requests, and nothing told a late copy from the response: one with status 200 counted as `the order already holds`. Evidence: the test's server sends a late copy before the response to the first order; the planner gives no further one. Change: such calls name no request, so that a response that names one ends the call without a result, and its connection is closed. A copy of a report names none, so that a response that an order already holds is checked against a report. Test: responses a_late_copy_does_not_count_as_the_response_to_an_order failed before (no order accepted in 2 s, with a copy of either kind), passes now.

--- a/crates/shallotroute/tests/responses.rs
+++ b/crates/shallotroute/tests/responses.rs
@@ -13,7 +13,7 @@
 
 use googletest::prelude::*;
 use http::StatusCode;
-use shallotroute_soak::scripted::{Desk, Request, Script, Step, response};
+use shallotroute_soak::scripted::{self, Desk, Request, Script, Step, response};
 
 /// How long a server takes to run a request.
 const WORK: Duration = Duration::from_millis(30);
@@ -109,3 +109,37 @@
         expect_that!(status, eq(StatusCode::OK));
     }
 }
+
+/// Guards against an order that counts as carried out, so that a server keeps its old version, because of a late copy
+/// of the response to an earlier request on the connection, or of a report.
+#[gtest]
+#[tokio::test]
+async fn a_late_copy_does_not_count_as_the_response_to_an_order() {
+    for copy in [success("ready"), scripted::report(1, 0)] {
+        let orders = Arc::new(AtomicUsize::new(0));
+        let accepted = Arc::clone(&orders);
+        let script = move |request: &Request| match request.target.as_str() {
+            "/report" => {
+                let accepted = accepted.load(Ordering::Relaxed);
+                let version = 1 + accepted.min(1) as u64;
+                vec![Step::Write(scripted::report(version, accepted as u64))]
+            }
+            // The response is lost together with the order.
+            "/order" if request.number > 0 && request.connection == 0 => {
+                vec![Step::Write(copy.clone()), Step::Wait(WORK), Step::Close]
+            }
+            "/order" => {
+                accepted.fetch_add(1, Ordering::Relaxed);
+                vec![Step::Write(response(202, &[], ""))]
+            }
+            _ => vec![Step::Write(success(request.id()))],
+        };
+        let desk = start(vec![Arc::new(script)]).await;
+        desk.announce_version();
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let requests = desk.requests();
+        let is_copied = |request: &&Request| request.target == "/order" && request.connection == 0;
+        expect_that!(requests.iter().filter(is_copied).count(), ge(1));
+        expect_that!(orders.load(Ordering::Relaxed), eq(1));
+    }
+}
--- a/crates/shallotroute_resident/src/leader.rs
+++ b/crates/shallotroute_resident/src/leader.rs
@@ -592,7 +592,8 @@
         Metrics::count(&self.shared.metrics.orders, reply_name(reply));
         let order_outcome = match reply {
             Reply::Accepted => OrderOutcome::Accepted,
-            Reply::AlreadyApplied => OrderOutcome::AlreadyLoaded,
+            Reply::AlreadyApplied if self.has_loaded(order).await => OrderOutcome::AlreadyLoaded,
+            Reply::AlreadyApplied => OrderOutcome::Unknown,
             Reply::Fenced => {
                 self.is_fenced.store(true, Ordering::Relaxed);
                 OrderOutcome::Unknown
@@ -604,6 +605,14 @@
         (order_outcome, reply_name(reply))
     }
 
+    /// Returns whether the server reports the version of an order. The response that says so may be a late copy of
+    /// an earlier report's.
+    async fn has_loaded(&self, order: &Order) -> bool {
+        let report = self.report().await;
+        let loaded = report.and_then(|report| report.models.get(&order.model).copied());
+        loaded.is_some_and(|version| version >= order.version)
+    }
+
     async fn send(&self, order: &Order) -> Reply {
         let is_single_version = self
             .shared
@@ -679,6 +688,13 @@
             if backend::is_leaving(parts.status, &parts.headers) {
                 self.shared.record_leaving(&self.server.id);
             }
+            // Requests for reports and orders have no identity that a server could echo.
+            if let Some(id) = backend::request_id(&parts.headers) {
+                return Err(format!(
+                    "the server answered {} to the earlier request {id}",
+                    parts.status
+                ));
+            }
             let body = shallotroute_http::body::read(body, 1 << 20)
                 .await
                 .map_err(|error| error.to_string())?;
