resident: only the continuation of a stream is passed on by a later server

Cause: the response of a later server was treated like that of the first, which the caller gets whatever its status. A later one can only continue a response that has begun; nothing checked that it does. Change: a continuation has the status that the caller has already and the server's signature. Any other response is a failed attempt: its body is discarded and another server is asked, within the route's attempts; without one the response is aborted. A continuation without any event ends the stream only if a second server agrees. Failed attempts to open a stream are logged. Why it works: all continuations are opened by `open`, at the caller's node also if a relay sends them. Ruled out: the decoder of events (it did not get the response) and the end of a connection that was reset.

--- a/crates/shallotroute/tests/responses.rs
+++ b/crates/shallotroute/tests/responses.rs
@@ -143,3 +143,127 @@
         expect_that!(orders.load(Ordering::Relaxed), eq(1));
     }
 }
+
+/// The number of events of a stream.
+const EVENTS: u64 = 6;
+
+/// The number of events after which a stream breaks off at its first server.
+const FIRST_EVENTS: u64 = 3;
+
+fn event(id: &str, number: u64) -> String {
+    format!("id: {number}\ndata: {id} {number}\n\n")
+}
+
+fn events(id: &str, count: u64) -> String {
+    (1..=count).map(|number| event(id, number)).collect()
+}
+
+/// Returns the steps that send the events of a stream from `first` to `last`.
+fn send_events(id: &str, first: u64, last: u64) -> Vec<Step> {
+    let headers = [("x-request-id", id), ("x-server-stamp", "s.200")];
+    let chunks = (first..=last).map(|number| Step::Write(scripted::chunk(&event(id, number))));
+    std::iter::once(Step::Write(scripted::chunked(200, &headers)))
+        .chain(chunks)
+        .collect()
+}
+
+/// Requests a stream that breaks off after [`FIRST_EVENTS`]. The next `count` servers answer with `continuation`, and
+/// others go on.
+async fn request_stream(continuation: Vec<Step>, count: usize) -> scripted::Answer {
+    let requests = AtomicUsize::new(0);
+    let script: Script = Arc::new(move |request: &Request| {
+        let id = request.id();
+        if !request.target.starts_with("/streams/") {
+            return vec![Step::Write(success(id))];
+        }
+        match requests.fetch_add(1, Ordering::Relaxed) {
+            0 => {
+                let mut steps = send_events(id, 1, FIRST_EVENTS);
+                steps.extend([Step::Wait(WORK), Step::Close]);
+                steps
+            }
+            number if number <= count => continuation.clone(),
+            _ => {
+                let mut steps = send_events(id, request.resume_after() + 1, EVENTS);
+                steps.push(Step::Write(scripted::LAST_CHUNK.to_vec()));
+                steps
+            }
+        }
+    });
+    let desk = start(vec![script.clone(), script.clone(), script]).await;
+    desk.send("/streams/one", "one", &[]).await
+}
+
+/// Returns the response of a server that has no further event.
+fn nothing_left() -> Vec<Step> {
+    let own = [("x-request-id", "one"), ("x-server-stamp", "s")];
+    vec![Step::Write(response(200, &own, ""))]
+}
+
+/// Returns responses that do not continue a stream.
+fn wrong_continuations() -> Vec<Vec<Step>> {
+    let own = [("x-request-id", "one"), ("x-server-stamp", "s")];
+    let without_stamp = [("x-request-id", "one")];
+    let redirect = [own[0], own[1], ("location", "/streams/two")];
+    let mut responses: Vec<Vec<Step>> = [404, 410, 422, 429, 500, 502, 504]
+        .into_iter()
+        .map(|status| vec![Step::Write(response(status, &own, "server failed\n"))])
+        .collect();
+    responses.push(vec![Step::Write(response(302, &redirect, ""))]);
+    responses.push(vec![Step::Write(response(206, &own, &event("one", 4)))]);
+    responses.push(vec![Step::Write(response(
+        200,
+        &without_stamp,
+        &event("one", 4),
+    ))]);
+    // Without a length, and ended with the connection.
+    responses.push(vec![
+        Step::Write(
+            b"HTTP/1.1 500 scripted\r\nx-request-id: one\r\nx-server-stamp: s\r\n\r\nfailed"
+                .to_vec(),
+        ),
+        Step::Close,
+    ]);
+    responses
+}
+
+/// Guards against a stream that ends as complete without its last events, or with the body of an error, because a
+/// later server's response does not continue it: another server goes on.
+#[gtest]
+#[tokio::test]
+async fn a_stream_goes_on_at_another_server_after_a_response_that_does_not_continue_it() {
+    for continuation in wrong_continuations().into_iter().chain([nothing_left()]) {
+        let answer = request_stream(continuation.clone(), 1).await;
+        let expected = scripted::Answer {
+            status: Some(StatusCode::OK),
+            body: events("one", EVENTS),
+            is_complete: true,
+        };
+        expect_that!(answer, eq(&expected), "{continuation:?}");
+    }
+}
+
+/// Guards against a stream that looks complete although no server has continued it.
+#[gtest]
+#[tokio::test]
+async fn a_stream_that_no_server_continues_does_not_look_complete() {
+    for continuation in wrong_continuations() {
+        let answer = request_stream(continuation.clone(), usize::MAX).await;
+        expect_that!(answer.is_complete, eq(false), "{continuation:?}");
+        expect_that!(
+            answer.body,
+            eq(&events("one", FIRST_EVENTS)),
+            "{continuation:?}"
+        );
+    }
+}
+
+/// Guards against a stream that is broken off although its last event was sent: two servers agree that nothing is
+/// left.
+#[gtest]
+#[tokio::test]
+async fn a_stream_that_breaks_off_after_its_last_event_ends_when_two_servers_agree() {
+    let answer = request_stream(nothing_left(), usize::MAX).await;
+    expect_that!(answer.is_complete, eq(true));
+    expect_that!(answer.body, eq(&events("one", FIRST_EVENTS)));
+}
--- a/crates/shallotroute_resident/src/forward.rs
+++ b/crates/shallotroute_resident/src/forward.rs
@@ -21,7 +21,7 @@
 use tokio::task::JoinSet;
 
 use crate::{
-    generate::{discard_body, idle_timeout},
+    generate::{discard_response, idle_timeout},
     limit::{self, Unavailable},
     link::Sender,
     metric::Metrics,
@@ -440,13 +440,8 @@
     let (parts, content) = response.into_parts();
     let head = backend::parse_head(parts.status, &parts.headers, id);
     shared.record_head(server, &head);
-    let max_idle = idle_timeout(&parts.headers);
     if head.is_rejected {
-        if discard_body(content).await
-            && let Some(max_idle) = max_idle
-        {
-            shared.pool.put(connection, max_idle);
-        }
+        discard_response(shared, connection, &parts.headers, content).await;
         return AttemptOutcome::NotRun(format!("the server answered {}", parts.status));
     }
     if !head.has_matching_id {
@@ -470,7 +465,7 @@
             };
         }
     };
-    if let Some(max_idle) = max_idle {
+    if let Some(max_idle) = idle_timeout(&parts.headers) {
         shared.pool.put(connection, max_idle);
     }
     AttemptOutcome::Answer {
--- a/crates/shallotroute_resident/src/generate.rs
+++ b/crates/shallotroute_resident/src/generate.rs
@@ -221,9 +221,7 @@
                 "the server responded {} and did not run the request",
                 parts.status
             );
-            if discard_body(body).await {
-                self.pool_connection(connection, &parts.headers);
-            }
+            discard_response(&self.shared, connection, &parts.headers, body).await;
             return End::new(GenerationEnd::Rejected, Outcome::Rejected, &reason);
         }
         if !head.has_matching_id {
@@ -245,9 +243,7 @@
                 "the server responded 422",
             ),
             500 => {
-                if discard_body(body).await {
-                    self.pool_connection(connection, &parts.headers);
-                }
+                discard_response(&self.shared, connection, &parts.headers, body).await;
                 End::new(
                     GenerationEnd::Failed,
                     Outcome::Neutral,
@@ -414,12 +410,22 @@
     )
 }
 
-/// Reads a body of up to [`MAX_DISCARDED_BYTES`] to its end, so that the connection can be reused.
-/// Returns whether the end was reached in [`DISCARD_TIMEOUT`].
-pub(crate) async fn discard_body(body: Incoming) -> bool {
+/// Reads the body of a response that is of no use, and returns the connection to the pool. A body that is longer than
+/// [`MAX_DISCARDED_BYTES`] or takes longer than [`DISCARD_TIMEOUT`] costs the connection.
+pub(crate) async fn discard_response(
+    shared: &Shared,
+    connection: Connection,
+    headers: &HeaderMap,
+    body: Incoming,
+) {
+    let Some(max_idle) = idle_timeout(headers) else {
+        return;
+    };
     let reading = shallotroute_http::body::read(body, MAX_DISCARDED_BYTES);
     let result = tokio::time::timeout(DISCARD_TIMEOUT, reading).await;
-    result.is_ok_and(|body| body.is_ok())
+    if result.is_ok_and(|body| body.is_ok()) {
+        shared.pool.put(connection, max_idle);
+    }
 }
 
 fn generation_end_name(generation_end: GenerationEnd) -> &'static str {
--- a/crates/shallotroute_resident/src/stream.rs
+++ b/crates/shallotroute_resident/src/stream.rs
@@ -22,7 +22,7 @@
 
 use crate::{
     forward::{self, BackendRequest},
-    generate::{discard_body, idle_timeout},
+    generate::{discard_response, idle_timeout},
     ingress::{failure_response, server_response},
     limit::{self, Unavailable},
     link::Sender,
@@ -88,6 +88,8 @@
     NoWay(String),
     /// The server may have run the request.
     MayHaveRun(String),
+    /// The server's whole response does not continue the stream, such as one with an error status.
+    NoContinuation(String),
     /// The connection broke before the response, and the server may have run the request.
     Broken(String),
     /// This node lost its links before the response, and the server may have run the request.
@@ -137,8 +139,7 @@
         false => None,
     };
     let target = Target::new(route, &request.id, take_up.as_ref());
-    let opening = open(shared, &target, &request, &mut attempts, policy.deadline);
-    let opened = opening.await;
+    let opened = open(shared, &target, &request, None, &mut attempts).await;
     if let Some(take_up) = &take_up {
         log_take_up(shared, &request, take_up, &opened);
     }
@@ -248,15 +249,17 @@
     });
 }
 
-/// Opens a stream at a server, or at another one if the first did not run the request. On failure,
-/// returns the failure and, for the log, why the last attempt failed.
+/// Opens a stream at a server, or at another one if the first did not run the request. `begun` is the status that
+/// the caller has of a stream that is to continue; another response is not passed on. On failure, returns the failure
+/// and, for the log, why the last attempt failed.
 async fn open(
     shared: &Arc<Shared>,
     target: &Target,
     request: &BackendRequest,
+    begun: Option<StatusCode>,
     attempts: &mut Attempts,
-    deadline: Instant,
 ) -> Result<OpenStream, (RequestFailure, String)> {
+    let deadline = attempts.policy().deadline;
     let mut reason = String::new();
     loop {
         suspect::judge(shared, request, &target.service, attempts);
@@ -287,7 +290,14 @@
                 };
                 attempts.record_attempt(&server.id);
                 let in_flight = shared.start_request(&server.id, None);
-                let opening = open_at(shared, &server, request, attempts.policy(), in_flight);
+                let opening = open_at(
+                    shared,
+                    &server,
+                    request,
+                    begun,
+                    attempts.policy(),
+                    in_flight,
+                );
                 let error = match tokio::time::timeout_at(deadline.into(), opening).await {
                     Ok(Ok(opened)) => return Ok(opened),
                     Ok(Err(error)) => error,
@@ -297,6 +307,12 @@
                     record_break(shared, request, &server).await;
                 }
                 reason = record_error(attempts, &server.id, error, shared.now());
+                spdlog::info!("attempt to open a stream failed", kv: {
+                    request = &*request.id,
+                    server = server.id.as_str(),
+                    after = backend::last_event_id(&request.headers).unwrap_or(0),
+                    reason = reason.as_str(),
+                });
             }
         }
     }
@@ -307,9 +323,9 @@
     let (failure, reason) = match error {
         OpenError::NotRun(reason) => (AttemptFailure::NotRun, reason),
         OpenError::NoWay(reason) => (AttemptFailure::NoWay, reason),
-        OpenError::MayHaveRun(reason) | OpenError::Broken(reason) => {
-            (AttemptFailure::MayHaveRun, reason)
-        }
+        OpenError::MayHaveRun(reason)
+        | OpenError::NoContinuation(reason)
+        | OpenError::Broken(reason) => (AttemptFailure::MayHaveRun, reason),
         OpenError::LinkLost(reason) => {
             attempts.record_link_loss(server);
             return reason;
@@ -331,6 +347,7 @@
     shared: &Arc<Shared>,
     server: &Server,
     request: &BackendRequest,
+    begun: Option<StatusCode>,
     policy: &Policy,
     in_flight: InFlight,
 ) -> Result<OpenStream, OpenError> {
@@ -338,7 +355,7 @@
         in_flight.finish(match error {
             OpenError::NotRun(_) | OpenError::NoWay(_) => Outcome::Rejected,
             OpenError::MayHaveRun(_) | OpenError::Broken(_) => Outcome::Failed,
-            OpenError::LinkLost(_) => Outcome::Neutral,
+            OpenError::NoContinuation(_) | OpenError::LinkLost(_) => Outcome::Neutral,
         });
         Err(error)
     };
@@ -359,21 +376,11 @@
     let (parts, body) = response.into_parts();
     let head = backend::parse_head(parts.status, &parts.headers, &request.id);
     shared.record_head(&server.id, &head);
-    if head.is_rejected {
-        if discard_body(body).await
-            && let Some(max_idle) = idle_timeout(&parts.headers)
-        {
-            shared.pool.put(connection, max_idle);
+    if let Err(error) = check_head(parts.status, &head, begun) {
+        if !matches!(error, OpenError::MayHaveRun(_)) {
+            discard_response(shared, connection, &parts.headers, body).await;
         }
-        let reason = format!("the server answered {}", parts.status);
-        return fail(in_flight, OpenError::NotRun(reason));
-    }
-    let is_own = head.has_matching_id
-        && !head.is_encoded
-        && (head.stamp.is_some() || !parts.status.is_success());
-    if !is_own {
-        let reason = "the response does not come from the server itself".to_owned();
-        return fail(in_flight, OpenError::MayHaveRun(reason));
+        return fail(in_flight, error);
     }
     Ok(OpenStream {
         server: server.clone(),
@@ -386,6 +393,24 @@
     })
 }
 
+/// Checks whether the caller may get a server's response. `begun` is the status that the caller has already.
+fn check_head(status: StatusCode, head: &Head, begun: Option<StatusCode>) -> Result<(), OpenError> {
+    if head.is_rejected {
+        return Err(OpenError::NotRun(format!("the server answered {status}")));
+    }
+    if !head.has_matching_id || head.is_encoded || (status.is_success() && head.stamp.is_none()) {
+        return Err(OpenError::MayHaveRun(format!(
+            "the server answered {status}, which is not its response to this request"
+        )));
+    }
+    match begun {
+        Some(begun) if status != begun => Err(OpenError::NoContinuation(format!(
+            "the server answered {status} to the continuation of a stream that began with {begun}"
+        ))),
+        _ => Ok(()),
+    }
+}
+
 /// Copies one stream to its caller.
 struct Copier {
     shared: Arc<Shared>,
@@ -411,6 +436,9 @@
 impl Copier {
     async fn run(mut self, opened: OpenStream, mut attempts: Attempts) {
         let mut opened = opened;
+        let begun = opened.status;
+        let mut is_continuation = false;
+        let mut has_empty_end = false;
         loop {
             let server = opened.server.id.clone();
             let chosen = opened.server.clone();
@@ -421,7 +449,13 @@
                 true => self.copy_events(opened).await,
                 false => self.copy_bytes(opened).await,
             };
+            let mut failure = AttemptFailure::NotRun;
             let reason = match end {
+                CopyEnd::Complete if is_continuation && !self.has_event && !has_empty_end => {
+                    has_empty_end = true;
+                    failure = AttemptFailure::MayHaveRun;
+                    "the continuation has no event; another server has to agree that the stream has ended".to_owned()
+                }
                 CopyEnd::Complete => return self.record_end(&server, "answered", ""),
                 CopyEnd::CallerLeft => return self.record_end(&server, "caller_left", ""),
                 CopyEnd::CallerStalled => return self.record_end(&server, "caller_stalled", ""),
@@ -446,14 +480,15 @@
             if self.last_event > 0 {
                 backend::set_last_event_id(&mut self.request.headers, self.last_event);
             }
-            // Recorded as not run, so that the request is sent to another server.
-            attempts.record_failure(AttemptFailure::NotRun, self.shared.now());
+            // A broken attempt is recorded as not run, so that the request is sent to another server.
+            attempts.record_failure(failure, self.shared.now());
+            is_continuation = true;
             let next = open(
                 &self.shared,
                 &self.target,
                 &self.request,
+                Some(begun),
                 &mut attempts,
-                self.deadline,
             );
             opened = match next.await {
                 Ok(next) => next,
