fleet, resident: without a record, only a current host list tells the version of a stream

Callers saw: a stream that they took up at a node out of step with the others went on at another software version than it had begun at, with status 200 and a regular end (ORDER). Cause: a take-up without a record rested on one node's belief that its service has had one version only, if no other node answered. Its host list counted as current for 2 s, in which a server joins, begins streams elsewhere and breaks. Change: without a record, the version is told only by a host list that was requested from the store after the caller came; else the take-up is refused at once. A node that has just started relies on another's knowledge only if its own current list names no other version. When all entries had to be read anew, the history of versions begins again. Why it works: a stream begins at a listed server before its caller comes back, so that a list read after that has the server, or its removal among the changes. Ruled out: wrong records (there were none) and servers that change their version under their identity. The tests of `resolve` pass a listing in place of one node's knowledge, with all former cases and those of an older or a different list. The replay of a release reads the list anew for each take-up without a record.

--- a/crates/shallotroute_fleet/src/resume.rs
+++ b/crates/shallotroute_fleet/src/resume.rs
@@ -17,7 +17,11 @@
 use serde::{Deserialize, Serialize};
 use shallotroute_types::{location::Zone, name::Name, node::Id};
 
-use crate::{election::weight, route::Route, software::Knowledge};
+use crate::{
+    election::weight,
+    route::Route,
+    software::{Knowledge, Listing},
+};
 
 /// The number of nodes that hold copies of a record. If a third of the nodes fail at once, all three
 /// of them are among these for less than one record in 27.
@@ -308,17 +312,25 @@
         .collect()
 }
 
-/// Returns the software version of a stream without a record, or `None` if it is unknown. `own` is
-/// what this node knows of the versions of `service`, `answers` what the other nodes answered.
+/// Returns the software version of a stream that is not recorded at this node, or `None` if it is unknown. `answers` are
+/// those of other nodes.
 ///
-/// A node that has just started may rely on another that has known the host list for longer. A single
-/// node that knows several versions overrules all others, whose host lists may lag.
-pub fn resolve(service: &Name, own: &Knowledge, answers: &[Answer]) -> Option<(Origin, Source)> {
+/// Without a record, the service must have had one version for as long as the stream can have lasted. `listing` is what
+/// this node's host list says of that, read since the caller came; `None` if it could not be read. An older list may
+/// lack the version that began the stream. A node that has just started may rely on another that has known the list for
+/// longer. A single node that knows several versions overrules all others, whose host lists may lag.
+pub fn resolve(
+    service: &Name,
+    listing: Option<&Listing>,
+    answers: &[Answer],
+) -> Option<(Origin, Source)> {
     if let Some(origin) = answers.iter().find_map(|answer| answer.origin.as_ref()) {
         return Some((origin.clone(), Source::Copy));
     }
+    let listing = listing?;
+    let known = answers.iter().map(|answer| &answer.known);
     let mut sole = None;
-    for known in answers.iter().map(|answer| &answer.known).chain([own]) {
+    for known in known.chain([&listing.known]) {
         match known {
             Knowledge::Several => return None,
             Knowledge::Sole(software) if sole.is_some_and(|sole| sole != software) => return None,
@@ -326,9 +338,13 @@
             Knowledge::Incomplete => {}
         }
     }
+    let software = sole?;
+    if listing.versions.iter().any(|version| version != software) {
+        return None;
+    }
     let origin = Origin {
         service: service.clone(),
-        software: sole?.clone(),
+        software: software.clone(),
     };
     Some((origin, Source::SingleVersion))
 }
--- a/crates/shallotroute_fleet/src/server.rs
+++ b/crates/shallotroute_fleet/src/server.rs
@@ -13,7 +13,7 @@
 use crate::{
     capacity::Supply,
     limit::{self, Claim, Class, Notice, Observation, Rate, Statement},
-    software::{History, Knowledge},
+    software::{History, Listing},
 };
 
 /// The first back-off after a rejection; each further one doubles it. A full server frees a slot soon,
@@ -385,14 +385,21 @@
         self.software.record_first_read(now);
     }
 
+    /// Records that changes of the host list may have been missed until `now`.
+    pub fn record_gap(&mut self, now: Instant) {
+        self.software.record_gap(now);
+    }
+
     /// Returns what this node knows of the software versions of a service's servers in the `period`
     /// before `now`. Draining and missing servers count, as do those that were removed in that period.
-    pub fn software(&mut self, service: &str, period: Duration, now: Instant) -> Knowledge {
+    pub fn software(&mut self, service: &str, period: Duration, now: Instant) -> Listing {
         let servers = self.entries.values().map(|entry| &entry.server);
         let present = servers
             .filter(|server| &*server.service == service)
             .map(|server| &server.software);
-        self.software.knowledge(service, present, period, now)
+        let versions = self.software.versions(service, present, period, now);
+        let known = self.software.knowledge(&versions, period, now);
+        Listing { versions, known }
     }
 
     /// Returns the server with an identity.
--- a/crates/shallotroute_fleet/src/software.rs
+++ b/crates/shallotroute_fleet/src/software.rs
@@ -36,6 +36,15 @@
     }
 }
 
+/// What the host list says of a service's software versions during a period.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listing {
+    /// The versions that are known.
+    pub versions: BTreeSet<Name>,
+    /// What these are worth.
+    pub known: Knowledge,
+}
+
 /// The software versions of servers that are no longer in the host list, and since when the list is
 /// known.
 #[derive(Debug, Default)]
@@ -53,6 +62,13 @@
         self.since.get_or_insert(now);
     }
 
+    /// Records that changes of the host list may have been missed until `now`.
+    pub fn record_gap(&mut self, now: Instant) {
+        if let Some(since) = &mut self.since {
+            *since = now;
+        }
+    }
+
     /// Records that a server of a service had a version until `at`; `None` if the time is not known
     /// yet.
     pub fn record_former(&mut self, service: &Name, software: &Name, at: Option<Instant>) {
@@ -60,28 +76,39 @@
         self.former.insert(key, at);
     }
 
-    /// Returns what is known of a service's versions in the `period` before `now`. `present` are the
-    /// versions of its servers in the host list.
-    pub fn knowledge<'a>(
+    /// Returns the versions that a service is known to have had in the `period` before `now`. `present` are those of
+    /// its servers in the host list.
+    pub fn versions<'a>(
         &mut self,
         service: &str,
         present: impl Iterator<Item = &'a Name>,
         period: Duration,
         now: Instant,
-    ) -> Knowledge {
+    ) -> BTreeSet<Name> {
         self.former.retain(|_, at| {
             let at = *at.get_or_insert(now);
             now < at + RETENTION
         });
-        let mut versions: BTreeSet<&Name> = present.collect();
-        for ((of, software), at) in &self.former {
-            if **of == *service && at.is_some_and(|at| now <= at + period) {
-                versions.insert(software);
-            }
-        }
+        let former = self
+            .former
+            .iter()
+            .filter(|((of, _), at)| **of == *service && at.is_some_and(|at| now <= at + period));
+        let former = former.map(|((_, software), _)| software);
+        let mut versions: BTreeSet<Name> = present.cloned().collect();
+        versions.extend(former.cloned());
+        versions
+    }
+
+    /// Returns what is known of the [`History::versions`] of a service, if they are these.
+    pub fn knowledge(
+        &self,
+        versions: &BTreeSet<Name>,
+        period: Duration,
+        now: Instant,
+    ) -> Knowledge {
         let is_complete = self.since.is_some_and(|since| now >= since + period);
         match (versions.len(), versions.first()) {
-            (1, Some(software)) if is_complete => Knowledge::Sole((*software).clone()),
+            (1, Some(software)) if is_complete => Knowledge::Sole(software.clone()),
             (0 | 1, _) => Knowledge::Incomplete,
             _ => Knowledge::Several,
         }
--- a/crates/shallotroute_fleet/tests/release/mod.rs
+++ b/crates/shallotroute_fleet/tests/release/mod.rs
@@ -10,7 +10,7 @@
     limit::Class,
     resume::{self, Answer, LOOKUPS, Node, Origin, Records, Source, Stream, WIDE_LOOKUPS},
     server::{Balancer, Requirements, Server},
-    software::Knowledge,
+    software::{Knowledge, Listing},
 };
 use shallotroute_types::{name::Name, node::Id};
 
@@ -287,6 +287,18 @@
     }
 
     fn known(&mut self, index: usize) -> Knowledge {
+        let now = self.now;
+        self.hosts[index]
+            .balancer
+            .software("quotes", RETENTION, now)
+            .known
+    }
+
+    /// Returns what the host list says, as it is now.
+    fn listing(&mut self, index: usize) -> Listing {
+        let lag = std::mem::take(&mut self.hosts[index].lag);
+        self.follow(index);
+        self.hosts[index].lag = lag;
         let now = self.now;
         self.hosts[index]
             .balancer
@@ -478,7 +490,7 @@
             return Some(origin.clone());
         }
         let nodes: Vec<Node> = self.hosts.iter().map(|host| host.node.clone()).collect();
-        let own = self.known(index);
+        let listing = self.listing(index);
         for count in [LOOKUPS, WIDE_LOOKUPS] {
             let mut answers = Vec::new();
             for node in resume::lookups(id, nodes.iter(), &nodes[index].id, count) {
@@ -490,7 +502,9 @@
                     });
                 }
             }
-            if let Some((origin, source)) = resume::resolve(&"quotes".into(), &own, &answers) {
+            if let Some((origin, source)) =
+                resume::resolve(&"quotes".into(), Some(&listing), &answers)
+            {
                 self.counts.found_by_copy += usize::from(source == Source::Copy);
                 return Some(origin);
             }
--- a/crates/shallotroute_fleet/tests/resume.rs
+++ b/crates/shallotroute_fleet/tests/resume.rs
@@ -13,7 +13,7 @@
     resume::{self, Answer, COPIES, Group, Node, Origin, Records, Source, Stream, WIDE_LOOKUPS},
     route::{Kind, Route, Share},
     server::{Balancer, Server},
-    software::Knowledge,
+    software::{Knowledge, Listing},
 };
 use shallotroute_types::name::Name;
 
@@ -127,12 +127,13 @@
     let start = Instant::now();
     let mut balancer = Balancer::new("zone-0".into());
     expect_that!(
-        balancer.software("quotes", PERIOD, start),
+        balancer.software("quotes", PERIOD, start).known,
         eq(&Knowledge::Incomplete)
     );
     balancer.insert(server("a", "v1"));
     balancer.record_first_read(start);
-    let known = |balancer: &mut Balancer, after| balancer.software("quotes", PERIOD, start + after);
+    let known =
+        |balancer: &mut Balancer, after| balancer.software("quotes", PERIOD, start + after).known;
     expect_that!(
         known(&mut balancer, Duration::from_secs(9)),
         eq(&Knowledge::Incomplete)
@@ -140,7 +141,7 @@
     expect_that!(known(&mut balancer, PERIOD), eq(&sole("v1")));
     // A service without servers says nothing about its streams.
     expect_that!(
-        balancer.software("other", PERIOD, start + PERIOD),
+        balancer.software("other", PERIOD, start + PERIOD).known,
         eq(&Knowledge::Incomplete)
     );
 }
@@ -178,22 +179,25 @@
         let mut balancer = Balancer::new("zone-0".into());
         balancer.insert(server("a", "v1"));
         balancer.record_first_read(start);
-        expect_that!(balancer.software("quotes", PERIOD, at(20)), eq(&sole("v1")));
+        expect_that!(
+            balancer.software("quotes", PERIOD, at(20)).known,
+            eq(&sole("v1"))
+        );
         balancer.insert(server("b", "v2"));
         expect_that!(
-            balancer.software("quotes", PERIOD, at(21)),
+            balancer.software("quotes", PERIOD, at(21)).known,
             eq(&Knowledge::Several)
         );
         change(&mut balancer, at(22));
         for seconds in [22, 31] {
             expect_that!(
-                balancer.software("quotes", PERIOD, at(seconds)),
+                balancer.software("quotes", PERIOD, at(seconds)).known,
                 eq(&Knowledge::Several),
                 "{name}"
             );
         }
         expect_that!(
-            balancer.software("quotes", PERIOD, at(34)),
+            balancer.software("quotes", PERIOD, at(34)).known,
             eq(&sole("v2")),
             "{name}"
         );
@@ -329,33 +333,41 @@
 #[gtest]
 fn a_version_is_unknown_unless_it_is_certain() {
     let service = Name::from("quotes");
-    let resolve = |own: Knowledge, answers: &[Answer]| resume::resolve(&service, &own, answers);
+    let listing = |versions: &[&str], known: Knowledge| Listing {
+        versions: versions.iter().copied().map(Name::from).collect(),
+        known,
+    };
+    let resolve =
+        |listing: &Listing, answers: &[Answer]| resume::resolve(&service, Some(listing), answers);
     let nothing = || answer(None, Knowledge::Incomplete);
     let by_copy = Some((origin("quotes", "v1"), Source::Copy));
     let by_history = Some((origin("quotes", "v1"), Source::SingleVersion));
     let record = answer(Some(origin("quotes", "v1")), Knowledge::Several);
+    let only_v1 = listing(&["v1"], sole("v1"));
+    let only_v2 = listing(&["v2"], sole("v2"));
+    let started = listing(&["v1"], Knowledge::Incomplete);
+    let several = listing(&["v1", "v2"], Knowledge::Several);
+    let answers = [nothing(), record];
     expect_that!(
-        resolve(sole("v2"), &[nothing(), record]),
+        resolve(&only_v2, &answers),
         eq(&by_copy),
         "a record decides"
     );
-    expect_that!(resolve(sole("v1"), &[]), eq(&by_history));
+    expect_that!(resume::resolve(&service, None, &answers), eq(&by_copy));
+    expect_that!(resolve(&only_v1, &[]), eq(&by_history));
     expect_that!(
-        resolve(Knowledge::Incomplete, &[answer(None, sole("v1"))]),
+        resolve(&started, &[answer(None, sole("v1"))]),
         eq(&by_history),
         "another node has known the host list for longer"
     );
-    expect_that!(resolve(Knowledge::Incomplete, &[nothing()]), none());
-    expect_that!(
-        resolve(Knowledge::Several, &[answer(None, sole("v1"))]),
-        none()
-    );
+    expect_that!(resolve(&started, &[nothing()]), none());
+    expect_that!(resolve(&several, &[answer(None, sole("v1"))]), none());
     expect_that!(
-        resolve(sole("v1"), &[answer(None, Knowledge::Several)]),
+        resolve(&only_v1, &[answer(None, Knowledge::Several)]),
         none(),
         "this node's host list lags"
     );
-    expect_that!(resolve(sole("v1"), &[answer(None, sole("v2"))]), none());
+    expect_that!(resolve(&only_v1, &[answer(None, sole("v2"))]), none());
     expect_that!(
         sole("v1").without_present(),
         eq(&Knowledge::Incomplete),
@@ -363,6 +375,45 @@
     );
 }
 
+/// Guards against a stream that goes on at another version at a node that is out of step: without a record, only a host
+/// list that was read since the caller came tells the version, whatever other nodes know.
+#[gtest]
+fn an_older_host_list_does_not_tell_the_version() {
+    let service = Name::from("quotes");
+    let former = answer(None, sole("v1"));
+    expect_that!(resume::resolve(&service, None, &[]), none());
+    expect_that!(
+        resume::resolve(&service, None, std::slice::from_ref(&former)),
+        none()
+    );
+    // The other node's list lags, and this one has only started.
+    for versions in [&["v2"][..], &["v1", "v2"]] {
+        let listing = Listing {
+            versions: versions.iter().copied().map(Name::from).collect(),
+            known: Knowledge::Incomplete,
+        };
+        let found = resume::resolve(&service, Some(&listing), std::slice::from_ref(&former));
+        expect_that!(found, none(), "{versions:?}");
+    }
+}
+
+/// Guards against a version that is taken for the only one although a server of another one may have come and gone while
+/// this node did not get the changes of the host list.
+#[gtest]
+fn a_gap_in_the_changes_is_no_history() {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let mut balancer = Balancer::new("zone-0".into());
+    balancer.insert(server("a", "v1"));
+    balancer.record_gap(start);
+    balancer.record_first_read(at(1));
+    let known = |balancer: &mut Balancer, now| balancer.software("quotes", PERIOD, now).known;
+    expect_that!(known(&mut balancer, at(11)), eq(&sole("v1")));
+    balancer.record_gap(at(12));
+    expect_that!(known(&mut balancer, at(21)), eq(&Knowledge::Incomplete));
+    expect_that!(known(&mut balancer, at(22)), eq(&sole("v1")));
+}
+
 /// Guards against a stream that goes on at another service of a split route, and against one that goes
 /// to a service that the route no longer uses.
 #[gtest]
--- a/crates/shallotroute_resident/src/follow.rs
+++ b/crates/shallotroute_resident/src/follow.rs
@@ -339,6 +339,23 @@
     Ok(has_changes)
 }
 
+/// Makes this node's copy of a prefix as current as the store is now.
+///
+/// # Errors
+///
+/// Returns an error if the store does not answer.
+pub(crate) async fn refresh(shared: &Shared, prefix: Prefix) -> Result<()> {
+    let revision = shared.view.lock().replicas[prefix as usize].revision();
+    let watched = match revision {
+        Some(after) => watch(shared, prefix, after, FIRST_WATCH_TIMEOUT).await,
+        None => Err(Error::HistoryGone),
+    };
+    match watched {
+        Err(Error::HistoryGone) => read(shared, prefix).await.map(|_| ()),
+        watched => watched.map(|_| ()),
+    }
+}
+
 /// Reads a whole prefix and applies the differences. Returns `false`, because the next watch need not
 /// be delayed.
 async fn read(shared: &Shared, prefix: Prefix) -> Result<bool> {
--- a/crates/shallotroute_resident/src/resume.rs
+++ b/crates/shallotroute_resident/src/resume.rs
@@ -13,12 +13,19 @@
 use shallotroute_fleet::{
     resume::{self, Answer, Group, LOOKUPS, Node, Origin, Records, Source, Stream, WIDE_LOOKUPS},
     route::{Kind, Route},
-    software::Knowledge,
+    software::{Knowledge, Listing},
 };
 use shallotroute_types::{name::Name, node::Id};
-use tokio::sync::Notify;
+use tokio::sync::{Mutex as AsyncMutex, Notify};
 
-use crate::{forward::BackendRequest, metric::Metrics, peer::Peers, shared::Shared, view};
+use crate::{
+    follow,
+    forward::BackendRequest,
+    metric::Metrics,
+    peer::Peers,
+    shared::Shared,
+    view::{self, Prefix},
+};
 
 /// How long the first event of a stream waits for the copies of its record. A call to another node
 /// takes a few milliseconds; the limit bounds what a node that has just failed adds to the latency.
@@ -47,12 +54,19 @@
 /// old: that of its source by [`view::MAX_VIEW_AGE`], and the time for which it holds the request.
 const MAX_VIEW_AGE: Duration = Duration::from_secs(2);
 
+/// How long a caller that takes its stream up waits for the host list. The store answers in milliseconds, also when it is
+/// slow within a quarter of a second.
+const REFRESH_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// When a caller may take its stream up again after a refusal. Another node may know the version.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// The streams whose callers may come back.
 pub(crate) struct Streams {
     records: Mutex<Records>,
+    /// When the host list was last requested for a take-up, if the store has answered. Held meanwhile, so that callers that
+    /// come together share a request.
+    refreshed_at: AsyncMutex<Option<Instant>>,
     /// The nodes that did not answer, and until when they are passed over.
     failed_until: Mutex<BTreeMap<Id, Instant>>,
     /// Connections for calls about streams only: an older node closes a connection on which it
@@ -67,6 +81,7 @@
     pub(crate) fn new() -> Self {
         Self {
             records: Mutex::default(),
+            refreshed_at: AsyncMutex::default(),
             failed_until: Mutex::default(),
             peers: Peers::new(),
             changed_services: Mutex::default(),
@@ -149,11 +164,45 @@
 /// Returns what this node knows of the software versions of a service's servers in the `period` up to
 /// now.
 fn known(shared: &Shared, service: &str, period: Duration) -> Knowledge {
-    let knowledge = shared.balancer().software(service, period, shared.now());
+    let known = shared
+        .balancer()
+        .software(service, period, shared.now())
+        .known;
     match view::standing(shared).age {
-        Some(age) if age <= MAX_VIEW_AGE => knowledge,
-        _ => knowledge.without_present(),
+        Some(age) if age <= MAX_VIEW_AGE => known,
+        _ => known.without_present(),
+    }
+}
+
+/// Returns what the host list says of a service's software versions, as it is after `since`. Returns `None` if the store
+/// does not answer in time.
+async fn read_listing(
+    shared: &Shared,
+    service: &str,
+    period: Duration,
+    since: Instant,
+) -> Option<Listing> {
+    {
+        let mut refreshed_at = shared.streams.refreshed_at.lock().await;
+        if refreshed_at.is_none_or(|at| at < since) {
+            let requested_at = shared.now();
+            let refreshing = follow::refresh(shared, Prefix::Servers);
+            let refreshed = tokio::time::timeout(REFRESH_TIMEOUT, refreshing).await;
+            let reason = match refreshed {
+                Ok(Ok(())) => None,
+                Ok(Err(error)) => Some(error.to_string()),
+                Err(_) => Some("the store did not answer in time".to_owned()),
+            };
+            if let Some(reason) = reason {
+                spdlog::info!("failed to read the host list for a caller that takes its stream up", kv: {
+                    service, reason = reason.as_str(),
+                });
+                return None;
+            }
+            *refreshed_at = Some(requested_at);
+        }
     }
+    Some(shared.balancer().software(service, period, shared.now()))
 }
 
 /// Records the origin of a stream of which this node is about to pass on the first event. `id` is the
@@ -263,11 +312,13 @@
     if let Some(origin) = lock(&shared.streams.records).get(id, shared.now()) {
         return Some((origin.clone(), Source::Own));
     }
+    let came_at = shared.now();
     let service = resume::service(route, None, id);
     let period = resume::retention(route, None);
-    let own = known(shared, service, period);
     let mut asked: BTreeSet<Id> = BTreeSet::new();
     let mut answers = Vec::new();
+    let mut listing = None;
+    let mut is_listing_due = true;
     // Draining nodes hold no new records but still answer.
     for (nodes, count) in [
         (nodes(shared, false), LOOKUPS),
@@ -286,10 +337,15 @@
             let has_record = answer.origin.is_some();
             answers.push(answer);
             if has_record {
-                break;
+                return resume::resolve(service, None, &answers);
             }
         }
-        let found = resume::resolve(service, &own, &answers);
+        // The store can't tell anything else once several versions are known.
+        if is_listing_due && known(shared, service, period) != Knowledge::Several {
+            listing = read_listing(shared, service, period, came_at).await;
+            is_listing_due = false;
+        }
+        let found = resume::resolve(service, listing.as_ref(), &answers);
         if found.is_some() {
             return found;
         }
--- a/crates/shallotroute_resident/src/view.rs
+++ b/crates/shallotroute_resident/src/view.rs
@@ -253,6 +253,10 @@
                 let is_first_read = replica.revision().is_none();
                 (replica.replace(entries, revision), is_first_read)
             };
+            if prefix == Prefix::Servers && !is_first_read {
+                // A server may have come and gone since the former revision.
+                shared.balancer().record_gap(shared.now());
+            }
             notify(shared, prefix, &changes, is_first_read);
         }
     }
