fleet, resident: a version is the only one if it was for as long as the most patient caller waits

Callers saw: after all hosts had been killed and came back, a stream that they took up was joined from two software versions (ORDER). Cause: without a record, a version counted as the only one after the route's timeout and 3 s. A caller may wait longer than the route's timeout and come back at any time until its own deadline; its record was kept for that long, the history that stands in for a lost record was not. Change: the period is that of the most patient caller of the route that the node has seen, and a minute at least. Nodes ask each other for the longer of both periods. Records are copied until then. Why it works: a take-up within the period finds a record or is refused; after it no caller comes back. Left open: callers who wait for more than 57 s, after all nodes that had seen one such were killed.

--- a/crates/shallotroute_fleet/src/resume.rs
+++ b/crates/shallotroute_fleet/src/resume.rs
@@ -45,6 +45,10 @@
 /// The time that a caller needs to come back after it has given up waiting for an event.
 const RECONNECTION_TIME: Duration = Duration::from_secs(1);
 
+/// The least time for which callers are taken to come back. A node that has started, or has seen no patient caller yet,
+/// does not know how long callers wait.
+pub const MIN_STREAM_TIME: Duration = Duration::from_secs(60);
+
 /// The maximum number of records that a node keeps: about 25 MB, estimated from the sizes of the types.
 /// The next ones to expire yield.
 const MAX_RECORDS: usize = 100_000;
@@ -239,6 +243,31 @@
     longest.saturating_add(return_time).min(MAX_RETENTION)
 }
 
+/// The longest times that callers of each route have said to wait altogether.
+#[derive(Debug, Default)]
+pub struct Waits(BTreeMap<Name, Duration>);
+
+impl Waits {
+    /// Records how long a caller of a route waits altogether; `None` if it does not say it.
+    pub fn record(&mut self, route: &Route, caller_timeout: Option<Duration>) {
+        let Some(wait) = caller_timeout else {
+            return;
+        };
+        match self.0.get_mut(&route.name) {
+            Some(longest) => *longest = wait.max(*longest),
+            None => {
+                self.0.insert(route.name.clone(), wait);
+            }
+        }
+    }
+
+    /// Returns the longest time between the first event of a route's stream and its caller's last take-up, at least
+    /// [`MIN_STREAM_TIME`].
+    pub fn longest_stream(&self, route: &Route) -> Duration {
+        retention(route, self.0.get(&route.name).copied()).max(MIN_STREAM_TIME)
+    }
+}
+
 /// Returns the nodes in the order in which they hold the record of a stream, by rendezvous hashing:
 /// the first of each availability zone, then the second of each, and so on. All nodes that know the
 /// same members compute the same order.
--- a/crates/shallotroute_fleet/tests/resume.rs
+++ b/crates/shallotroute_fleet/tests/resume.rs
@@ -10,7 +10,10 @@
 
 use googletest::prelude::*;
 use shallotroute_fleet::{
-    resume::{self, Answer, COPIES, Group, Node, Origin, Records, Source, Stream, WIDE_LOOKUPS},
+    resume::{
+        self, Answer, COPIES, Group, MIN_STREAM_TIME, Node, Origin, Records, Source, Stream,
+        WIDE_LOOKUPS, Waits,
+    },
     route::{Kind, Route, Share},
     server::{Balancer, Server},
     software::{Knowledge, Listing},
@@ -414,6 +417,27 @@
     expect_that!(known(&mut balancer, at(22)), eq(&sole("v1")));
 }
 
+/// Guards against a history that is shorter than the time in which a caller may take its stream up: it waits longer than
+/// the route's timeout, and says only what is left when it comes back.
+#[gtest]
+fn a_stream_lasts_as_long_as_the_most_patient_caller_waits() {
+    let route = route(&["a"]);
+    let other = Route {
+        name: "other".into(),
+        ..route.clone()
+    };
+    let seconds = Duration::from_secs;
+    let mut waits = Waits::default();
+    expect_that!(waits.longest_stream(&route), eq(MIN_STREAM_TIME));
+    for wait in [Some(seconds(120)), Some(seconds(4)), None] {
+        waits.record(&route, wait);
+        expect_that!(waits.longest_stream(&route), eq(seconds(123)));
+    }
+    expect_that!(waits.longest_stream(&other), eq(MIN_STREAM_TIME));
+    waits.record(&other, Some(Duration::MAX));
+    expect_that!(waits.longest_stream(&other), eq(seconds(900)));
+}
+
 /// Guards against a stream that goes on at another service of a split route, and against one that goes
 /// to a service that the route no longer uses.
 #[gtest]
--- a/crates/shallotroute_resident/src/resume.rs
+++ b/crates/shallotroute_resident/src/resume.rs
@@ -11,7 +11,9 @@
 use futures::{StreamExt, future::join_all, stream::FuturesUnordered};
 use shallotroute_adapter::backend;
 use shallotroute_fleet::{
-    resume::{self, Answer, Group, LOOKUPS, Node, Origin, Records, Source, Stream, WIDE_LOOKUPS},
+    resume::{
+        self, Answer, Group, LOOKUPS, Node, Origin, Records, Source, Stream, WIDE_LOOKUPS, Waits,
+    },
     route::{Kind, Route},
     software::{Knowledge, Listing},
 };
@@ -64,6 +66,7 @@
 /// The streams whose callers may come back.
 pub(crate) struct Streams {
     records: Mutex<Records>,
+    waits: Mutex<Waits>,
     /// When the host list was last requested for a take-up, if the store has answered. Held meanwhile, so that callers that
     /// come together share a request.
     refreshed_at: AsyncMutex<Option<Instant>>,
@@ -81,6 +84,7 @@
     pub(crate) fn new() -> Self {
         Self {
             records: Mutex::default(),
+            waits: Mutex::default(),
             refreshed_at: AsyncMutex::default(),
             failed_until: Mutex::default(),
             peers: Peers::new(),
@@ -96,6 +100,12 @@
         }
     }
 
+    /// Records how long the caller of a stream waits altogether, if it says so.
+    pub(crate) fn record_wait(&self, route: &Route, request: &BackendRequest) {
+        let wait = backend::request_timeout(&request.headers);
+        lock(&self.waits).record(route, wait);
+    }
+
     /// Holds records of other nodes.
     pub(crate) fn hold(&self, groups: Vec<Group>, now: Instant) {
         lock(&self.records).insert_copies(groups, now);
@@ -150,14 +160,15 @@
     }
 }
 
-/// Returns the longest time for which a stream of a service is recorded; `None` if no route has
-/// streams of it that may be resumed.
+/// Returns the longest time between the first event of a service's stream and its caller's last take-up; `None` if no
+/// route has streams of it that may be resumed.
 fn longest_stream(shared: &Shared, service: &str) -> Option<Duration> {
     let table = shared.table()?;
+    let waits = lock(&shared.streams.waits);
     table
         .routes()
         .filter(|route| route.kind == Kind::Stream { resumable: true } && route.uses(service))
-        .map(|route| resume::retention(route, None))
+        .map(|route| waits.longest_stream(route))
         .max()
 }
 
@@ -224,7 +235,7 @@
     };
     // Before the versions are looked up: a version that appears meanwhile has this record copied.
     lock(&shared.streams.records).insert_own(stream.clone(), origin.clone(), shared.now());
-    let period = resume::retention(route, None);
+    let period = lock(&shared.streams.waits).longest_stream(route);
     if matches!(known(shared, &origin.service, period), Knowledge::Sole(_)) {
         return;
     }
@@ -296,9 +307,10 @@
 /// Returns this node's answer to another one that looks for a stream's record.
 pub(crate) fn answer(shared: &Shared, id: &str, service: &str, period: Duration) -> Answer {
     let origin = lock(&shared.streams.records).get(id, shared.now()).cloned();
+    let period = longest_stream(shared, service).max(Some(period.min(resume::MAX_RETENTION)));
     Answer {
         origin,
-        known: known(shared, service, period.min(resume::MAX_RETENTION)),
+        known: known(shared, service, period.unwrap_or_default()),
     }
 }
 
@@ -314,7 +326,7 @@
     }
     let came_at = shared.now();
     let service = resume::service(route, None, id);
-    let period = resume::retention(route, None);
+    let period = lock(&shared.streams.waits).longest_stream(route);
     let mut asked: BTreeSet<Id> = BTreeSet::new();
     let mut answers = Vec::new();
     let mut listing = None;
--- a/crates/shallotroute_resident/src/stream.rs
+++ b/crates/shallotroute_resident/src/stream.rs
@@ -131,6 +131,9 @@
     };
     let mut attempts = Attempts::new(policy);
     let last_event = backend::last_event_id(&request.headers).unwrap_or(0);
+    if is_resumable {
+        shared.streams.record_wait(route, &request);
+    }
     let take_up = match is_resumable && last_event > 0 {
         true => match find_origin(shared, route, &request, policy.deadline).await {
             Some(take_up) => Some(take_up),
