resident: a caller's stream ends as complete only after an explicit end

Callers saw: a stream that they read over a slow link ended as complete at the route's timeout, without its last events (ORDER). Cause: the body ended regularly whenever the copying task ended without having sent an error. A task that has waited for its caller until the deadline sends none, and neither does one that panics. Change: the task sends an explicit end after a complete stream; a body without one ends with an error. Test: responses a_stream_that_its_caller_reads_too_slowly_does_not_look_complete failed before, passes now.

--- a/crates/shallotroute/tests/responses.rs
+++ b/crates/shallotroute/tests/responses.rs
@@ -267,3 +267,38 @@
     expect_that!(answer.is_complete, eq(true));
     expect_that!(answer.body, eq(&events("one", FIRST_EVENTS)));
 }
+
+/// Guards against a stream that ends as complete without its last events because its caller has not read it until the
+/// route's timeout.
+#[gtest]
+#[tokio::test]
+async fn a_stream_that_its_caller_reads_too_slowly_does_not_look_complete() {
+    // More than the buffers on the way hold.
+    const EVENT_COUNT: u64 = 6000;
+    let script: Script = Arc::new(|request: &Request| {
+        let id = request.id();
+        if !request.target.starts_with("/streams/") {
+            return vec![Step::Write(success(id))];
+        }
+        let filler = "x".repeat(4 << 10);
+        let headers = [("x-request-id", id), ("x-server-stamp", "s.200")];
+        let events = (1..=EVENT_COUNT).map(|number| {
+            let event = format!("id: {number}\ndata: {filler}\n\n");
+            Step::Write(scripted::chunk(&event))
+        });
+        std::iter::once(Step::Write(scripted::chunked(200, &headers)))
+            .chain(events)
+            .chain([Step::Write(scripted::LAST_CHUNK.to_vec())])
+            .collect()
+    });
+    let desk = start(vec![script]).await;
+    let pause = scripted::CALLER_TIMEOUT + Duration::from_secs(1);
+    let whole = desk.send("/streams/fast", "fast", &[]).await;
+    let slow = desk.send_and_read_after("/streams/slow", "slow", &[], pause);
+    let slow = slow.await;
+    let count = |answer: &scripted::Answer| answer.body.matches("data: ").count() as u64;
+    expect_that!((whole.is_complete, count(&whole)), eq((true, EVENT_COUNT)));
+    expect_that!(slow.status, some(eq(StatusCode::OK)));
+    expect_that!(count(&slow), lt(EVENT_COUNT));
+    expect_that!(slow.is_complete, eq(false));
+}
--- a/crates/shallotroute_resident/src/stream.rs
+++ b/crates/shallotroute_resident/src/stream.rs
@@ -36,6 +36,14 @@
 /// The maximum number of chunks that are buffered for a slow caller.
 const QUEUE_CHUNKS: usize = 64;
 
+/// What the response of a caller consists of.
+enum Part {
+    /// Bytes of the body.
+    Bytes(Bytes),
+    /// The regular end of the body.
+    End,
+}
+
 /// An open stream from a server.
 struct OpenStream {
     /// The server according to the host list when it was chosen.
@@ -169,13 +177,23 @@
         sender,
     };
     tokio::spawn(copier.run(opened, attempts));
-    let chunks = futures::stream::unfold(receiver, |mut receiver| async move {
-        let chunk: Result<Bytes, body::Error> = receiver.recv().await?;
-        Some((chunk, receiver))
-    });
+    let chunks = futures::stream::unfold(Some(receiver), next_chunk);
     server_response(status, headers, body::stream(chunks))
 }
 
+/// Returns the next chunk of a caller's response and the receiver of those after it. Without [`Part::End`] the body ends
+/// with an error, so that it does not look complete.
+async fn next_chunk(
+    receiver: Option<mpsc::Receiver<Part>>,
+) -> Option<(Result<Bytes, body::Error>, Option<mpsc::Receiver<Part>>)> {
+    let mut receiver = receiver?;
+    match receiver.recv().await {
+        Some(Part::Bytes(bytes)) => Some((Ok(bytes), Some(receiver))),
+        Some(Part::End) => None,
+        None => Some((Err("the stream was given up before its end".into()), None)),
+    }
+}
+
 /// Logs and counts a stream that no server has opened, and returns the response for its caller.
 fn refuse_stream(
     shared: &Shared,
@@ -433,7 +451,8 @@
     is_recorded: bool,
     /// Whether the present server has sent an event.
     has_event: bool,
-    sender: mpsc::Sender<Result<Bytes, body::Error>>,
+    /// The response of the caller, which is aborted if this is dropped before [`Part::End`].
+    sender: mpsc::Sender<Part>,
 }
 
 impl Copier {
@@ -459,7 +478,7 @@
                     failure = AttemptFailure::MayHaveRun;
                     "the continuation has no event; another server has to agree that the stream has ended".to_owned()
                 }
-                CopyEnd::Complete => return self.record_end(&server, "answered", ""),
+                CopyEnd::Complete => return self.finish(&server).await,
                 CopyEnd::CallerLeft => return self.record_end(&server, "caller_left", ""),
                 CopyEnd::CallerStalled => return self.record_end(&server, "caller_stalled", ""),
                 CopyEnd::Broken(reason) => {
@@ -472,7 +491,7 @@
                 CopyEnd::LinkLost(reason) => reason,
             };
             if !can_resume {
-                return self.abort(&server, reason).await;
+                return self.record_end(&server, "broken", &reason);
             }
             spdlog::info!("resuming stream at another server", kv: {
                 request = &*self.request.id,
@@ -495,7 +514,7 @@
             );
             opened = match next.await {
                 Ok(next) => next,
-                Err((_, reason)) => return self.abort(&server, reason).await,
+                Err((_, reason)) => return self.record_end(&server, "broken", &reason),
             };
         }
     }
@@ -534,7 +553,7 @@
                         .record_heard(&connection, self.shared.now());
                     if let Ok(bytes) = frame.into_data() {
                         self.record_event();
-                        if let Err(end) = self.send(bytes).await {
+                        if let Err(end) = self.send(Part::Bytes(bytes)).await {
                             return end;
                         }
                     }
@@ -636,7 +655,7 @@
             }
             self.check_software(server)?;
             self.record_origin(&server.software).await;
-            self.send(block).await?;
+            self.send(Part::Bytes(block)).await?;
             self.last_event = number;
         }
         Ok(())
@@ -698,10 +717,10 @@
         .await;
     }
 
-    /// Sends bytes to the caller. A caller that does not read is waited for until the deadline of its
+    /// Sends a part of the response to the caller. A caller that does not read is waited for until the deadline of its
     /// request.
-    async fn send(&self, bytes: Bytes) -> Result<(), CopyEnd> {
-        let sending = self.sender.send(Ok(bytes));
+    async fn send(&self, part: Part) -> Result<(), CopyEnd> {
+        let sending = self.sender.send(part);
         match tokio::time::timeout_at(self.deadline.into(), sending).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) => Err(CopyEnd::CallerLeft),
@@ -709,11 +728,14 @@
         }
     }
 
-    /// Aborts the caller's stream with an error, so that it does not look complete.
-    async fn abort(&self, server: &Name, reason: String) {
-        self.record_end(server, "broken", &reason);
-        // Sending fails if the caller has already left.
-        let _ = self.sender.send(Err(reason.into())).await;
+    /// Ends the caller's stream as complete.
+    async fn finish(&self, server: &Name) {
+        let outcome = match self.send(Part::End).await {
+            Ok(()) => "answered",
+            Err(CopyEnd::CallerStalled) => "caller_stalled",
+            Err(_) => "caller_left",
+        };
+        self.record_end(server, outcome, "");
     }
 
     /// Logs and counts the end of the stream.
