resident: the end of a job that could not be stored is stored later

Callers saw: a trainer ended its job while the store was down and was refused; 18 s after the store was back, the job's unfinished items ran again (UNASKED). Cause: the end was held in the owner's memory for 20 s only. The head in the store said that the job runs, so that the leader had it taken over. Change: a node that could not store an end goes on trying for as long as the job's records are kept. Test: refused_end a_job_whose_end_was_refused_is_not_run_again failed before (20 begun again), passes now.

--- a/crates/shallotroute_resident/src/claim.rs
+++ b/crates/shallotroute_resident/src/claim.rs
@@ -36,6 +36,10 @@
 /// How long the write of a job's end or release is retried.
 pub(crate) const END_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// The interval between two attempts of [`end_later`]. A job whose end is stored this long after the store is back has not
+/// been taken over yet.
+const END_RETRY_DELAY: Duration = Duration::from_millis(300);
+
 /// The time by which the deadline of a job's items and the retention of its records are extended, because
 /// the clock of the node that accepted the job and that of another node may differ.
 pub(crate) const CLOCK_SKEW_MARGIN: Duration = Duration::from_secs(3);
@@ -417,6 +421,26 @@
     }
 }
 
+/// Goes on storing the end of a job that [`end`] could not store in time, for as long as the job's records are kept: its
+/// trainer may not ask again, and a job that is not marked as ended would be taken over and run.
+pub(crate) fn end_later(shared: &Arc<Shared>, job: &Name) {
+    if !shared.jobs.begin_ending(job) {
+        return;
+    }
+    let (shared, job) = (Arc::clone(shared), job.clone());
+    tokio::spawn(async move {
+        let deadline = Instant::now() + shared.settings.retention;
+        while Instant::now() < deadline {
+            tokio::time::sleep(END_RETRY_DELAY).await;
+            if let Ok(true) | Err(Error::NotFound) = try_end(&shared, &job).await {
+                spdlog::info!("end of job stored late", kv: { job = job.as_str() });
+                break;
+            }
+        }
+        shared.jobs.finish_ending(&job);
+    });
+}
+
 /// Writes the end once. Returns `false` if another process has changed the head since it was read.
 async fn try_end(shared: &Shared, job: &Name) -> Result<bool> {
     let requested_at = shared.boot_time();
--- a/crates/shallotroute_resident/src/job.rs
+++ b/crates/shallotroute_resident/src/job.rs
@@ -45,6 +45,8 @@
     /// The jobs that this node is about to start. Locked after `owned`.
     reserved: Mutex<HashSet<Name>>,
     known_owners: Mutex<HashMap<Name, Owner>>,
+    /// The jobs whose end this node still has to store.
+    ending: Mutex<HashSet<Name>>,
 }
 
 /// The right to start a job at this node, which one task has at a time. A job may be taken over for
@@ -130,6 +132,16 @@
 }
 
 impl Registry {
+    /// Records that a task of this node is about to store the end of a job. Returns `false` if another one does.
+    pub(crate) fn begin_ending(&self, job: &Name) -> bool {
+        lock(&self.ending).insert(job.clone())
+    }
+
+    /// Records that the task has ended.
+    pub(crate) fn finish_ending(&self, job: &Name) {
+        lock(&self.ending).remove(job);
+    }
+
     /// Returns a job, or `None` if this node does not own it.
     pub(crate) fn owned(&self, job: &str) -> Option<Arc<Owned>> {
         lock(&self.owned).get(job).cloned()
--- a/crates/shallotroute_resident/src/trainer.rs
+++ b/crates/shallotroute_resident/src/trainer.rs
@@ -158,10 +158,18 @@
             match owner_call {
                 OwnerCall::Answer(is_stored) => is_stored,
                 OwnerCall::Stored(stored) => stored.head.ended || claim::end(shared, job).await,
-                OwnerCall::Failed(response) => return response,
+                OwnerCall::Failed(response) => {
+                    if response.status() != StatusCode::NOT_FOUND {
+                        claim::end_later(shared, job);
+                    }
+                    return response;
+                }
             }
         }
     };
+    if !is_stored {
+        claim::end_later(shared, job);
+    }
     spdlog::info!("end of job requested", kv: { job = job.as_str(), kept = is_stored });
     match is_stored {
         true => response::text(StatusCode::OK, ""),
