resident: take-ups that wait for the same failed read of the host list are refused together

Callers saw: nothing yet; found in the read-through. Change: a read that fails counts for all callers who came before it ended. A late end of a job that no longer exists is not logged as stored. Test: out_of_step a_node_out_of_step_that_reaches_nobody_refuses_take_ups passes as before.

--- a/crates/shallotroute_resident/src/claim.rs
+++ b/crates/shallotroute_resident/src/claim.rs
@@ -432,9 +432,14 @@
         let deadline = Instant::now() + shared.settings.retention;
         while Instant::now() < deadline {
             tokio::time::sleep(END_RETRY_DELAY).await;
-            if let Ok(true) | Err(Error::NotFound) = try_end(&shared, &job).await {
-                spdlog::info!("end of job stored late", kv: { job = job.as_str() });
-                break;
+            match try_end(&shared, &job).await {
+                Ok(true) => {
+                    spdlog::info!("end of job stored late", kv: { job = job.as_str() });
+                    break;
+                }
+                Err(Error::NotFound) => break,
+                // The end is stored once the store can be reached.
+                Ok(false) | Err(_) => {}
             }
         }
         shared.jobs.finish_ending(&job);
--- a/crates/shallotroute_resident/src/resume.rs
+++ b/crates/shallotroute_resident/src/resume.rs
@@ -67,9 +67,8 @@
 pub(crate) struct Streams {
     records: Mutex<Records>,
     waits: Mutex<Waits>,
-    /// When the host list was last requested for a take-up, if the store has answered. Held meanwhile, so that callers that
-    /// come together share a request.
-    refreshed_at: AsyncMutex<Option<Instant>>,
+    /// The reads of the host list for take-ups. Locked during a read, so that callers that come together share it.
+    reads: AsyncMutex<Reads>,
     /// The nodes that did not answer, and until when they are passed over.
     failed_until: Mutex<BTreeMap<Id, Instant>>,
     /// Connections for calls about streams only: an older node closes a connection on which it
@@ -80,12 +79,21 @@
     has_changed: Notify,
 }
 
+/// The last reads of the host list for take-ups.
+#[derive(Default)]
+struct Reads {
+    /// When the last one began that the store has answered.
+    answered: Option<Instant>,
+    /// When the last one failed.
+    failed: Option<Instant>,
+}
+
 impl Streams {
     pub(crate) fn new() -> Self {
         Self {
             records: Mutex::default(),
             waits: Mutex::default(),
-            refreshed_at: AsyncMutex::default(),
+            reads: AsyncMutex::default(),
             failed_until: Mutex::default(),
             peers: Peers::new(),
             changed_services: Mutex::default(),
@@ -193,29 +201,38 @@
     period: Duration,
     since: Instant,
 ) -> Option<Listing> {
-    {
-        let mut refreshed_at = shared.streams.refreshed_at.lock().await;
-        if refreshed_at.is_none_or(|at| at < since) {
-            let requested_at = shared.now();
-            let refreshing = follow::refresh(shared, Prefix::Servers);
-            let refreshed = tokio::time::timeout(REFRESH_TIMEOUT, refreshing).await;
-            let reason = match refreshed {
-                Ok(Ok(())) => None,
-                Ok(Err(error)) => Some(error.to_string()),
-                Err(_) => Some("the store did not answer in time".to_owned()),
-            };
-            if let Some(reason) = reason {
+    let mut reads = shared.streams.reads.lock().await;
+    let is_after = |at: Option<Instant>| at.is_some_and(|at| at >= since);
+    // The callers that waited for a read that failed are refused together.
+    if is_after(reads.failed) {
+        return None;
+    }
+    if !is_after(reads.answered) {
+        let began_at = shared.now();
+        match refresh(shared).await {
+            Ok(()) => reads.answered = Some(began_at),
+            Err(reason) => {
+                reads.failed = Some(shared.now());
                 spdlog::info!("failed to read the host list for a caller that takes its stream up", kv: {
                     service, reason = reason.as_str(),
                 });
                 return None;
             }
-            *refreshed_at = Some(requested_at);
         }
     }
+    drop(reads);
     Some(shared.balancer().software(service, period, shared.now()))
 }
 
+/// Makes this node's copy of the host list as current as the store is now. Returns why it failed.
+async fn refresh(shared: &Shared) -> Result<(), String> {
+    let refreshing = follow::refresh(shared, Prefix::Servers);
+    match tokio::time::timeout(REFRESH_TIMEOUT, refreshing).await {
+        Ok(refreshed) => refreshed.map_err(|error| error.to_string()),
+        Err(_) => Err("the store did not answer in time".to_owned()),
+    }
+}
+
 /// Records the origin of a stream of which this node is about to pass on the first event. `id` is the
 /// identity of the request that brought the stream's first event.
 ///
