settings, member: bounds of revocation, duties, memory, and the protocol of a node

Cause: no part of a node knew the bounds of strict revocation, the duties of the platform, or the memory and descriptors that its process may use, and no node knew which calls another one answers. Change: the settings template passes them on where the deployment has them; a member's entry names the version of its calls behind the fields that earlier builds read, and ignores trailing bytes as they do. Result: the tests of settings and of records pass; entries of earlier builds are read as protocol 0.

--- a/crates/shallotroute_batch/src/record.rs
+++ b/crates/shallotroute_batch/src/record.rs
@@ -227,3 +227,36 @@
         reason: error.to_string(),
     })
 }
+
+/// Returns the binary encoding of a record with data appended that builds before it do not know. They ignore
+/// trailing bytes.
+///
+/// # Panics
+///
+/// Panics under the same condition as [`encode`].
+pub fn encode_extended<T: Serialize + ?Sized, E: Serialize>(record: &T, extension: &E) -> Vec<u8> {
+    let mut encoded = encode(record);
+    encoded.extend(encode(extension));
+    encoded
+}
+
+/// Decodes a record of [`encode_extended`], or one of an earlier build, which has the default extension.
+///
+/// # Errors
+///
+/// Returns an error if the bytes do not encode a `T`, or the bytes after it no `E`.
+pub fn decode_extended<T: DeserializeOwned, E: DeserializeOwned + Default>(
+    kind: &'static str,
+    bytes: &[u8],
+) -> Result<(T, E)> {
+    let to_error = |error: postcard::Error| Error {
+        kind,
+        reason: error.to_string(),
+    };
+    let (record, rest) = postcard::take_from_bytes(bytes).map_err(to_error)?;
+    let extension = match rest.is_empty() {
+        true => E::default(),
+        false => postcard::from_bytes(rest).map_err(to_error)?,
+    };
+    Ok((record, extension))
+}
--- a/crates/shallotroute_batch/tests/record.rs
+++ b/crates/shallotroute_batch/tests/record.rs
@@ -150,3 +150,25 @@
     expect_that!(read, elements_are![eq(&expected)]);
     Ok(())
 }
+
+/// Guards against a record with appended data that a node of an earlier build misreads, and against one of
+/// an earlier build that this build rejects.
+#[gtest]
+fn appended_data_is_ignored_by_earlier_builds_and_may_be_missing() -> Result<()> {
+    let extended = record::encode_extended(&7_u32, &Some("w1".to_owned()));
+    expect_that!(record::decode::<u32>("number", &extended).or_fail()?, eq(7));
+    let (number, name): (u32, Option<String>) =
+        record::decode_extended("number", &extended).or_fail()?;
+    expect_that!(number, eq(7));
+    expect_that!(name, some(eq("w1")));
+    let (number, name): (u32, Option<String>) =
+        record::decode_extended("number", &record::encode(&7_u32)).or_fail()?;
+    expect_that!(number, eq(7));
+    expect_that!(name, none());
+    let cut = &extended[..extended.len() - 1];
+    expect_that!(
+        record::decode_extended::<u32, Option<String>>("number", cut),
+        err(anything())
+    );
+    Ok(())
+}
--- a/crates/shallotroute_resident/src/member.rs
+++ b/crates/shallotroute_resident/src/member.rs
@@ -39,8 +39,16 @@
     pub(crate) capacity: u32,
     /// Whether the node drains and takes no new work.
     pub(crate) leaving: bool,
+    /// The version of the calls that the node answers to other nodes, [`PROTOCOL`] for this build. It
+    /// follows the other fields in the record; 0 if the node's build does not write it.
+    #[serde(skip)]
+    pub(crate) protocol: u32,
 }
 
+/// The version of the calls between nodes. Calls that were added with a version go only to nodes whose
+/// entry names at least that version: an earlier build closes the connection on an unknown call.
+pub(crate) const PROTOCOL: u32 = 1;
+
 /// The stored record of the leadership.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct LeaderRecord {
@@ -57,6 +65,18 @@
     pub(crate) fence: Fence,
 }
 
+impl Member {
+    /// Returns the stored form of the entry.
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        record::encode_extended(self, &self.protocol)
+    }
+
+    fn decode(bytes: &[u8]) -> record::Result<Self> {
+        let (member, protocol) = record::decode_extended("member", bytes)?;
+        Ok(Self { protocol, ..member })
+    }
+}
+
 /// The known nodes and their leader.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct Members {
@@ -97,7 +117,7 @@
         let Some(node) = key.strip_prefix(NODE_PREFIX) else {
             return;
         };
-        match record::decode::<Member>("member", value) {
+        match Member::decode(value) {
             Ok(member) => {
                 self.nodes.insert(Id::from(node), member);
             }
@@ -170,6 +190,12 @@
         self.linked_nodes().map(source_node).collect()
     }
 
+    /// Returns whether a process answers the calls that were added with a protocol version.
+    pub(crate) fn speaks(&self, owner: &Owner, protocol: u32) -> bool {
+        let member = self.nodes.get(&owner.node);
+        member.is_some_and(|member| member.owner == *owner && member.protocol >= protocol)
+    }
+
     /// Returns the address at which a node answers other nodes.
     pub(crate) fn address(&self, id: &Id) -> Option<SocketAddr> {
         self.nodes.get(id).map(|member| member.owner.address)
--- a/crates/shallotroute_resident/src/presence.rs
+++ b/crates/shallotroute_resident/src/presence.rs
@@ -4,7 +4,6 @@
 use std::{sync::Arc, time::Duration};
 
 use shallotroute_adapter::store::{Write, WriteOutcome};
-use shallotroute_batch::record;
 use shallotroute_fleet::{link::State, source};
 use tokio::{sync::watch, time::Instant};
 use tokio_util::sync::CancellationToken;
@@ -185,15 +184,16 @@
         zone: shared.settings.node.zone.clone(),
         capacity: shared.capacity(),
         leaving: shared.drain.is_cancelled(),
+        protocol: member::PROTOCOL,
     };
     let key = member::node_key(&shared.owner.node);
     let write = Write {
-        puts: vec![(key.clone(), record::encode(&member), lease_id)],
+        puts: vec![(key.clone(), member.encode(), lease_id)],
         ..Write::default()
     };
     match shared.store.write(&write).await? {
         WriteOutcome::Applied(revision) => {
-            view::apply_own_write(shared, &key, record::encode(&member), revision);
+            view::apply_own_write(shared, &key, member.encode(), revision);
             spdlog::info!("node registered", kv: {
                 node = shared.owner.node.as_str(),
                 incarnation = shared.owner.incarnation.0,
--- a/crates/shallotroute_settings/src/site.rs
+++ b/crates/shallotroute_settings/src/site.rs
@@ -1,9 +1,9 @@
 //! Parses the settings of a node on the users' platform, which the deployment generates from a
 //! template.
 
-use std::{net::SocketAddr, path::Path, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, path::Path, time::Duration};
 
-use serde_yaml_ng::Value;
+use serde_yaml_ng::{Mapping, Value};
 
 use crate::{
     Level, Node, Result, check,
@@ -14,6 +14,21 @@
 /// The keys at the root of the file.
 const SECTIONS: [&str; 4] = ["node", "site", "listen", "log_level"];
 
+/// The fields of the section `site`.
+const SITE_FIELDS: [&str; 11] = [
+    "role",
+    "store",
+    "cores",
+    "grace_s",
+    "retention_s",
+    "fences_checked",
+    "lease_s",
+    "revocation_s",
+    "duties",
+    "memory_mb",
+    "descriptors",
+];
+
 /// The settings of a node on the users' platform.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SiteSettings {
@@ -34,10 +49,45 @@
     /// How long orders of a former leader may still arrive at model servers that do not check
     /// fencing numbers, for which a new leader waits; zero when all servers check them.
     pub stale_order_delay: Duration,
+    /// How long the lease of a leader counts, within which leaders must not take turns.
+    pub lease: Duration,
+    /// How long after its removal from the configuration a key may still work; `None` if only the bound
+    /// of the configuration holds.
+    pub revocation: Option<Duration>,
+    /// The duties that one node of the fleet performs at a time; `None` without any.
+    pub duties: Option<Duties>,
+    /// The memory that the process may use, in megabytes; `None` if only the host's memory bounds it.
+    pub memory_mb: Option<u64>,
+    /// The file descriptors that the process may use; `None` if only the operating system bounds them.
+    pub descriptors: Option<u64>,
     /// The least severe level that is logged; `info` if absent.
     pub log_level: Level,
 }
 
+/// The duties that the platform expects of one node at a time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Duties {
+    /// The address of the platform's API.
+    pub address: SocketAddr,
+    /// The duties that the deployment has.
+    pub kinds: BTreeSet<Duty>,
+    /// The calls per second that the platform takes from all nodes together.
+    pub calls_per_second: f64,
+    /// The length of a window of usage.
+    pub window: Duration,
+    /// How long after the end of a window its usage is due.
+    pub report_within: Duration,
+}
+
+/// A duty of one node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Duty {
+    /// Reports the usage of each workspace.
+    Usage,
+    /// Orders the number of backend servers.
+    Scale,
+}
+
 /// The role of a node on the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
@@ -98,16 +148,7 @@
         .get("log_level")
         .and_then(|level| check::read_level(reader, level, "log_level"))
         .unwrap_or_default();
-    let known = [
-        "role",
-        "store",
-        "cores",
-        "grace_s",
-        "retention_s",
-        "fences_checked",
-        "lease_s",
-    ];
-    let site = reader.mapping(root.get("site"), "site", &known)?;
+    let site = reader.mapping(root.get("site"), "site", &SITE_FIELDS)?;
     let role = read_role(reader, site.get("role"));
     let store = check::read_address(reader, site.get("store"), "site.store");
     let cores: Option<f64> = reader.parse(site.get("cores"), "site.cores", "a number of cores");
@@ -124,6 +165,10 @@
         Some(false) => lease,
         None => None,
     };
+    let revocation = read_optional(reader, &site, "revocation_s", read_seconds);
+    let duties = read_optional(reader, &site, "duties", read_duties);
+    let memory_mb = read_count(reader, site.get("memory_mb"), "site.memory_mb");
+    let descriptors = read_count(reader, site.get("descriptors"), "site.descriptors");
     let (role, listen) = (role?, listen?);
     if role == Role::Entry && (listen.callers.is_none() || listen.readiness.is_none()) {
         reader.report(
@@ -140,10 +185,91 @@
         grace: grace?,
         retention: retention?,
         stale_order_delay: stale_order_delay?,
+        lease: lease?,
+        revocation: revocation?,
+        duties: duties?,
+        memory_mb: memory_mb?,
+        descriptors: descriptors?,
         log_level,
     })
 }
 
+/// Returns a value unless it is missing or empty.
+fn optional(value: Option<&Value>) -> Option<&Value> {
+    value.filter(|value| !value.is_null())
+}
+
+/// Reads a field of the section `site` unless it is missing or empty. Returns `None` if it is invalid.
+fn read_optional<T>(
+    reader: &mut Reader<'_>,
+    site: &Mapping,
+    name: &str,
+    read: impl Fn(&mut Reader<'_>, Option<&Value>, &str) -> Option<T>,
+) -> Option<Option<T>> {
+    match optional(site.get(name)) {
+        Some(value) => read(reader, Some(value), &format!("site.{name}")).map(Some),
+        None => Some(None),
+    }
+}
+
+/// Reads an optional positive number. Returns `None` if it is invalid.
+fn read_count(reader: &mut Reader<'_>, value: Option<&Value>, path: &str) -> Option<Option<u64>> {
+    let Some(value) = optional(value) else {
+        return Some(None);
+    };
+    let count: u64 = reader.parse(Some(value), path, "a positive whole number")?;
+    if count == 0 {
+        reader.report(path, "has to be positive");
+        return None;
+    }
+    Some(Some(count))
+}
+
+/// Reads the duties. Names that are not known are those of other builds and ignored.
+fn read_duties(reader: &mut Reader<'_>, value: Option<&Value>, path: &str) -> Option<Duties> {
+    let known = [
+        "address",
+        "kinds",
+        "calls_per_s",
+        "window_s",
+        "report_within_s",
+    ];
+    let section = reader.mapping(value, path, &known)?;
+    let field = |name: &str| format!("{path}.{name}");
+    let address = check::read_address(reader, section.get("address"), &field("address"));
+    let kinds = reader
+        .sequence(section.get("kinds"), &field("kinds"))
+        .iter()
+        .filter_map(|kind| match kind.as_str() {
+            Some("usage") => Some(Duty::Usage),
+            Some("scale") => Some(Duty::Scale),
+            _ => None,
+        })
+        .collect();
+    let calls_per_second: Option<f64> = reader.parse(
+        section.get("calls_per_s"),
+        &field("calls_per_s"),
+        "a number of calls",
+    );
+    let window = read_seconds(reader, section.get("window_s"), &field("window_s"));
+    let report_within = read_seconds(
+        reader,
+        section.get("report_within_s"),
+        &field("report_within_s"),
+    );
+    if window.is_some_and(|window| window.is_zero()) {
+        reader.report(&field("window_s"), "has to be positive");
+        return None;
+    }
+    Some(Duties {
+        address: address?,
+        kinds,
+        calls_per_second: calls_per_second?,
+        window: window?,
+        report_within: report_within?,
+    })
+}
+
 fn read_role(reader: &mut Reader<'_>, value: Option<&Value>) -> Option<Role> {
     let text = reader.text(value, "site.role")?;
     match text.as_str() {
--- a/crates/shallotroute_settings/tests/site.rs
+++ b/crates/shallotroute_settings/tests/site.rs
@@ -3,7 +3,7 @@
 use std::{path::Path, time::Duration};
 
 use googletest::prelude::*;
-use shallotroute_settings::site::{NodeSettings, Role, SiteSettings};
+use shallotroute_settings::site::{Duty, NodeSettings, Role, SiteSettings};
 
 const SETTINGS: &str = "\
 node:
@@ -104,3 +104,44 @@
     );
     Ok(())
 }
+
+/// Guards against duties and bounds of the deployment that a node does not read, and against an empty value
+/// of a deployment without them that counts as a fault.
+#[gtest]
+fn reads_duties_and_bounds_where_the_deployment_has_them() -> Result<()> {
+    let without = SETTINGS.replace(
+        "  lease_s",
+        "  memory_mb: \n  revocation_s: \n  duties: \n  lease_s",
+    );
+    let site = parse(&without).or_fail()?;
+    expect_that!(site.duties, none());
+    expect_that!(site.revocation, none());
+    expect_that!(site.memory_mb, none());
+    let with = SETTINGS.replace(
+        "  lease_s",
+        concat!(
+            "  revocation_s: 5000e-3\n",
+            "  duties:\n",
+            "    address: 10.200.0.5:8667\n",
+            "    kinds: [\"usage\", \"scale\", \"later\"]\n",
+            "    calls_per_s: 50.0\n",
+            "    window_s: 5\n",
+            "    report_within_s: 10\n",
+            "  memory_mb: 160\n",
+            "  descriptors: 4100\n",
+            "  lease_s",
+        ),
+    );
+    let site = parse(&with).or_fail()?;
+    let duties = site.duties.or_fail()?;
+    expect_that!(
+        duties.kinds,
+        unordered_elements_are![eq(&Duty::Usage), eq(&Duty::Scale)]
+    );
+    expect_that!(duties.window, eq(Duration::from_secs(5)));
+    expect_that!(site.revocation, some(eq(Duration::from_secs(5))));
+    expect_that!(site.memory_mb, some(eq(160)));
+    expect_that!(site.descriptors, some(eq(4100)));
+    expect_that!(site.lease, eq(Duration::from_secs(3)));
+    Ok(())
+}
