shallotroute: the test of jobs of workspaces waits for the nodes' entries

Cause: 2 of 6 runs failed since a node was not registered yet when its entry was rewritten. Change: the test waits until both nodes list both. Measured: 8 of 8 runs of the file pass.

--- a/crates/shallotroute/tests/workspaces.rs
+++ b/crates/shallotroute/tests/workspaces.rs
@@ -326,6 +326,21 @@
     }
 }
 
+/// Waits until two nodes know that both of them are registered.
+async fn await_members(desk: &Desk) {
+    let began = Instant::now();
+    for node in 0..2 {
+        while desk.state(node).await.0["members"]["nodes"]
+            .as_array()
+            .map(Vec::len)
+            != Some(2)
+        {
+            assert_that!(began.elapsed(), lt(TIMEOUT));
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
 /// Waits until the results of the job can be read.
 async fn await_results(desk: &Desk) -> bool {
     let began = Instant::now();
@@ -345,6 +360,7 @@
 #[tokio::test]
 async fn a_job_belongs_to_its_workspace() {
     let desk = start(failing_first(Duration::ZERO), 2).await;
+    await_members(&desk).await;
     let submitted = call(&desk, 0, "POST", "/jobs/job", Some(ALPHA)).await;
     expect_that!(submitted.status, some(eq(StatusCode::ACCEPTED)));
     expect_only_alpha(&desk, "at once").await;
