--- a/crates/shallotroute/tests/workspaces.rs
+++ b/crates/shallotroute/tests/workspaces.rs
@@ -385,6 +385,30 @@
     expect_no_key(&desk, 2).await;
 }
 
+/// Guards against a request that reaches a server with its key or as another workspace because another node relays it.
+#[gtest]
+#[tokio::test]
+async fn a_relayed_request_keeps_its_workspace() {
+    let desk = start(failing_first(Duration::ZERO), 2).await;
+    await_members(&desk).await;
+    desk.cut_links(0);
+    let headers = [("authorization", ALPHA), ("x-tenant", "forged")];
+    let began = Instant::now();
+    for number in 0.. {
+        let id = format!("relayed-{number}");
+        let answer = desk.send(&format!("/again/{id}"), &id, &headers).await;
+        let named = workspaces_at_servers(&desk, &id);
+        expect_that!(named, each(some(eq("alpha"))));
+        let (dump, _) = desk.state(0).await;
+        if dump["links"] == "lost" && answer.status == Some(StatusCode::OK) {
+            break;
+        }
+        assert_that!(began.elapsed(), lt(TIMEOUT));
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    expect_no_key(&desk, 2).await;
+}
+
 /// Guards against an invalid configuration that takes effect, and against its keys in the log.
 #[gtest]
 #[tokio::test]
--- a/crates/shallotroute_batch/tests/record.rs
+++ b/crates/shallotroute_batch/tests/record.rs
@@ -12,7 +12,7 @@
     job::{Action, Choice, Job, Limits},
     record::{self, Checkpoint, CheckpointState, Item, Outcome, Sample, Specification},
 };
-use shallotroute_types::version::Version;
+use shallotroute_types::{name::Name, version::Version};
 
 /// The layout of [`Checkpoint`] in builds that don't know the software of an output.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
@@ -32,6 +32,17 @@
     Done(Outcome),
 }
 
+/// The layout of [`Specification`] in builds without workspaces.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct OldSpecification {
+    host: String,
+    path: String,
+    model: Name,
+    min_version: Version,
+    wanted_groups: u32,
+    items: Vec<Item>,
+}
+
 fn outcome() -> Outcome {
     Outcome::Completed(Sample {
         output: "a\nb".to_owned(),
@@ -173,3 +184,44 @@
     );
     Ok(())
 }
+
+/// Guards against a specification that a node of the earlier build misreads, against one of it whose job loses its
+/// items, and against other bytes for a job without a workspace.
+#[gtest]
+fn the_workspace_of_a_job_is_read_by_builds_that_know_it() -> Result<()> {
+    let without = Arc::unwrap_or_clone(specification());
+    let with = Specification {
+        workspace: Some("alpha".into()),
+        ..without.clone()
+    };
+    let old = OldSpecification {
+        host: without.host.clone(),
+        path: without.path.clone(),
+        model: without.model.clone(),
+        min_version: without.min_version,
+        wanted_groups: without.wanted_groups,
+        items: without.items.clone(),
+    };
+    expect_that!(without.encode(), eq(&record::encode(&old)));
+    for new in [without, with] {
+        let read: OldSpecification = record::decode("specification", &new.encode()).or_fail()?;
+        expect_that!(read, eq(&old));
+        expect_that!(Specification::decode(&new.encode()), ok(eq(&new)));
+    }
+    Ok(())
+}
+
+/// Guards against a job that belongs to nobody, so that each workspace may access it, once it has ended.
+#[gtest]
+fn an_ended_job_keeps_its_workspace() {
+    let specification = Arc::new(Specification {
+        workspace: Some("alpha".into()),
+        ..Arc::unwrap_or_clone(specification())
+    });
+    let mut job = Job::new(specification, Vec::new(), Instant::now());
+    job.release_payloads();
+    expect_that!(
+        job.specification().workspace,
+        some(eq(&Name::from("alpha")))
+    );
+}
--- a/crates/shallotroute_fleet/tests/retry.rs
+++ b/crates/shallotroute_fleet/tests/retry.rs
@@ -3,7 +3,10 @@
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
-use shallotroute_fleet::retry::{AttemptFailure, Attempts, Decision, Policy, RequestFailure};
+use shallotroute_fleet::{
+    access::Denial,
+    retry::{AttemptFailure, Attempts, Decision, Policy, RequestFailure},
+};
 use shallotroute_types::name::Name;
 
 const TARGET_LATENCY: Duration = Duration::from_millis(150);
@@ -255,3 +258,42 @@
     expect_that!(attempts.servers(), is_empty());
     expect_that!(attempts.decide(after(started_at, 500)), eq(Decision::Send));
 }
+
+/// Guards against a request that is sent again after its key was removed, and against one that is said to be
+/// unauthorized although an attempt may have run.
+#[gtest]
+fn a_denied_request_is_not_sent_again() {
+    let started_at = Instant::now();
+    let retry_after = Duration::from_millis(300);
+    for (denial, failure) in [
+        (Denial::Unauthorized, RequestFailure::Unauthorized),
+        (
+            Denial::Stale { retry_after },
+            RequestFailure::NotRun { retry_after },
+        ),
+    ] {
+        let mut attempts = Attempts::new(policy(started_at, true));
+        attempts.record_attempt(&Name::from("a"));
+        attempts.record_denial(denial);
+        expect_that!(
+            attempts.decide(started_at),
+            eq(Decision::Fail(failure)),
+            "{denial:?}"
+        );
+        // The hedged attempt is denied, and the first one may still get a response.
+        let mut attempts = Attempts::new(policy(started_at, true));
+        for id in ["a", "b"] {
+            attempts.record_attempt(&Name::from(id));
+        }
+        attempts.record_denial(denial);
+        expect_that!(
+            attempts.decide(after(started_at, 140)),
+            eq(Decision::WaitUntil(after(started_at, 2000)))
+        );
+        attempts.record_failure(AttemptFailure::MayHaveRun, after(started_at, 145));
+        expect_that!(
+            attempts.decide(after(started_at, 145)),
+            eq(Decision::Fail(RequestFailure::OutcomeUnknown))
+        );
+    }
+}
