resident, adapter: the key is removed on arrival, and items name their workspace

Cause: a request that waited held its key in memory, and the headers of items stored whatever their trainer put there, which a node of an earlier build sends unchanged. Change: headers follow the grant on arrival as well as at each send; the stored headers of items have no credential and name the job's workspace. Process tests of late ends and of a configuration without workspaces.

--- a/crates/shallotroute/tests/workspaces.rs
+++ b/crates/shallotroute/tests/workspaces.rs
@@ -385,6 +385,81 @@
     expect_no_key(&desk, 2).await;
 }
 
+/// Returns whether the job `job` has ended at its owner; `None` if no node runs it.
+async fn has_ended(desk: &Desk) -> Option<bool> {
+    for node in 0..2 {
+        let (dump, _) = desk.state(node).await;
+        if let Some(job) = dump["jobs"].as_array().and_then(|jobs| jobs.first()) {
+            return job["ended"].as_bool();
+        }
+    }
+    None
+}
+
+/// Guards against another workspace that ends a job since the node that it asked can't tell, for the time being, whose
+/// job it is, and against an end that is lost then.
+#[gtest]
+#[tokio::test]
+async fn an_end_that_is_stored_late_is_that_of_the_jobs_workspace() {
+    let script: Script = Arc::new(|request: &Request| match request.id().starts_with("item") {
+        true => vec![Step::Wait(Duration::from_secs(8)), Step::Close],
+        false => success(request.id()),
+    });
+    let desk = start(script, 2).await;
+    await_members(&desk).await;
+    for node in 0..2 {
+        desk.hide_protocol(node)
+            .expect("the nodes should be registered");
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let submitted = call(&desk, 0, "POST", "/jobs/job", Some(ALPHA)).await;
+    expect_that!(submitted.status, some(eq(StatusCode::ACCEPTED)));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    for (key, by_others) in [
+        (BETA, StatusCode::NOT_FOUND),
+        (ALPHA, StatusCode::SERVICE_UNAVAILABLE),
+    ] {
+        desk.set_store_available(false);
+        let mut statuses = Vec::new();
+        for node in 0..2 {
+            let answer = call(&desk, node, "DELETE", "/lots/job", Some(key)).await;
+            statuses.extend(answer.status);
+        }
+        // The owner knows the workspace, and the other node does not.
+        let unknown = StatusCode::SERVICE_UNAVAILABLE;
+        expect_that!(
+            statuses,
+            unordered_elements_are![eq(&by_others), eq(&unknown)],
+            "{key}"
+        );
+        desk.set_store_available(true);
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        expect_that!(has_ended(&desk).await, some(eq(key == ALPHA)), "{key}");
+    }
+}
+
+/// Guards against other headers than before where the configuration has no workspaces.
+#[gtest]
+#[tokio::test]
+async fn headers_stay_as_they_are_without_workspaces() {
+    let script: Script = Arc::new(|request: &Request| success(request.id()));
+    let binary = Path::new(env!("CARGO_BIN_EXE_shallotroute"));
+    let desk = Desk::start(binary, vec![script])
+        .await
+        .expect("the stand-ins should start and the node should be ready");
+    let headers = [("authorization", "Token own"), ("x-tenant", "own")];
+    let answer = desk.send("/again/one", "one", &headers).await;
+    expect_that!(answer.status, some(eq(StatusCode::OK)));
+    let requests = desk.requests();
+    let sent = requests.iter().find(|request| request.id() == "one");
+    for (name, value) in headers {
+        let received = sent.and_then(|request| request.headers.get(name));
+        expect_that!(received.map(String::as_str), some(eq(value)));
+    }
+    let (dump, _) = desk.state(0).await;
+    expect_that!(dump["configuration"]["workspaces"], eq(&Value::Null));
+}
+
 /// Guards against a request that reaches a server with its key or as another workspace because another node relays it.
 #[gtest]
 #[tokio::test]
--- a/crates/shallotroute_resident/src/ingress.rs
+++ b/crates/shallotroute_resident/src/ingress.rs
@@ -248,6 +248,8 @@
         .into();
     let mut headers = parts.headers;
     backend::remove_hop_by_hop_headers(&mut headers);
+    // The key is not held in memory while the request waits.
+    backend::set_access_headers(&mut headers, &grant);
     BackendRequest {
         id,
         fingerprint: Some(fingerprint),
--- a/crates/shallotroute_resident/src/trainer.rs
+++ b/crates/shallotroute_resident/src/trainer.rs
@@ -73,7 +73,7 @@
             return response::text(StatusCode::BAD_REQUEST, &error.to_string());
         }
     };
-    specification.workspace = grant.workspace().cloned();
+    wire::set_access(&mut specification, grant);
     let id = Name::from(request);
     if !id.is_valid() {
         return response::text(
