standin: a link that is cut from its start refuses connections

Cause: the listener of a link that was cut before its task first ran stayed open, so that connections were accepted and never served. Change: it is closed.

--- a/crates/shallotroute/tests/workspaces.rs
+++ b/crates/shallotroute/tests/workspaces.rs
@@ -326,15 +326,17 @@
     }
 }
 
-/// Waits until two nodes know that both of them are registered.
+/// Waits until two nodes know that both of them are registered, and read the host list from the store, which names the
+/// servers by the links of the node that reads it.
 async fn await_members(desk: &Desk) {
     let began = Instant::now();
     for node in 0..2 {
-        while desk.state(node).await.0["members"]["nodes"]
-            .as_array()
-            .map(Vec::len)
-            != Some(2)
-        {
+        loop {
+            let (dump, _) = desk.state(node).await;
+            let members = dump["members"]["nodes"].as_array().map(Vec::len);
+            if members == Some(2) && dump["view"]["watches_store"] == true {
+                break;
+            }
             assert_that!(began.elapsed(), lt(TIMEOUT));
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
--- a/crates/shallotroute_standin/src/proxy/link.rs
+++ b/crates/shallotroute_standin/src/proxy/link.rs
@@ -91,6 +91,10 @@
     let mut listener = Some(listener);
     loop {
         let current = *cut.borrow_and_update();
+        if current.is_some() {
+            // The link may be cut from the start.
+            listener = None;
+        }
         match current {
             None => {
                 let bound = match listener.take() {
