fleet, adapter: the number of servers of a service by demand, price and kind

Cause: services with scaling limits have servers that are paid by the second in each zone, some of which the platform may reclaim a zone at a time; nothing sets their numbers.

--- a/crates/shallotroute_batch/tests/shared_servers.rs
+++ b/crates/shallotroute_batch/tests/shared_servers.rs
@@ -139,6 +139,7 @@
                 zone: "zone".into(),
                 slots: SLOTS,
                 is_draining: false,
+                is_spot: false,
                 born: 1,
                 software: Name::from("v1"),
                 models: models.clone(),
--- a/crates/shallotroute_batch/tests/software.rs
+++ b/crates/shallotroute_batch/tests/software.rs
@@ -160,6 +160,7 @@
             zone: "zone".into(),
             slots: SLOTS,
             is_draining: false,
+            is_spot: false,
             born: (self.now - self.start).as_millis() as u64,
             software: software.into(),
             models: BTreeMap::from([("m".into(), Version(1))]),
--- a/crates/shallotroute_fleet/src/lib.rs
+++ b/crates/shallotroute_fleet/src/lib.rs
@@ -1,6 +1,6 @@
 //! Pure state machines for traffic to backend servers: routes, load balancing, retries and hedging,
 //! limits that servers name, requests under which servers crash, the state of a node's links to
-//! servers, rolling weight updates, the ranking of nodes in elections, at which software version
+//! servers, rolling weight updates, the number of servers, the ranking of nodes in elections, at which software version
 //! streams go on, and how nodes follow the platform's store. Start with [`server::Balancer`],
 //! [`route::Table`], [`link::Links`] and [`source::Selector`].
 
@@ -13,6 +13,7 @@
 pub mod retry;
 pub mod rolling_update;
 pub mod route;
+pub mod scaler;
 pub mod server;
 pub mod software;
 pub mod source;
--- a/crates/shallotroute_fleet/src/route.rs
+++ b/crates/shallotroute_fleet/src/route.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use derive_more::Display;
-use shallotroute_types::name::Name;
+use shallotroute_types::{location::Zone, name::Name};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// The result of validating a table.
@@ -83,6 +83,42 @@
     pub max_connections: usize,
     /// The models that the servers have; empty for a service without models.
     pub models: Vec<Name>,
+    /// The limits and prices by which its servers are scaled; `None` if their number is fixed.
+    pub scaling: Option<Scaling>,
+}
+
+/// The limits and prices by which the servers of a service are scaled.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Scaling {
+    /// The minimum number of servers in each zone, both kinds together.
+    pub min: u32,
+    /// The maximum number of servers in each zone, both kinds together.
+    pub max: u32,
+    /// The time after which a new server serves.
+    pub boot_time: Duration,
+    /// The price of a spot server as a part of the on-demand price; 1 where there are none.
+    pub spot_price: Price,
+    /// The price of an on-demand server in each zone, per second.
+    pub zone_prices: BTreeMap<Zone, Price>,
+}
+
+/// A price or a part of one, in millionths.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Price(pub u64);
+
+impl Price {
+    /// The price 1.
+    pub const ONE: Self = Self(1_000_000);
+
+    /// The highest price that is believed.
+    const MAX: f64 = 1e6;
+
+    /// Converts a price, rounded to millionths and at most a million. Returns `None` unless it is
+    /// positive.
+    pub fn new(price: f64) -> Option<Self> {
+        let millionths = (price.min(Self::MAX) * 1e6).round();
+        (millionths >= 1.0).then_some(Self(millionths as u64))
+    }
 }
 
 /// Limits on requests and connections of callers.
--- a/crates/shallotroute_fleet/src/server.rs
+++ b/crates/shallotroute_fleet/src/server.rs
@@ -72,6 +72,8 @@
     pub slots: usize,
     /// Whether the server is about to leave and takes no new requests.
     pub is_draining: bool,
+    /// Whether the platform may reclaim the server.
+    pub is_spot: bool,
     /// The Unix time of the server's start, in milliseconds; distinguishes restarts under the same
     /// identity.
     pub born: u64,
--- a/crates/shallotroute_fleet/tests/rolling_update.rs
+++ b/crates/shallotroute_fleet/tests/rolling_update.rs
@@ -43,6 +43,7 @@
                 zone: "zone".into(),
                 slots: 6,
                 is_draining: false,
+                is_spot: false,
                 born: 1,
                 software: "v1".into(),
                 models: models.clone(),
--- a/crates/shallotroute_fleet/tests/route.rs
+++ b/crates/shallotroute_fleet/tests/route.rs
@@ -17,6 +17,7 @@
         name: name.into(),
         max_connections: 100,
         models: Vec::new(),
+        scaling: None,
     }
 }
 
--- a/crates/shallotroute_fleet/tests/server.rs
+++ b/crates/shallotroute_fleet/tests/server.rs
@@ -18,6 +18,7 @@
         zone: zone.into(),
         slots: 4,
         is_draining: false,
+        is_spot: false,
         born: 1,
         software: Name::from("v1"),
         models: BTreeMap::from([(Name::from("m"), Version(version))]),
