resident, settings: the leader gathers what the numbers of servers depend on

Cause: the decision needs the open items of all nodes, the callers' requests, the host list and whether any of these is missing, and operators need to see why a number was ordered.

Change: a task polled by the leader once a second gives the orders to an interface that sends them; the settings name the policy; the last orders and their figures are in the dump, orders by reply in the metrics. The board of demands tells whether a node that had demands is silent. Nodes with jobs report to the leader already, so that no message is added. Callers' requests are estimated by those of this node. The interface has no implementation yet, so that nothing is ordered.

--- a/crates/shallotroute_fleet/src/capacity.rs
+++ b/crates/shallotroute_fleet/src/capacity.rs
@@ -8,7 +8,7 @@
 //! last report of a silent node counts until it has left or [`REPORT_RETENTION`] has passed.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 
@@ -24,6 +24,10 @@
 /// How long the requests in flight of a report count.
 const LOAD_RETENTION: Duration = Duration::from_secs(1);
 
+/// How long a report that names demands or loads is complete. Its node sends the next one after a
+/// tenth of that, and an empty one at its end.
+const REPORT_LIFETIME: Duration = Duration::from_secs(1);
+
 /// The maximum number of requests in flight at one server that are believed of one node, in multiples
 /// of the server's slots. Servers queue a few more requests than they have slots.
 const MAX_BELIEVED_LOAD: usize = 2;
@@ -78,6 +82,8 @@
 #[derive(Debug, Default)]
 pub struct Board {
     reports: BTreeMap<Id, Entry>,
+    /// The live nodes whose last report was not empty and has expired.
+    silent: BTreeSet<Id>,
 }
 
 #[derive(Debug)]
@@ -111,17 +117,32 @@
             report,
         };
         self.reports.insert(node.clone(), entry);
+        self.silent.remove(node);
     }
 
-    /// Returns whether no report is known.
+    /// Returns whether no report is known, and none is missing.
     pub fn is_empty(&self) -> bool {
-        self.reports.is_empty()
+        self.reports.is_empty() && self.silent.is_empty()
+    }
+
+    /// Returns whether no live node that had demands or loads is silent.
+    pub fn is_complete(&self, now: Instant) -> bool {
+        let is_late =
+            |entry: &Entry| !entry.report.is_empty() && now >= entry.received_at + REPORT_LIFETIME;
+        self.silent.is_empty() && !self.reports.values().any(is_late)
     }
 
     /// Drops the reports of nodes that have left, and those that are too old.
     pub fn expire(&mut self, is_live: impl Fn(&Id) -> bool, now: Instant) {
-        self.reports
-            .retain(|node, entry| now < entry.received_at + REPORT_RETENTION && is_live(node));
+        let silent = &mut self.silent;
+        self.reports.retain(|node, entry| {
+            let is_expired = now >= entry.received_at + REPORT_RETENTION;
+            if is_expired && !entry.report.is_empty() {
+                silent.insert(node.clone());
+            }
+            !is_expired && is_live(node)
+        });
+        silent.retain(|node| is_live(node));
     }
 
     /// Returns what the jobs of other nodes lack.
--- a/crates/shallotroute_fleet/src/server.rs
+++ b/crates/shallotroute_fleet/src/server.rs
@@ -473,6 +473,18 @@
             .filter(|(_, requests)| *requests > 0)
     }
 
+    /// Returns the number of this node's requests of callers in flight at a service's servers.
+    pub fn caller_requests(&self, service: &str) -> usize {
+        let entries = self.entries.values();
+        entries
+            .filter(|entry| &*entry.server.service == service)
+            .map(|entry| {
+                let batch: usize = entry.batch_in_flight.values().sum();
+                entry.in_flight.saturating_sub(batch)
+            })
+            .sum()
+    }
+
     /// Replaces the number of other nodes' batch requests in flight at each server.
     pub fn set_foreign_loads(&mut self, loads: &BTreeMap<Name, usize>) {
         for (id, entry) in &mut self.entries {
--- a/crates/shallotroute_fleet/tests/capacity.rs
+++ b/crates/shallotroute_fleet/tests/capacity.rs
@@ -155,3 +155,25 @@
     expect_that!(backlog.items("small"), all!(ge(15.0), le(25.0)));
     expect_that!(backlog.items("unknown"), eq(0.0));
 }
+
+/// Guards against a demand that seems to have ended because its reports are missing: a node that falls
+/// silent without an empty report is missed until it reports again or has left.
+#[gtest]
+fn silent_nodes_are_missed() {
+    let now = Instant::now();
+    let later = now + REPORT_RETENTION;
+    let mut board = Board::default();
+    expect_that!(board.is_complete(now), eq(true));
+    board.record(&"n".into(), Incarnation(1), report(10, 3), now);
+    expect_that!(board.is_complete(now), eq(true));
+    expect_that!(board.is_complete(now + Duration::from_secs(1)), eq(false));
+    board.expire(|_| true, later);
+    expect_that!(lacking(&board), is_empty());
+    expect_that!(board.is_complete(later), eq(false));
+
+    board.record(&"n".into(), Incarnation(1), Report::default(), later);
+    expect_that!(board.is_complete(later + REPORT_RETENTION), eq(true));
+    board.record(&"n".into(), Incarnation(1), report(10, 3), later);
+    board.expire(|_| false, later + REPORT_RETENTION);
+    expect_that!(board.is_complete(later + REPORT_RETENTION), eq(true));
+}
--- a/crates/shallotroute_resident/src/capacity.rs
+++ b/crates/shallotroute_resident/src/capacity.rs
@@ -68,6 +68,20 @@
     capacity::job_slots(supply, &own, of_this_node.iter().chain(board.demands()))
 }
 
+/// Returns the number of items of all jobs that wait or generate at a service; `None` while the report
+/// of a node is missing. The leader gets the reports of all nodes with jobs, also if it runs none itself.
+pub(crate) fn open_items(shared: &Shared, service: &str) -> Option<usize> {
+    let own: Vec<Demand> = demands(shared).map(|(_, demand)| demand).collect();
+    let now = shared.now();
+    let board = shared.board();
+    board.is_complete(now).then(|| {
+        own.iter()
+            .chain(board.demands())
+            .filter(|demand| &*demand.service == service)
+            .fold(0_usize, |sum, demand| sum.saturating_add(demand.items))
+    })
+}
+
 fn demand(job: &Owned, service: Name) -> Demand {
     Demand {
         service,
--- a/crates/shallotroute_resident/src/dump.rs
+++ b/crates/shallotroute_resident/src/dump.rs
@@ -36,6 +36,7 @@
         "members": members(shared),
         "named_versions": *shared.targets.borrow(),
         "servers": servers(shared),
+        "scaling": shared.scaling.dump(now),
         "recorded_streams": shared.streams.len(),
         "suspects": suspects(shared),
         "jobs": shared.jobs.all_owned().iter().map(|owned| job(owned, shared.boot_time())).collect::<Vec<_>>(),
--- a/crates/shallotroute_resident/src/leader.rs
+++ b/crates/shallotroute_resident/src/leader.rs
@@ -36,6 +36,7 @@
     metric::Metrics,
     pool::UNACKNOWLEDGED_TIMEOUT,
     presence::Lease,
+    scaler,
     shared::Shared,
     view,
 };
@@ -88,6 +89,8 @@
     unanswered_at: Arc<Mutex<Option<Instant>>>,
     /// Notified when a server's load has ended, so that the next order is sent at once.
     load_ended: Arc<Notify>,
+    /// The number of servers, and the calls that set it; `None` without that duty.
+    scaling: Option<(scaler::Task, Arc<dyn scaler::Caller>)>,
 }
 
 /// The standing of this process according to the record of the leadership.
@@ -267,6 +270,7 @@
             is_fenced: Arc::default(),
             unanswered_at: Arc::default(),
             load_ended: Arc::default(),
+            scaling: scale_caller(shared).map(|caller| (scaler::Task::new(shared), caller)),
         }
     }
 
@@ -294,6 +298,9 @@
             return;
         }
         self.send_orders();
+        if let Some((task, caller)) = &mut self.scaling {
+            task.poll(caller);
+        }
         self.report_empty_hosts().await;
         self.scan_for_orphans().await;
     }
@@ -548,6 +555,11 @@
     }
 }
 
+/// Returns the calls that set the number of servers; `None` without that duty.
+fn scale_caller(_: &Shared) -> Option<Arc<dyn scaler::Caller>> {
+    None
+}
+
 /// One order to one server, or one request for its report.
 struct ServerTask {
     shared: Arc<Shared>,
--- a/crates/shallotroute_resident/src/lib.rs
+++ b/crates/shallotroute_resident/src/lib.rs
@@ -27,6 +27,7 @@
 mod response;
 mod resume;
 mod runner;
+mod scaler;
 mod score;
 mod shared;
 mod store;
--- a/crates/shallotroute_resident/src/metric.rs
+++ b/crates/shallotroute_resident/src/metric.rs
@@ -89,6 +89,8 @@
     pub(crate) relayed_calls: Counter,
     /// Orders to model servers, by reply.
     pub(crate) orders: Family<Label, Counter>,
+    /// Orders of the number of servers, by reply.
+    pub(crate) scale_orders: Family<Label, Counter>,
     /// Attempts to open a connection to a backend server.
     pub(crate) connections: Counter,
     /// The version of the active configuration.
@@ -123,6 +125,7 @@
             store_seconds: histogram(),
             relayed_calls: Counter::default(),
             orders: Family::default(),
+            scale_orders: Family::default(),
             connections: Counter::default(),
             configuration_version: Gauge::default(),
         };
@@ -184,6 +187,11 @@
     }
 
     fn register_servers(&self, registry: &mut Registry) {
+        registry.register(
+            "scale_orders",
+            "Orders of the number of servers, by reply",
+            self.scale_orders.clone(),
+        );
         registry.register(
             "limits",
             "Limits that backend servers named, by event",
--- a/crates/shallotroute_resident/src/shared.rs
+++ b/crates/shallotroute_resident/src/shared.rs
@@ -31,6 +31,7 @@
     peer::Peers,
     pool::Pool,
     resume::Streams,
+    scaler::Records,
     store::Store,
     suspect::{self, Tracker},
     view::View,
@@ -71,6 +72,8 @@
     pub(crate) relayed: AtomicUsize,
     /// The requests under which backend servers crashed.
     pub(crate) suspects: Tracker,
+    /// The last orders that this node gave while it led, and the figures behind them.
+    pub(crate) scaling: Records,
     /// The copies of what all nodes follow in the store, which this node passes on to others.
     pub(crate) view: View,
     /// Whether this node is to have an entry among the members.
@@ -149,6 +152,7 @@
             links: Monitor::new(),
             relayed: AtomicUsize::new(0),
             suspects,
+            scaling: Records::default(),
             view: View::default(),
             should_register: watch::channel(false).0,
             drain: CancellationToken::new(),
--- a/crates/shallotroute_settings/src/site.rs
+++ b/crates/shallotroute_settings/src/site.rs
@@ -15,7 +15,7 @@
 const SECTIONS: [&str; 4] = ["node", "site", "listen", "log_level"];
 
 /// The fields of the section `site`.
-const SITE_FIELDS: [&str; 11] = [
+const SITE_FIELDS: [&str; 12] = [
     "role",
     "store",
     "cores",
@@ -25,6 +25,7 @@
     "lease_s",
     "revocation_s",
     "duties",
+    "scaling",
     "memory_mb",
     "descriptors",
 ];
@@ -56,6 +57,8 @@
     pub revocation: Option<Duration>,
     /// The duties that one node of the fleet performs at a time; `None` without any.
     pub duties: Option<Duties>,
+    /// How the number of servers is chosen where the node has the duty [`Duty::Scale`].
+    pub scaling: ScalingPolicy,
     /// The memory that the process may use, in megabytes; `None` if only the host's memory bounds it.
     pub memory_mb: Option<u64>,
     /// The file descriptors that the process may use; `None` if only the operating system bounds them.
@@ -88,6 +91,21 @@
     Scale,
 }
 
+/// How the number of backend servers is chosen.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum ScalingPolicy {
+    /// By the demand.
+    #[default]
+    ByDemand,
+    /// Numbers stay as they are.
+    Unchanged,
+    /// Each zone has a fixed number of on-demand servers.
+    Fixed {
+        /// The number as a part of the maximum, from 0 to 1.
+        factor: f64,
+    },
+}
+
 /// The role of a node on the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
@@ -167,6 +185,7 @@
     };
     let revocation = read_optional(reader, &site, "revocation_s", read_seconds);
     let duties = read_optional(reader, &site, "duties", read_duties);
+    let scaling = read_optional(reader, &site, "scaling", read_scaling);
     let memory_mb = read_count(reader, site.get("memory_mb"), "site.memory_mb");
     let descriptors = read_count(reader, site.get("descriptors"), "site.descriptors");
     let (role, listen) = (role?, listen?);
@@ -188,6 +207,7 @@
         lease: lease?,
         revocation: revocation?,
         duties: duties?,
+        scaling: scaling?.unwrap_or_default(),
         memory_mb: memory_mb?,
         descriptors: descriptors?,
         log_level,
@@ -270,6 +290,39 @@
     })
 }
 
+fn read_scaling(
+    reader: &mut Reader<'_>,
+    value: Option<&Value>,
+    path: &str,
+) -> Option<ScalingPolicy> {
+    let section = reader.mapping(value, path, &["policy", "factor"])?;
+    let field = format!("{path}.factor");
+    let policy = reader.text(section.get("policy"), &format!("{path}.policy"))?;
+    match (policy.as_str(), optional(section.get("factor"))) {
+        ("by_demand", None) => Some(ScalingPolicy::ByDemand),
+        ("unchanged", None) => Some(ScalingPolicy::Unchanged),
+        ("fixed", factor) => {
+            let factor: f64 = reader.parse(factor, &field, "a number from 0 to 1")?;
+            if !(0.0..=1.0).contains(&factor) {
+                reader.report(&field, "has to be from 0 to 1");
+                return None;
+            }
+            Some(ScalingPolicy::Fixed { factor })
+        }
+        ("by_demand" | "unchanged", Some(_)) => {
+            reader.report(&field, "belongs to the policy `fixed` only");
+            None
+        }
+        (other, _) => {
+            reader.report(
+                &format!("{path}.policy"),
+                format!("`{other}` is not one of by_demand, unchanged, fixed"),
+            );
+            None
+        }
+    }
+}
+
 fn read_role(reader: &mut Reader<'_>, value: Option<&Value>) -> Option<Role> {
     let text = reader.text(value, "site.role")?;
     match text.as_str() {
--- a/crates/shallotroute_settings/tests/site.rs
+++ b/crates/shallotroute_settings/tests/site.rs
@@ -3,7 +3,7 @@
 use std::{path::Path, time::Duration};
 
 use googletest::prelude::*;
-use shallotroute_settings::site::{Duty, NodeSettings, Role, SiteSettings};
+use shallotroute_settings::site::{Duty, NodeSettings, Role, ScalingPolicy, SiteSettings};
 
 const SETTINGS: &str = "\
 node:
@@ -145,3 +145,36 @@
     expect_that!(site.lease, eq(Duration::from_secs(3)));
     Ok(())
 }
+
+/// Guards against a policy that is misread, and against one that is taken for another because of a mistake.
+#[gtest]
+fn reads_the_policy_of_scaling() -> Result<()> {
+    let with = |section: &str| SETTINGS.replace("  lease_s", &format!("{section}  lease_s"));
+    for (section, policy) in [
+        ("", ScalingPolicy::ByDemand),
+        ("  scaling:\n", ScalingPolicy::ByDemand),
+        ("  scaling: {policy: by_demand}\n", ScalingPolicy::ByDemand),
+        ("  scaling: {policy: unchanged}\n", ScalingPolicy::Unchanged),
+        (
+            "  scaling: {policy: fixed, factor: 0.5}\n",
+            ScalingPolicy::Fixed { factor: 0.5 },
+        ),
+    ] {
+        expect_that!(parse(&with(section)).or_fail()?.scaling, eq(policy));
+    }
+    for (section, finding) in [
+        ("  scaling: {policy: most}\n", "is not one of by_demand"),
+        ("  scaling: {policy: fixed, factor: 2}\n", "from 0 to 1"),
+        ("  scaling: {policy: fixed, factor: .nan}\n", "from 0 to 1"),
+        (
+            "  scaling: {policy: unchanged, factor: 1}\n",
+            "`fixed` only",
+        ),
+    ] {
+        expect_that!(
+            parse(&with(section)).err(),
+            some(contains_substring(finding))
+        );
+    }
+    Ok(())
+}
