batch, fleet: an output leaves a server that is gone before its end

Cause: a draining server that names the time left takes its connections with it. Its items resumed elsewhere only after the end of the stream, or after the stall timeout of 0.7 to 1.5 s where no end arrives.

Change: the host list's time left is kept per server; an attempt that can't end within it, by the expected length and the time between events, or that still runs 0.4 s before the departure, is migrated with its text as far as other servers have free slots. Without a time left nothing changes.

--- a/crates/shallotroute_batch/src/job.rs
+++ b/crates/shallotroute_batch/src/job.rs
@@ -46,6 +46,10 @@
 /// where they are.
 const MIN_AGE_TO_MIGRATE: Duration = Duration::from_millis(250);
 
+/// The time before the departure of a server at which its attempts are migrated, whatever they still need:
+/// a resumption elsewhere takes about as long, and a lost connection is seen late.
+const DEPARTURE_MARGIN: Duration = Duration::from_millis(400);
+
 /// The number of new events after which an output is checkpointed again: some 400 ms of generation.
 pub const CHECKPOINT_EVENTS: u64 = 10;
 
@@ -474,11 +478,11 @@
         }
     }
 
-    /// Cancels stalled attempts, and attempts at slow servers as far as `limits` allow. Their items are
+    /// Cancels stalled attempts, and attempts at slow or leaving servers as far as `limits` allow. Their items are
     /// resumed at other servers.
     fn migrate_attempts(&mut self, limits: &Limits, now: Instant, actions: &mut Vec<Action>) {
         let mut free_slots = limits.free_slots.clone();
-        for item in &mut self.items {
+        for (item, specification) in self.items.iter_mut().zip(&self.specification.items) {
             let Some(attempt) = item.attempt() else {
                 continue;
             };
@@ -487,11 +491,16 @@
             let is_slow = item.migrations < MAX_MIGRATIONS
                 && now.saturating_duration_since(attempt.started_at) >= MIN_AGE_TO_MIGRATE
                 && limits.slow_servers.contains(&attempt.server);
+            let left = limits.leaving_servers.get(&attempt.server);
+            let must_leave = left.is_some_and(|left| {
+                let needed = remaining_time(item, specification, limits.event_interval);
+                *left < needed.unwrap_or_default().max(DEPARTURE_MARGIN)
+            });
             if !is_stalled {
-                if !is_slow || !take_slot(&mut free_slots, item.software()) {
+                if !(is_slow || must_leave) || !take_slot(&mut free_slots, item.software()) {
                     continue;
                 }
-                item.migrations += 1;
+                item.migrations += u32::from(!must_leave);
             }
             let Some(attempt) = item.attempt() else {
                 continue;
@@ -799,6 +808,16 @@
     (BACKOFF_MIN * 2_u32.pow(doublings)).min(BACKOFF_MAX)
 }
 
+/// Returns how long an output still takes; `None` if its length or the time between two events is unknown.
+fn remaining_time(
+    item: &ItemState,
+    specification: &record::Item,
+    event_interval: Option<Duration>,
+) -> Option<Duration> {
+    let left = u64::from(specification.expected_tokens?).checked_sub(item.last_event)?;
+    Some(event_interval?.saturating_mul(u32::try_from(left).unwrap_or(u32::MAX)))
+}
+
 /// Takes a free slot at a server that has `software`, or any software if it is `None`. Returns whether
 /// there was one.
 fn take_slot(free_slots: &mut BTreeMap<Name, usize>, software: Option<&Name>) -> bool {
--- a/crates/shallotroute_batch/src/job/event.rs
+++ b/crates/shallotroute_batch/src/job/event.rs
@@ -21,6 +21,8 @@
     pub stall_timeout: Duration,
     /// The servers that are much slower than the others.
     pub slow_servers: Vec<Name>,
+    /// The servers that leave, each with the time left. Attempts that can't end there in time are migrated.
+    pub leaving_servers: BTreeMap<Name, Duration>,
     /// The software versions of the servers that have an acceptable version of the model and aren't
     /// draining, each with the number of free slots at those among them that aren't slow. As many
     /// attempts of each version may be migrated away from slow servers now.
--- a/crates/shallotroute_batch/tests/job.rs
+++ b/crates/shallotroute_batch/tests/job.rs
@@ -27,6 +27,7 @@
         max_scoring_attempts: 2,
         stall_timeout: Duration::from_millis(700),
         slow_servers: Vec::new(),
+        leaving_servers: BTreeMap::new(),
         free_slots: BTreeMap::from([("v1".into(), 0)]),
         event_interval: None,
         requires_single_version: false,
@@ -916,3 +917,33 @@
     let later = now + Duration::from_secs(2);
     expect_that!(schedule.due(&job, later), some(len(eq(1))));
 }
+
+/// Guards against a step that waits for the text of a server which is gone: an output that can't end in the
+/// time left is resumed at another server, and one that can ends where it is.
+#[gtest]
+fn an_output_leaves_a_server_that_is_gone_before_its_end() {
+    let now = Instant::now();
+    let migrated = |left_ms: u64, free: usize| -> Vec<(usize, u64)> {
+        let mut limits = limits_with_software(&[("v1", free)]);
+        limits.event_interval = Some(Duration::from_millis(400));
+        let mut job = job(4, false, now);
+        for (attempt, ..) in started_attempts(&advance(&mut job, &limits, now)) {
+            job.handle_event(attempt, generated(1, 4), &limits, now);
+        }
+        let left = Duration::from_millis(left_ms);
+        limits.leaving_servers = BTreeMap::from([("server".into(), left)]);
+        let actions = job.advance(&limits, now, &mut |preference| {
+            let is_avoided = preference.avoid.contains(&"server".into());
+            is_avoided.then(|| choice("other", "v1"))
+        });
+        let started = started_attempts(&actions).into_iter();
+        started.map(|(_, item, after)| (item, after)).collect()
+    };
+    // Items have as many events as their index says, and the first one is there.
+    let none: Vec<(usize, u64)> = Vec::new();
+    expect_that!(migrated(2_500, 9), eq(&none));
+    expect_that!(migrated(700, 9), eq(&vec![(3, 1)]));
+    expect_that!(migrated(300, 9), eq(&vec![(3, 1), (2, 1), (1, 1), (0, 1)]));
+    expect_that!(migrated(300, 1), len(eq(1)));
+    expect_that!(migrated(300, 0), eq(&none));
+}
--- a/crates/shallotroute_batch/tests/replay.rs
+++ b/crates/shallotroute_batch/tests/replay.rs
@@ -86,6 +86,7 @@
         max_scoring_attempts: 3,
         stall_timeout: Duration::from_millis(700),
         slow_servers: Vec::new(),
+        leaving_servers: BTreeMap::new(),
         free_slots: BTreeMap::from([("v1".into(), 0)]),
         event_interval: None,
         requires_single_version: false,
--- a/crates/shallotroute_batch/tests/simulation.rs
+++ b/crates/shallotroute_batch/tests/simulation.rs
@@ -159,6 +159,7 @@
             max_scoring_attempts: 3,
             stall_timeout: Duration::from_millis(400),
             slow_servers: vec!["server-1".into()],
+            leaving_servers: BTreeMap::new(),
             free_slots: BTreeMap::from([("v1".into(), 1)]),
             event_interval: None,
             requires_single_version: false,
--- a/crates/shallotroute_batch/tests/software.rs
+++ b/crates/shallotroute_batch/tests/software.rs
@@ -160,6 +160,7 @@
             zone: "zone".into(),
             slots: SLOTS,
             is_draining: false,
+            leaves_after: None,
             is_spot: false,
             born: (self.now - self.start).as_millis() as u64,
             software: software.into(),
@@ -316,6 +317,7 @@
     fn limits(&self) -> Limits {
         let (slow_servers, free_slots) = self.balancer.slow_servers("llm", "m", Version(1));
         Limits {
+            leaving_servers: BTreeMap::new(),
             max_generating: SERVERS * SLOTS,
             max_scoring: 0,
             max_attempts: 3,
--- a/crates/shallotroute_fleet/src/server.rs
+++ b/crates/shallotroute_fleet/src/server.rs
@@ -72,6 +72,9 @@
     pub slots: usize,
     /// Whether the server is about to leave and takes no new requests.
     pub is_draining: bool,
+    /// The time that a draining server has left, when its entry was written; `None` if the entry does
+    /// not say.
+    pub leaves_after: Option<Duration>,
     /// Whether the platform may reclaim the server.
     pub is_spot: bool,
     /// The Unix time of the server's start, in milliseconds; distinguishes restarts under the same
@@ -181,6 +184,8 @@
     /// The moving average that [`Summary::mean_latency`] returns, in seconds.
     mean_latency: Option<f64>,
     missing_since: Option<Instant>,
+    /// When the server is gone according to its entries; `None` if they do not say.
+    leaves_at: Option<Instant>,
     /// The limit that the server has named; `None` without one.
     limit: Option<limit::Known>,
 }
@@ -257,6 +262,33 @@
         is_new
     }
 
+    /// Records how long a draining server has left, as its last entry says. The earliest time counts: entries
+    /// arrive late.
+    pub fn record_departure(&mut self, id: &str, now: Instant) {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return;
+        };
+        let leaves_after = entry.server.leaves_after;
+        let leaves_at = leaves_after.and_then(|left| now.checked_add(left));
+        entry.leaves_at = match (entry.leaves_at, leaves_at) {
+            (Some(former), Some(at)) if entry.server.is_draining => Some(former.min(at)),
+            (former, None) if entry.server.is_draining => former,
+            (_, at) => at,
+        };
+    }
+
+    /// Returns the draining servers of a service whose departure is known, with the time left.
+    pub fn departures(&self, service: &str, now: Instant) -> BTreeMap<Name, Duration> {
+        let entries = self.entries.values();
+        entries
+            .filter(|entry| &*entry.server.service == service && entry.server.is_draining)
+            .filter_map(|entry| {
+                let left = entry.leaves_at?.saturating_duration_since(now);
+                Some((entry.server.id.clone(), left))
+            })
+            .collect()
+    }
+
     /// Records what a response of a server says about its limit. Returns an observation if that is
     /// something else than before.
     pub fn record_limit(
@@ -754,6 +786,7 @@
             back_off_until: None,
             mean_latency: None,
             missing_since: None,
+            leaves_at: None,
             limit: None,
         }
     }
--- a/crates/shallotroute_fleet/tests/limit.rs
+++ b/crates/shallotroute_fleet/tests/limit.rs
@@ -229,6 +229,7 @@
         zone: "near".into(),
         slots: 6,
         is_draining: false,
+        leaves_after: None,
         is_spot: false,
         born: 1,
         software: Name::from("v1"),
--- a/crates/shallotroute_fleet/tests/release/mod.rs
+++ b/crates/shallotroute_fleet/tests/release/mod.rs
@@ -197,6 +197,7 @@
             zone: "zone-0".into(),
             slots: 64,
             is_draining,
+            leaves_after: None,
             is_spot: false,
             born: 1,
             software: software.into(),
--- a/crates/shallotroute_fleet/tests/resume.rs
+++ b/crates/shallotroute_fleet/tests/resume.rs
@@ -55,6 +55,7 @@
         zone: "zone-0".into(),
         slots: 4,
         is_draining: false,
+        leaves_after: None,
         is_spot: false,
         born: 1,
         software: software.into(),
--- a/crates/shallotroute_fleet/tests/rolling_update.rs
+++ b/crates/shallotroute_fleet/tests/rolling_update.rs
@@ -43,6 +43,7 @@
                 zone: "zone".into(),
                 slots: 6,
                 is_draining: false,
+                leaves_after: None,
                 is_spot: false,
                 born: 1,
                 software: "v1".into(),
@@ -462,3 +463,32 @@
     simulation.run(&targets(2), Duration::from_secs(8));
     expect_that!(simulation.orders, eq(0));
 }
+
+/// Guards against orders without use when the number of servers changes: a server that joins with the newest
+/// versions serves at once, and one that drains gets no order.
+#[gtest]
+fn joining_and_draining_servers_get_no_orders() {
+    let mut simulation = Simulation::new(12, &["m"]);
+    let targets = BTreeMap::from([("m".into(), Version(2))]);
+    simulation.run(&targets, Duration::from_secs(10));
+    simulation.orders = 0;
+    for index in 0..6 {
+        let mut joined = simulation.servers[index].clone();
+        joined.id = format!("joined-{index}").into();
+        simulation.servers.push(joined);
+    }
+    simulation.run(&targets, Duration::from_secs(10));
+    expect_that!(simulation.orders, eq(0));
+
+    for server in &mut simulation.servers[..6] {
+        server.is_draining = true;
+    }
+    simulation.run(
+        &BTreeMap::from([("m".into(), Version(3))]),
+        Duration::from_secs(20),
+    );
+    let versions = simulation.servers.iter();
+    let versions: Vec<u64> = versions.map(|server| server.models["m"].0).collect();
+    expect_that!(versions[..6], each(eq(&2)));
+    expect_that!(versions[6..], each(eq(&3)));
+}
--- a/crates/shallotroute_fleet/tests/scaler/platform.rs
+++ b/crates/shallotroute_fleet/tests/scaler/platform.rs
@@ -170,6 +170,7 @@
             zone: machine.zone.clone(),
             slots: 6,
             is_draining: machine.gone_at.is_some(),
+            leaves_after: None,
             is_spot: machine.is_spot,
             born: 1,
             software: "v1".into(),
--- a/crates/shallotroute_fleet/tests/server.rs
+++ b/crates/shallotroute_fleet/tests/server.rs
@@ -18,6 +18,7 @@
         zone: zone.into(),
         slots: 4,
         is_draining: false,
+        leaves_after: None,
         is_spot: false,
         born: 1,
         software: Name::from("v1"),
@@ -383,3 +384,27 @@
         expect_that!(ids, elements_are![eq(&"d"), eq(&"b")]);
     }
 }
+
+/// Guards against a departure that late entries put off, and against one that outlives the drain.
+#[gtest]
+fn the_earliest_departure_of_a_draining_server_counts() {
+    let now = Instant::now();
+    let mut balancer = Balancer::new("zone-a".into());
+    let mut list = |is_draining: bool, left_ms: Option<u64>, after_ms: u64| {
+        let now = now + Duration::from_millis(after_ms);
+        balancer.insert(Server {
+            is_draining,
+            leaves_after: left_ms.map(Duration::from_millis),
+            ..server("a", "zone-a", 3)
+        });
+        balancer.record_departure("a", now);
+        let left = balancer.departures("llm", now).into_values().next();
+        left.map(|left| left.as_millis())
+    };
+    expect_that!(list(false, None, 0), none());
+    expect_that!(list(true, Some(2500), 100), some(eq(2500)));
+    expect_that!(list(true, Some(2500), 600), some(eq(2000)));
+    expect_that!(list(true, None, 1100), some(eq(1500)));
+    expect_that!(list(true, Some(900), 1600), some(eq(900)));
+    expect_that!(list(false, None, 1700), none());
+}
--- a/crates/shallotroute_fleet/tests/suspect.rs
+++ b/crates/shallotroute_fleet/tests/suspect.rs
@@ -192,6 +192,7 @@
         zone: "near".into(),
         slots: 6,
         is_draining: false,
+        leaves_after: None,
         is_spot: false,
         born,
         software: Name::from("v1"),
--- a/crates/shallotroute_resident/src/object.rs
+++ b/crates/shallotroute_resident/src/object.rs
@@ -118,7 +118,12 @@
             let draining = server.is_draining;
             let service = server.service.clone();
             let former = running_process(shared, &id);
-            let started = shared.balancer().insert(server);
+            let started = {
+                let mut balancer = shared.balancer();
+                let started = balancer.insert(server);
+                balancer.record_departure(&id, now);
+                started
+            };
             if started {
                 confirm_crash(shared, former);
                 shared.streams.record_new_server(&service);
--- a/crates/shallotroute_resident/src/runner.rs
+++ b/crates/shallotroute_resident/src/runner.rs
@@ -560,6 +560,7 @@
         max_scoring_attempts,
         stall_timeout,
         slow_servers,
+        leaving_servers: balancer.departures(service, shared.now()),
         free_slots,
         event_interval,
         requires_single_version: route
@@ -584,6 +585,7 @@
         max_scoring_attempts: DEFAULT_SCORING_ATTEMPTS,
         stall_timeout: MAX_STALL_TIMEOUT,
         slow_servers: Vec::new(),
+        leaving_servers: BTreeMap::new(),
         free_slots: BTreeMap::new(),
         event_interval: None,
         requires_single_version: false,
