fleet: what is left after a loss finishes later, and needs fewer servers

Cause: with one bound for all servers and for those left after a loss, 400 open items needed 54 on-demand servers, since zones at their maximum had no room for spot servers beside the survivors, and a loss of all spot servers was replaced by on-demand servers for the whole headroom.

Change: all servers finish the open items within a fifth of the time until they are due, the survivors within 0.35 of it. The headroom beyond the survivors is of spot servers only, where there are any, and leaves a tenth of the maximum so that on-demand servers can be exchanged.

--- a/crates/shallotroute_fleet/src/scaler.rs
+++ b/crates/shallotroute_fleet/src/scaler.rs
@@ -17,15 +17,12 @@
 use derive_more::Display;
 use shallotroute_types::{location::Zone, name::Name};
 
+pub use self::{demand::Demand, plan::Need};
 use self::{
     demand::History,
     plan::{Plan, ZoneCount},
     pool::Pool,
 };
-pub use self::{
-    demand::{Demand, FINISH_SHARE},
-    plan::Need,
-};
 use crate::{
     route::{Price, Scaling},
     server::Server,
@@ -51,6 +48,10 @@
 /// The saving below which numbers are left as they are, in percent of the price.
 const MIN_SAVING_PERCENT: u64 = 5;
 
+/// The part of all servers that the zones may have which the headroom does not use, as a divisor. Zones that
+/// are full have no room for the spot servers that are to replace on-demand ones.
+const SPARE_DIVISOR: u32 = 10;
+
 /// The part of a pool by which one order lowers it, as a divisor.
 const LOWERING_DIVISOR: u32 = 4;
 
@@ -101,7 +102,7 @@
 /// Why a number is ordered.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Reason {
-    /// What would be left after the loss of a zone's spot servers does not suffice for the demand.
+    /// The servers, or what would be left of them after a loss, do not suffice for the demand.
     #[display("shortage")]
     Shortage,
     /// Servers were reclaimed or refused, and others replace them.
@@ -373,9 +374,12 @@
     fn need(&self, demand: Demand, inputs: &Inputs<'_>, margin: f64) -> Need {
         let zones = inputs.scaling.zone_prices.len() as u32;
         let need = demand.need(inputs.due_after, self.slots, margin);
+        let capacity = inputs.scaling.max.saturating_mul(zones);
+        let usable = capacity - capacity / SPARE_DIVISOR;
         Need {
-            servers: need.servers.max(zones),
+            servers: need.servers.min(usable).max(need.survivors).max(zones),
             on_demand: need.on_demand.max(zones),
+            ..need
         }
     }
 
--- a/crates/shallotroute_fleet/src/scaler/demand.rs
+++ b/crates/shallotroute_fleet/src/scaler/demand.rs
@@ -20,8 +20,13 @@
 const ITEM_TIME: f64 = 1.25;
 
 /// The part of the time until they are due within which the open items are to end. The rest is for
-/// scoring, for writing results, and for items that are repeated.
-pub const FINISH_SHARE: f64 = 1.0 / 3.0;
+/// scoring, for writing results, for items that are repeated, and for a demand that grows while servers boot.
+/// In the simulation of `tests/scaler/steps.rs` a larger part was not cheaper: items that end later are open
+/// longer and raise the peak.
+const FINISH_SHARE: f64 = 0.2;
+
+/// The same after the loss of the zone with the most spot servers: later, and still in time.
+const FINISH_SHARE_AFTER_LOSS: f64 = 0.35;
 
 /// The part of a server's time in which it generates. Loading a version takes about a second of the
 /// four between two versions.
@@ -49,8 +54,8 @@
 
     /// Returns what a demand needs of servers with `slots` slots, times `margin`.
     ///
-    /// After the loss of one zone's spot servers, the rest finishes all items within
-    /// [`FINISH_SHARE`] of the time until they are due. The on-demand servers alone finish them
+    /// All servers finish the items within [`FINISH_SHARE`] of the time until they are due, and what is left
+    /// after the loss of one zone's spot servers within [`FINISH_SHARE_AFTER_LOSS`]. The on-demand servers alone finish them
     /// just when they are due: they take over for the seconds until others have booted, and a step
     /// that runs when all spot servers go is late by at most its length instead of lost.
     pub(super) fn need(self, due_after: Option<Duration>, slots: f64, margin: f64) -> Need {
@@ -64,6 +69,7 @@
         };
         Need {
             servers: servers(due * FINISH_SHARE),
+            survivors: servers(due * FINISH_SHARE_AFTER_LOSS),
             on_demand: servers(due),
         }
     }
--- a/crates/shallotroute_fleet/src/scaler/plan.rs
+++ b/crates/shallotroute_fleet/src/scaler/plan.rs
@@ -10,8 +10,10 @@
 /// What a service needs, in servers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Need {
-    /// The servers that have to be left after the loss of the zone with the most spot servers.
+    /// All servers.
     pub servers: u32,
+    /// The servers that have to be left after the loss of the zone with the most spot servers.
+    pub survivors: u32,
     /// The on-demand servers, which are left after the loss of all spot servers.
     pub on_demand: u32,
 }
@@ -100,7 +102,8 @@
 
     /// Returns whether the plan has what is needed in each zone and together.
     pub(super) fn suffices(&self, need: Need) -> bool {
-        self.survivors() >= need.servers
+        !self.lacks_headroom(need)
+            && self.survivors() >= need.survivors
             && self.on_demand() >= need.on_demand
             && self.zones.iter().all(|zone| zone.total() >= self.min)
     }
@@ -128,12 +131,26 @@
         for index in 0..self.zones.len() {
             while self.zones[index].total() < self.min && self.fill(index) {}
         }
-        // With more spot servers in a zone the rest would not suffice, although all zones are full.
-        let capacity = self.max * self.zones.len() as u32;
-        let level_limit = capacity.saturating_sub(need.servers);
-        while self.survivors() < need.servers
-            && (self.add_spot(level_limit) || self.add_on_demand())
+        let level_limit = self.level_limit(need);
+        while self.survivors() < need.survivors
+            && (self.add_surviving_spot(level_limit) || self.add_on_demand())
         {}
+        while self.lacks_headroom(need) && (self.add_spot(level_limit) || self.add_on_demand()) {}
+    }
+
+    /// Returns whether servers are missing beyond those that have to survive a loss. While no spot servers
+    /// can be had, on-demand ones do not replace them beyond that: they cost several times as much, and the
+    /// survivors finish in time.
+    fn lacks_headroom(&self, need: Need) -> bool {
+        let mut open = self.open_for_spot(self.level_limit(need));
+        self.total() < need.servers && (self.spot_price >= MILLION || open.next().is_some())
+    }
+
+    /// Returns the spot servers that a zone may have. With more, the rest would not suffice after their
+    /// loss, although all zones are full.
+    fn level_limit(&self, need: Need) -> u32 {
+        let capacity = self.max * self.zones.len() as u32;
+        capacity.saturating_sub(need.survivors)
     }
 
     /// Adds the cheaper server that can be had in a zone.
@@ -180,33 +197,44 @@
 
     /// Adds a spot server in the zone with the fewest, if spot servers are cheaper for what they leave
     /// after the loss of a zone: `n` of them in `n` zones leave `n - 1`.
-    /// No zone gets more than `level_limit`.
-    fn add_spot(&mut self, level_limit: u32) -> bool {
-        let open: Vec<usize> = (0..self.zones.len())
-            .filter(|index| {
-                let zone = &self.zones[*index];
-                zone.spot < zone.spot_limit.min(level_limit)
-                    && zone.total() < self.max
-                    && self.keeps_share(*index)
-            })
-            .collect();
+    fn add_surviving_spot(&mut self, level_limit: u32) -> bool {
         let level = self.max_spot();
-        let fewest = open
-            .iter()
-            .copied()
-            .min_by_key(|index| (self.zones[*index].spot, self.zones[*index].price));
-        let Some(index) = fewest else {
-            return false;
-        };
-        let zones = open.len() as u64;
-        let is_cheaper = match self.zones[index].spot < level {
-            true => self.spot_price < MILLION,
-            false => zones > 1 && self.spot_price * zones < MILLION * (zones - 1),
+        let zones = self.open_for_spot(level_limit).count() as u64;
+        let fewest = self
+            .open_for_spot(level_limit)
+            .map(|index| self.zones[index].spot)
+            .min();
+        let is_cheaper = match fewest {
+            Some(spot) if spot < level => true,
+            Some(_) => zones > 1 && self.spot_price * zones < MILLION * (zones - 1),
+            None => false,
         };
-        if is_cheaper {
-            self.zones[index].spot += 1;
+        is_cheaper && self.add_spot(level_limit)
+    }
+
+    /// Adds a spot server in the zone with the fewest, if they are cheaper. No zone gets more than
+    /// `level_limit`.
+    fn add_spot(&mut self, level_limit: u32) -> bool {
+        let fewest = self
+            .open_for_spot(level_limit)
+            .min_by_key(|index| (self.zones[*index].spot, self.zones[*index].price));
+        match fewest {
+            Some(index) if self.spot_price < MILLION => {
+                self.zones[index].spot += 1;
+                true
+            }
+            _ => false,
         }
-        is_cheaper
+    }
+
+    /// Returns the zones that can get another spot server.
+    fn open_for_spot(&self, level_limit: u32) -> impl Iterator<Item = usize> {
+        (0..self.zones.len()).filter(move |index| {
+            let zone = &self.zones[*index];
+            zone.spot < zone.spot_limit.min(level_limit)
+                && zone.total() < self.max
+                && self.keeps_share(*index)
+        })
     }
 
     /// Returns whether a zone has at most half of the servers, rounded up, with one more.
--- a/crates/shallotroute_resident/src/scaler.rs
+++ b/crates/shallotroute_resident/src/scaler.rs
@@ -243,6 +243,7 @@
                 "peak_items": account.peak.items,
                 "peak_requests": account.peak.requests,
                 "needed": account.need.servers,
+                "needed_after_loss": account.need.survivors,
                 "needed_on_demand": account.need.on_demand,
                 "servers": account.servers,
                 "on_demand": account.on_demand,
