--- a/crates/shallotroute_fleet/src/scaler/demand.rs
+++ b/crates/shallotroute_fleet/src/scaler/demand.rs
@@ -55,9 +55,9 @@
     /// Returns what a demand needs of servers with `slots` slots, times `margin`.
     ///
     /// All servers finish the items within [`FINISH_SHARE`] of the time until they are due, and what is left
-    /// after the loss of one zone's spot servers within [`FINISH_SHARE_AFTER_LOSS`]. The on-demand servers alone finish them
-    /// just when they are due: they take over for the seconds until others have booted, and a step
-    /// that runs when all spot servers go is late by at most its length instead of lost.
+    /// after the loss of one zone's spot servers within [`FINISH_SHARE_AFTER_LOSS`]. The on-demand servers
+    /// alone finish them just when they are due: when all spot servers go, running steps end late rather
+    /// than never, until others have booted.
     pub(super) fn need(self, due_after: Option<Duration>, slots: f64, margin: f64) -> Need {
         let due = due_after.map_or(0.0, |due| due.as_secs_f64());
         let servers = |time: f64| {
