--- a/crates/shallotroute_fleet/src/scaler.rs
+++ b/crates/shallotroute_fleet/src/scaler.rs
@@ -214,9 +214,14 @@
         if inputs.servers.is_none() || state.slots == 0.0 || self.policy == Policy::Unchanged {
             return Vec::new();
         }
-        let hold = state.hold(self.started_at, inputs.scaling, now);
-        state.account.hold = hold;
         let plan = state.plan(inputs.scaling, now);
+        state.account = Account {
+            servers: plan.total(),
+            on_demand: plan.on_demand(),
+            survivors: plan.survivors(),
+            hold: state.hold(self.started_at, inputs.scaling, now),
+            ..Account::default()
+        };
         let mut orders = match self.policy {
             Policy::Unchanged => Vec::new(),
             Policy::Fixed(factor) => state.fixed(&plan, inputs.scaling, factor, now),
@@ -339,14 +344,7 @@
     fn by_demand(&mut self, plan: &Plan, inputs: &Inputs<'_>, now: Instant) -> Vec<Order> {
         let peak = self.demand.peak(now);
         let need = self.need(peak, inputs, 1.0);
-        self.account = Account {
-            peak,
-            need,
-            servers: plan.total(),
-            on_demand: plan.on_demand(),
-            survivors: plan.survivors(),
-            hold: self.account.hold,
-        };
+        (self.account.peak, self.account.need) = (peak, need);
         let above_maximum = above_maximum(plan, inputs.scaling);
         if self.account.hold.is_none()
             && let Some(order) = above_maximum
@@ -383,8 +381,8 @@
         }
     }
 
-    /// Returns the orders that raise the numbers of `plan` to those of `target`. A loss is replaced at
-    /// once; otherwise a pool gets an order each [`GROWTH_INTERVAL`].
+    /// Returns the orders that raise the numbers of `plan` to those of `target`, for each pool one each
+    /// [`GROWTH_INTERVAL`].
     fn raises(&self, plan: &Plan, target: &Plan, reason: Reason, now: Instant) -> Vec<Order> {
         let mut orders = Vec::new();
         for (zone, wanted) in plan.zones.iter().zip(&target.zones) {
