fleet: tests of the scaler for each rule that forbids or bounds an order

Cause: with one rule removed at a time, the tests did not fail for those on booting servers, recent losses, a zone's share, the room of survivors near the maximum, and losses while reports are missing.

Change: a case for each; the one on a zone's share now has on-demand servers only, where prices count.

--- a/crates/shallotroute_fleet/tests/scaler/main.rs
+++ b/crates/shallotroute_fleet/tests/scaler/main.rs
@@ -149,6 +149,16 @@
     expect_that!(platform.kinds(), eq(before));
 }
 
+/// Guards against losses that are not replaced while reports are missing: the last demand holds.
+#[gtest]
+fn losses_are_replaced_on_missing_data() {
+    let mut platform = settled(300);
+    platform.run(60, |_| None);
+    platform.reclaim(&["a", "b", "c"]);
+    platform.run(8, |_| None);
+    expect_that!(platform.serving() * 6, ge(300 * 6 / 10));
+}
+
 /// Guards against a new leader that lowers numbers before it knows the demand.
 #[gtest]
 fn a_new_leader_lowers_nothing_for_ten_seconds() {
@@ -239,6 +249,7 @@
     scaling
         .zone_prices
         .insert("a".into(), Price::new(0.05).unwrap());
+    scaling.spot_price = Price::ONE;
     let mut platform = Platform::new(scaling, &[("c", 2)]);
     platform.run(60, |_| Some(200));
     let in_a = platform.pool("a", false) + platform.pool("a", true);
@@ -246,6 +257,45 @@
     expect_that!(2 * in_a, le(on_demand + spot + 1));
 }
 
+/// Guards against zones that are full of spot servers, so that no on-demand server has room for what has to
+/// survive a loss.
+#[gtest]
+fn survivors_have_room_near_the_maximum() {
+    let mut platform = Platform::new(known_scaling(), &[("c", 2)]);
+    platform.run(100, |_| Some(560));
+    let spot = ["a", "b", "c"].map(|zone| platform.pool(zone, true));
+    let left = platform.serving() - spot.into_iter().max().unwrap_or(0);
+    // 560 items in 2.1 waves, on slots that load for a quarter of their time.
+    expect_that!(left, ge(60));
+}
+
+/// Guards against on-demand servers that are removed before the spot servers which replace them serve.
+#[gtest]
+fn nothing_is_lowered_while_servers_boot() {
+    let mut scaling = known_scaling();
+    scaling.boot_time = Duration::from_secs(20);
+    let mut platform = Platform::new(scaling, &START);
+    for _ in 0..120 {
+        platform.run(1, |_| Some(200));
+        expect_that!(platform.serving() * 6, ge(200 * 10 / 9));
+    }
+    expect_that!(platform.kinds().1, gt(5));
+}
+
+/// Guards against a fleet that shrinks while more may be lost.
+#[gtest]
+fn nothing_is_lowered_just_after_a_loss() {
+    let mut platform = settled(300);
+    platform.run(30, |_| Some(0));
+    expect_that!(lowers(&platform), gt(0));
+    platform.orders.clear();
+    platform.reclaim(&["b"]);
+    platform.run(10, |_| Some(0));
+    expect_that!(lowers(&platform), eq(0));
+    platform.run(10, |_| Some(0));
+    expect_that!(lowers(&platform), gt(0));
+}
+
 /// Guards against policies that do something else than they say.
 #[gtest]
 fn other_policies_ignore_the_demand() {
