--- a/crates/shallotroute_resident/src/scaler.rs
+++ b/crates/shallotroute_resident/src/scaler.rs
@@ -31,8 +31,8 @@
 /// The number of orders that are kept for operators.
 const MAX_RECORDS: usize = 40;
 
-/// Sends an order to the platform. It is sent as long as this node holds the duty; an order that is not
-/// sent counts as unanswered.
+/// Sends an order to the platform, as long as this node holds the duty. An order that is not sent, or that is
+/// rejected because of its token, is unanswered: [`Reply::Refused`] means that no servers are available.
 pub(crate) trait Caller: Send + Sync {
     /// Sets the number of servers of a kind in a zone.
     fn order(
