--- a/crates/shallotroute_fleet/src/lib.rs
+++ b/crates/shallotroute_fleet/src/lib.rs
@@ -1,7 +1,8 @@
 //! Pure state machines for traffic to backend servers: routes, load balancing, retries and hedging,
 //! limits that servers name, requests under which servers crash, the state of a node's links to
-//! servers, rolling weight updates, the ranking of nodes in elections, at which software version
-//! streams go on, how nodes follow the platform's store, and which workspace a request belongs to. Start with [`server::Balancer`],
+//! servers, rolling weight updates, the number of servers, the ranking of nodes in elections, at which
+//! software version streams go on, how nodes follow the platform's store, and which workspace a request
+//! belongs to. Start with [`server::Balancer`],
 //! [`route::Table`], [`link::Links`] and [`source::Selector`].
 
 pub mod access;
@@ -14,6 +15,7 @@
 pub mod retry;
 pub mod rolling_update;
 pub mod route;
+pub mod scaler;
 pub mod server;
 pub mod software;
 pub mod source;
