fleet: how fresh a node's configuration provably is

Cause: strict revocation needs a node to know how old its configuration may be, along the chain of its sources.

--- a/crates/shallotroute_fleet/src/lib.rs
+++ b/crates/shallotroute_fleet/src/lib.rs
@@ -1,11 +1,12 @@
 //! Pure state machines for traffic to backend servers: routes, load balancing, retries and hedging,
 //! limits that servers name, requests under which servers crash, the state of a node's links to
 //! servers, rolling weight updates, the ranking of nodes in elections, at which software version
-//! streams go on, and how nodes follow the platform's store. Start with [`server::Balancer`],
-//! [`route::Table`], [`link::Links`] and [`source::Selector`].
+//! streams go on, how nodes follow the platform's store, and how fresh their configuration provably is.
+//! Start with [`server::Balancer`], [`route::Table`], [`link::Links`] and [`source::Selector`].
 
 pub mod capacity;
 pub mod election;
+pub mod freshness;
 pub mod limit;
 pub mod link;
 pub mod replica;
