--- a/crates/shallotroute_fleet/tests/freshness.rs
+++ b/crates/shallotroute_fleet/tests/freshness.rs
@@ -306,14 +306,14 @@
     }
 
     fn follow(&mut self, now: Duration) {
-        for index in 0..HOLD.len() {
+        for (index, hold) in HOLD.into_iter().enumerate() {
             let (sent_at, age) = self.requests[index];
             let Some(held) = now.checked_sub(sent_at + TRANSIT) else {
                 continue;
             };
             let source = &self.chains[index];
             let is_open = !self.responses.iter().any(|(node, ..)| *node == index);
-            let is_due = held >= HOLD[index] || source.is_worth_passing(age, held, now);
+            let is_due = held >= hold || source.is_worth_passing(age, held, now);
             if is_open
                 && is_due
                 && let Some(age) = source.age(now)
@@ -344,11 +344,7 @@
             store_calls: 0,
         };
         let oldest = line.play(store_time);
-        println!(
-            "store {store_time:?}: ages {oldest:?}, {} calls",
-            line.store_calls
-        );
-        expect_that!(oldest, each(lt(&limit)));
+        expect_that!(oldest, each(lt(&limit)), "store {store_time:?}");
         expect_that!(line.store_calls, le(61));
     }
 }
@@ -360,7 +356,7 @@
     let uniform = |node: u64, attempt: u64| {
         (node.wrapping_mul(2_654_435_761) ^ attempt.wrapping_mul(40_503)) % 1000
     };
-    let mut calls = vec![0; 40];
+    let mut calls = [0; 40];
     for node in 0..1700 {
         let random = |attempt| uniform(node, attempt) as f64 / 1000.0;
         let mut fetcher = Fetcher::new(BOUND, Duration::ZERO, random(0));
@@ -374,7 +370,6 @@
             fetcher.record_failure(Path::Following, due_at, random(attempt));
         }
     }
-    println!("calls by second: {calls:?}");
     // Before its age has grown no node calls; later each calls about every six seconds.
     expect_that!(calls[..3], each(eq(&0)));
     expect_that!(calls[3..], each(le(&750)));
