resident: the proof that a node's configuration is fresh, passed along its sources

Cause: with a bound on revocation a node has to know how old its copy of the operators' objects may be. Change: each answer of the store to a read or a watch of them is a proof as of the moment at which the call was sent. The new call `follow` returns the changes with the age of the source's proof; it goes only to members with protocol 1, and only where freshness is required. A background task fetches proofs at nodes that watch the store, and at others whose sources have none. Not yet run with processes.

--- a/crates/shallotroute_fleet/src/freshness.rs
+++ b/crates/shallotroute_fleet/src/freshness.rs
@@ -193,6 +193,8 @@
 #[derive(Clone, Debug)]
 pub struct Fetcher {
     bound: Duration,
+    /// Since when the node has needed proofs. Before it, proofs were no more frequent than watches ended.
+    active_since: Duration,
     /// Before this time a failed call is not repeated.
     not_before: Duration,
     /// The number of calls that have failed since the last success.
@@ -202,28 +204,40 @@
 }
 
 impl Fetcher {
-    /// Creates the fetcher of a node that starts at `now`. `uniform` is a random number in `0.0..1.0`.
+    /// Creates the fetcher of a node that needs proofs from `now` on. `uniform` is a random number in
+    /// `0.0..1.0`.
     pub fn new(bound: Duration, now: Duration, uniform: f64) -> Self {
         Self {
             bound,
-            // At its start a node reads the configuration anyway, from a source if there is one.
-            not_before: now + interval(bound).mul_f64(uniform),
+            active_since: now,
+            not_before: now,
             failures: 0,
             uniform,
         }
     }
 
     /// Returns when the next proof is to be fetched.
+    ///
+    /// Nodes that need proofs from the same moment on, because of a new configuration, wait for those of their
+    /// sources first.
     pub fn due_at(&self, confirmed_at: Option<Duration>, path: Path) -> Duration {
-        let age = match path {
-            Path::Watching => interval(self.bound).mul_f64(1.0 - INTERVAL_SPREAD * self.uniform),
-            Path::Unproven => self.bound.mul_f64(SEEK + UNPROVEN_SPREAD * self.uniform),
-            Path::Following => self.bound.mul_f64(SEEK + FOLLOWING_SPREAD * self.uniform),
+        let interval = interval(self.bound);
+        let confirmed_at = confirmed_at.filter(|at| *at >= self.active_since);
+        let due_at = match (path, confirmed_at) {
+            (Path::Watching, None) => self.active_since,
+            (Path::Watching, Some(at)) => {
+                at + interval.mul_f64(1.0 - INTERVAL_SPREAD * self.uniform)
+            }
+            (Path::Unproven, None) => self.active_since + interval.mul_f64(self.uniform),
+            (Path::Unproven, Some(at)) => {
+                at + self.bound.mul_f64(SEEK + UNPROVEN_SPREAD * self.uniform)
+            }
+            (Path::Following, at) => {
+                let age = self.bound.mul_f64(SEEK + FOLLOWING_SPREAD * self.uniform);
+                at.unwrap_or(self.active_since) + age
+            }
         };
-        match confirmed_at {
-            Some(at) => (at + age).max(self.not_before),
-            None => self.not_before,
-        }
+        due_at.max(self.not_before)
     }
 
     /// Records that a call succeeded. `uniform` is a new random number in `0.0..1.0`.
--- a/crates/shallotroute_fleet/tests/freshness.rs
+++ b/crates/shallotroute_fleet/tests/freshness.rs
@@ -375,3 +375,17 @@
     expect_that!(calls[3..], each(le(&750)));
     expect_that!(calls[20..], each(le(&450)));
 }
+
+/// Guards against a fleet that calls the store at the moment at which a new configuration needs proofs: nodes
+/// whose sources may pass one on wait for it, also with an older proof.
+#[gtest]
+fn only_watching_nodes_fetch_a_proof_at_once() {
+    let now = ms(60_000);
+    let fetcher = Fetcher::new(BOUND, now, 0.5);
+    for confirmed_at in [None, Some(ms(1000))] {
+        let due_at = |path| fetcher.due_at(confirmed_at, path);
+        expect_that!(due_at(Path::Watching), eq(now));
+        expect_that!(due_at(Path::Unproven), eq(now + ms(500)));
+        expect_that!(due_at(Path::Following), eq(now + ms(3250)));
+    }
+}
--- a/crates/shallotroute_resident/src/dump.rs
+++ b/crates/shallotroute_resident/src/dump.rs
@@ -23,6 +23,7 @@
         "configuration": shared.table().map(|table| json!({
             "version": table.version(),
             "in_force_ms": shared.active_since().map(age),
+            "confirmed_ms_ago": confirmed_ms_ago(shared),
             "routes": table.routes().map(|route| json!({
                 "name": route.name,
                 "host": route.host,
@@ -42,6 +43,12 @@
     })
 }
 
+/// Returns the age of the proof that the configuration is complete, where strict revocation needs one.
+fn confirmed_ms_ago(shared: &Shared) -> Option<u128> {
+    let age = shared.freshness.age(shared.boot_time())?;
+    shared.requires_freshness().then_some(age.as_millis())
+}
+
 fn owner(owner: &Owner) -> Value {
     json!({
         "node": owner.node,
--- a/crates/shallotroute_resident/src/follow.rs
+++ b/crates/shallotroute_resident/src/follow.rs
@@ -10,8 +10,9 @@
 };
 
 use bytes::Bytes;
-use shallotroute_adapter::store::{Change as StoreChange, Item};
+use shallotroute_adapter::store::{Change as StoreChange, Changes, Item};
 use shallotroute_fleet::{
+    freshness::Passed,
     replica::{Change, Update},
     source::{self, Choice, Failure, Selector},
 };
@@ -21,9 +22,12 @@
 use crate::{
     member::{self, Members},
     object,
+    peer::CallError,
     shared::Shared,
     store::{Error, Result},
-    view::{MAX_VIEW_AGE, Prefix, PrefixUpdate, apply_changes, apply_update, record_outage},
+    view::{
+        MAX_VIEW_AGE, Prefix, PrefixUpdate, ViewUpdate, apply_changes, apply_update, record_outage,
+    },
 };
 
 /// How long the store may hold a watch open without a change. Longer watches need fewer calls; the
@@ -47,6 +51,9 @@
 /// The delay after a failed call to the store.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(250);
 
+/// The version of the calls between nodes with which sources pass on their proofs.
+pub(crate) const FOLLOW_PROTOCOL: u32 = 1;
+
 /// Follows the store for as long as the process runs.
 pub(crate) async fn run(shared: Arc<Shared>) {
     let node = shared.source_node();
@@ -104,15 +111,22 @@
     }
 
     async fn poll(&mut self, source: Id, wait: Duration) {
-        let address = {
+        let found = {
             let members = self.members.borrow();
-            match members.is_loaded {
-                true => members.address(&source),
-                false => self.hints.address(&source),
-            }
+            let members = match members.is_loaded {
+                true => &*members,
+                false => &self.hints,
+            };
+            members.nodes.get(&source).map(|member| {
+                let gives_proofs = members.speaks(&member.owner, FOLLOW_PROTOCOL);
+                (member.owner.address, gives_proofs)
+            })
         };
-        let polled = match address {
-            Some(address) => poll(&self.shared, &source, address, wait).await,
+        let polled = match found {
+            Some((address, gives_proofs)) => {
+                let asks_for_proof = gives_proofs && self.shared.requires_freshness();
+                poll(&self.shared, &source, address, wait, asks_for_proof).await
+            }
             None => Err(Failure::Unreachable),
         };
         match polled {
@@ -196,26 +210,60 @@
     hints
 }
 
-/// Gets the changes that a source has, and applies them.
-async fn poll(
+/// A source's proof, with the time at which the request for it was sent, since boot.
+type Proof = (Duration, Passed);
+
+/// Asks a source for the changes that it has, and for its proof with `asks_for_proof`. Returns `None` if the
+/// source has no current view.
+async fn request_updates(
     shared: &Shared,
-    source: &Id,
     address: SocketAddr,
     wait: Duration,
-) -> std::result::Result<(), Failure> {
+    asks_for_proof: bool,
+) -> std::result::Result<Option<(ViewUpdate, Option<Proof>)>, CallError> {
     let revisions = shared.view.revisions();
     let margin = match revisions.iter().all(|(_, revision)| revision.is_some()) {
         true => POLL_MARGIN,
         false => SNAPSHOT_MARGIN,
     };
     let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+    let timeout = wait + margin;
+    if !asks_for_proof {
+        let response = shared
+            .peers
+            .call(address, timeout, |client, context| async move {
+                client.view_updates(context, revisions, wait_ms).await
+            })
+            .await?;
+        return Ok(response.map(|update| (update, None)));
+    }
+    let sent_at = shared.boot_time();
+    let proof_age = shared.freshness.age(sent_at);
     let response = shared
         .peers
-        .call(address, wait + margin, |client, context| async move {
-            client.view_updates(context, revisions, wait_ms).await
+        .call(address, timeout, |client, context| async move {
+            client.follow(context, revisions, proof_age, wait_ms).await
         })
-        .await;
-    let update = match response {
+        .await?;
+    Ok(response.map(|followed| {
+        let held = followed.held;
+        let proof = followed
+            .proof_age
+            .map(|age| (sent_at, Passed { age, held }));
+        (followed.update, proof)
+    }))
+}
+
+/// Gets the changes that a source has, and applies them.
+async fn poll(
+    shared: &Shared,
+    source: &Id,
+    address: SocketAddr,
+    wait: Duration,
+    asks_for_proof: bool,
+) -> std::result::Result<(), Failure> {
+    let response = request_updates(shared, address, wait, asks_for_proof).await;
+    let (update, proof) = match response {
         Ok(Some(update)) => update,
         Ok(None) => {
             // Logged once: while the store is away, sources are asked several times a second.
@@ -246,6 +294,10 @@
     for prefix in update.prefixes {
         apply_update(shared, prefix);
     }
+    if let Some((sent_at, passed)) = proof {
+        let now = shared.boot_time();
+        shared.freshness.confirm_from_source(sent_at, passed, now);
+    }
     let mut state = shared.view.lock();
     let is_new_source = state.source.as_ref() != Some(source);
     state.source = Some(source.clone());
@@ -320,8 +372,14 @@
 
 /// Waits for changes after a revision and applies them. Returns whether there are any.
 async fn watch(shared: &Shared, prefix: Prefix, after: u64, timeout: Duration) -> Result<bool> {
+    let sent_at = shared.boot_time();
     let response = shared.store.watch(prefix.key(), after, timeout).await;
     let response = record_store_result(shared, prefix, response)?;
+    Ok(apply_watched(shared, prefix, response, sent_at))
+}
+
+/// Applies the response to a watch that was sent at `sent_at`, since boot. Returns whether it has changes.
+fn apply_watched(shared: &Shared, prefix: Prefix, response: Changes, sent_at: Duration) -> bool {
     let changes: Vec<object::Change> = response
         .changes
         .into_iter()
@@ -336,7 +394,49 @@
         .collect();
     let has_changes = !changes.is_empty();
     apply_changes(shared, prefix, changes, response.revision);
-    Ok(has_changes)
+    record_proof(shared, prefix, sent_at);
+    has_changes
+}
+
+fn record_proof(shared: &Shared, prefix: Prefix, sent_at: Duration) {
+    if prefix == Prefix::Operators {
+        shared.freshness.confirm(sent_at);
+    }
+}
+
+/// Has the store confirm that this node's copy of the operators' objects is complete, or brings it up to date.
+///
+/// A failure is not recorded as an outage of the store: most nodes follow others, and their own calls may
+/// fail alone.
+///
+/// # Errors
+///
+/// Returns an error if the store answers neither this node nor its relays.
+pub(crate) async fn fetch_proof(shared: &Shared) -> Result<()> {
+    let prefix = Prefix::Operators;
+    let revision = shared.view.lock().replicas[prefix as usize].revision();
+    let sent_at = shared.boot_time();
+    let watched = match revision {
+        Some(after) => {
+            shared
+                .store
+                .watch(prefix.key(), after, FIRST_WATCH_TIMEOUT)
+                .await
+        }
+        None => Err(Error::HistoryGone),
+    };
+    match watched {
+        Ok(response) => {
+            apply_watched(shared, prefix, response, sent_at);
+        }
+        Err(Error::HistoryGone) => {
+            let sent_at = shared.boot_time();
+            let response = shared.store.range(prefix.key()).await?;
+            apply_read(shared, prefix, response, sent_at);
+        }
+        Err(error) => return Err(error),
+    }
+    Ok(())
 }
 
 /// Makes this node's copy of a prefix as current as the store is now.
@@ -359,8 +459,20 @@
 /// Reads a whole prefix and applies the differences. Returns `false`, because the next watch need not
 /// be delayed.
 async fn read(shared: &Shared, prefix: Prefix) -> Result<bool> {
+    let sent_at = shared.boot_time();
     let response = shared.store.range(prefix.key()).await;
-    let (items, revision) = record_store_result(shared, prefix, response)?;
+    let response = record_store_result(shared, prefix, response)?;
+    apply_read(shared, prefix, response, sent_at);
+    Ok(false)
+}
+
+/// Applies a read of a whole prefix that was sent at `sent_at`, since boot.
+fn apply_read(
+    shared: &Shared,
+    prefix: Prefix,
+    (items, revision): (Vec<Item>, u64),
+    sent_at: Duration,
+) {
     let entries = items.into_iter().map(item_change).collect();
     apply_update(
         shared,
@@ -370,7 +482,7 @@
             revision,
         },
     );
-    Ok(false)
+    record_proof(shared, prefix, sent_at);
 }
 
 /// Records the end of an outage if the last call for this prefix failed.
--- a/crates/shallotroute_resident/src/lib.rs
+++ b/crates/shallotroute_resident/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod error;
 mod follow;
 mod forward;
+mod freshness;
 mod generate;
 mod ingress;
 mod job;
@@ -197,6 +198,7 @@
         }
         let (lease, lease_receiver) = watch::channel(None);
         tokio::spawn(follow::run(Arc::clone(&shared)));
+        tokio::spawn(freshness::run(Arc::clone(&shared)));
         tokio::spawn(presence::run(Arc::clone(&shared), lease, shutdown.clone()));
         tokio::spawn(remove_expired(Arc::clone(&shared)));
         tokio::spawn(capacity::run(Arc::clone(&shared)));
--- a/crates/shallotroute_resident/src/metric.rs
+++ b/crates/shallotroute_resident/src/metric.rs
@@ -1,7 +1,11 @@
 //! The Prometheus metrics of a node, and the HTTP endpoint that serves them together with its
 //! state.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::AtomicU64},
+    time::Duration,
+};
 
 use futures::future::BoxFuture;
 use http::{Request, Response, StatusCode, header};
@@ -93,6 +97,12 @@
     pub(crate) connections: Counter,
     /// The version of the active configuration.
     pub(crate) configuration_version: Gauge,
+    /// The age of the proof that the configuration is complete, in seconds.
+    pub(crate) configuration_age: Gauge<f64, AtomicU64>,
+    /// Changes of the state of that proof, by new state.
+    pub(crate) freshness: Family<Label, Counter>,
+    /// Proofs that this node fetched from the store, by outcome.
+    pub(crate) proofs: Family<Label, Counter>,
 }
 
 impl Metrics {
@@ -125,6 +135,9 @@
             orders: Family::default(),
             connections: Counter::default(),
             configuration_version: Gauge::default(),
+            configuration_age: Gauge::default(),
+            freshness: Family::default(),
+            proofs: Family::default(),
         };
         metrics.register(&mut registry);
         metrics.registry = registry;
@@ -155,6 +168,7 @@
         );
         self.register_servers(registry);
         self.register_jobs(registry);
+        self.register_freshness(registry);
         registry.register(
             "store_calls",
             "Calls to the platform's store",
@@ -211,6 +225,24 @@
         );
     }
 
+    fn register_freshness(&self, registry: &mut Registry) {
+        registry.register(
+            "configuration_age_seconds",
+            "Age of the proof that the configuration is complete, under strict revocation",
+            self.configuration_age.clone(),
+        );
+        registry.register(
+            "freshness",
+            "Changes of the state of that proof, by new state",
+            self.freshness.clone(),
+        );
+        registry.register(
+            "proofs",
+            "Calls to the platform's store for such a proof",
+            self.proofs.clone(),
+        );
+    }
+
     fn register_jobs(&self, registry: &mut Registry) {
         registry.register("jobs", "Batch jobs by event", self.jobs.clone());
         registry.register(
--- a/crates/shallotroute_resident/src/peer.rs
+++ b/crates/shallotroute_resident/src/peer.rs
@@ -29,7 +29,7 @@
 use crate::{
     capacity, limit, link, resume,
     shared::Shared,
-    view::{self, Revisions, ViewUpdate},
+    view::{self, Followed, Revisions, ViewUpdate},
 };
 
 /// Why a call to another node failed.
@@ -82,6 +82,13 @@
     /// Returns what this node knows of the origin of a stream. `id` is the identity of the request
     /// that brought its first event, `period` the time that a stream of `service` can last.
     async fn find_stream(id: Name, service: Name, period: Duration) -> Answer;
+    /// Returns what the caller lacks, as `view_updates` does, with this node's proof that its copy of the
+    /// operators' objects is complete. `proof_age` is the age of the caller's proof. Since protocol 1.
+    async fn follow(
+        revisions: Revisions,
+        proof_age: Option<Duration>,
+        wait_ms: u64,
+    ) -> Option<Followed>;
 }
 
 /// The server side of one connection from another node.
@@ -185,6 +192,17 @@
     async fn find_stream(self, _: Context, id: Name, service: Name, period: Duration) -> Answer {
         resume::answer(&self.0, &id, &service, period)
     }
+
+    async fn follow(
+        self,
+        _: Context,
+        revisions: Revisions,
+        proof_age: Option<Duration>,
+        wait_ms: u64,
+    ) -> Option<Followed> {
+        let wait = Duration::from_millis(wait_ms);
+        view::follow(&self.0, revisions, proof_age, wait).await
+    }
 }
 
 /// A service that accepts connections from other nodes.
--- a/crates/shallotroute_resident/src/shared.rs
+++ b/crates/shallotroute_resident/src/shared.rs
@@ -10,6 +10,7 @@
 use shallotroute_batch::record::Owner;
 use shallotroute_fleet::{
     capacity::{Backlog, Board},
+    freshness::Standing,
     limit::{Observation, Rate},
     link,
     route::Table,
@@ -23,6 +24,7 @@
 
 use crate::{
     checkpoint::Checkpoints,
+    freshness::Freshness,
     job::Registry,
     limit::Limits,
     link::Monitor,
@@ -73,6 +75,8 @@
     pub(crate) suspects: Tracker,
     /// The copies of what all nodes follow in the store, which this node passes on to others.
     pub(crate) view: View,
+    /// The proof that this node's copy of the operators' objects is complete.
+    pub(crate) freshness: Freshness,
     /// Whether this node is to have an entry among the members.
     pub(crate) should_register: watch::Sender<bool>,
     /// Cancelled when the node starts to drain.
@@ -128,6 +132,7 @@
         let balancer = Balancer::new(zone).with_seed(seed);
         let store = Store::new(settings.store, Arc::clone(&metrics), Arc::clone(&peers));
         let pool = Pool::new(CONNECT_TIMEOUT, metrics.connections.clone());
+        let freshness = Freshness::new(settings.revocation);
         let (limits, limit_changes) = Limits::new();
         let (suspects, suspect_changes) = Tracker::new();
         let shared = Arc::new(Self {
@@ -150,6 +155,7 @@
             relayed: AtomicUsize::new(0),
             suspects,
             view: View::default(),
+            freshness,
             should_register: watch::channel(false).0,
             drain: CancellationToken::new(),
             balancer: Mutex::new(balancer),
@@ -216,12 +222,26 @@
         self.backlog.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns whether requests with keys need a configuration that is provably fresh (strict revocation).
+    pub(crate) fn requires_freshness(&self) -> bool {
+        self.settings.revocation.is_some()
+    }
+
+    /// Returns whether this node may decide about keys; always if nothing requires a fresh configuration.
+    pub(crate) fn freshness_standing(&self) -> Standing {
+        match self.requires_freshness() {
+            true => self.freshness.standing(self.boot_time()),
+            false => Standing::Fresh,
+        }
+    }
+
     /// Returns whether the node can serve callers: it has a configuration and the host list, reaches servers
-    /// in some way, and does not drain.
+    /// in some way, need not reject requests with keys soon, and does not drain.
     pub(crate) fn is_ready(&self) -> bool {
         self.active_table.borrow().is_some()
             && *self.has_host_list.borrow()
             && self.links.state() != link::State::Isolated
+            && self.freshness_standing() == Standing::Fresh
             && !self.drain.is_cancelled()
     }
 
--- a/crates/shallotroute_resident/src/view.rs
+++ b/crates/shallotroute_resident/src/view.rs
@@ -51,6 +51,16 @@
     pub(crate) since_outage: Option<Duration>,
 }
 
+/// What a follower lacks, and the source's proof that its copy of the operators' objects is complete.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Followed {
+    pub(crate) update: ViewUpdate,
+    /// The age of the source's proof at the time of this response, since boot; `None` without one.
+    pub(crate) proof_age: Option<Duration>,
+    /// How long the source held the request, since boot.
+    pub(crate) held: Duration,
+}
+
 /// The revision up to which each of a follower's copies is complete; `None` before the first read.
 pub(crate) type Revisions = Vec<(Prefix, Option<u64>)>;
 
@@ -173,10 +183,50 @@
     revisions: Revisions,
     wait: Duration,
 ) -> Option<ViewUpdate> {
+    let (update, _) = wait_for_update(shared, revisions, wait, || false).await?;
+    Some(update)
+}
+
+/// Returns what a follower lacks with this node's proof; waits up to `wait` for a change or a proof that is
+/// much newer than the follower's, whose age is `proof_age`. Returns `None` if this node's own view is not
+/// current.
+pub(crate) async fn follow(
+    shared: &Shared,
+    revisions: Revisions,
+    proof_age: Option<Duration>,
+    wait: Duration,
+) -> Option<Followed> {
+    let arrived_at = shared.boot_time();
+    let is_worth_passing = || {
+        let now = shared.boot_time();
+        let held = now.saturating_sub(arrived_at);
+        shared.freshness.is_worth_passing(proof_age, held, now)
+    };
+    let (update, confirmed_at) = wait_for_update(shared, revisions, wait, is_worth_passing).await?;
+    let now = shared.boot_time();
+    Some(Followed {
+        update,
+        proof_age: confirmed_at.map(|at| now.saturating_sub(at)),
+        held: now.saturating_sub(arrived_at),
+    })
+}
+
+/// Returns what a follower lacks, and as of when it proves the follower's copy of the operators' objects to be
+/// complete. Waits up to `wait` for a change or until `is_due`, which is checked with each new proof.
+async fn wait_for_update(
+    shared: &Shared,
+    revisions: Revisions,
+    wait: Duration,
+    is_due: impl Fn() -> bool,
+) -> Option<(ViewUpdate, Option<Duration>)> {
     let deadline = shared.now() + wait;
     let mut generation = shared.view.generation.subscribe();
+    let mut proofs = shared.freshness.subscribe();
     loop {
         generation.mark_unchanged();
+        proofs.mark_unchanged();
+        // Read before the copy, which may become newer than the proof but not the reverse.
+        let confirmed_at = shared.freshness.confirmed_at();
         let now = shared.now();
         let mut next_check = deadline;
         {
@@ -186,22 +236,27 @@
                 .filter(|at| now < *at + MAX_VIEW_AGE);
             match (current_at, state.updates_since(&revisions)) {
                 (Some(current_at), Some(prefixes)) => {
-                    if prefixes.iter().any(|update| !update.is_empty()) || now >= deadline {
-                        return Some(ViewUpdate {
+                    let has_changes = prefixes.iter().any(|update| !update.is_empty());
+                    if has_changes || now >= deadline || is_due() {
+                        let update = ViewUpdate {
                             prefixes,
                             age: now.saturating_duration_since(current_at),
                             since_outage: state
                                 .reconnected_at
                                 .map(|at| now.saturating_duration_since(at)),
-                        });
+                        };
+                        return Some((update, confirmed_at));
                     }
                 }
                 _ if now >= deadline => return None,
                 _ => next_check = deadline.min(now + STALE_POLL_INTERVAL),
             }
         }
-        // After the timeout the view is checked again.
-        let _ = tokio::time::timeout_at(next_check.into(), generation.changed()).await;
+        tokio::select! {
+            _ = generation.changed() => {}
+            _ = proofs.changed() => {}
+            () = tokio::time::sleep_until(next_check.into()) => {}
+        }
     }
 }
 
@@ -244,6 +299,7 @@
     match update {
         Update::Changes(changes) => apply_changes(shared, prefix, changes, revision),
         Update::Snapshot(changes) => {
+            let _application = lock_application(shared, prefix);
             let entries = changes
                 .into_iter()
                 .filter_map(|change| Some((change.key, change.revision, change.value?)));
@@ -269,10 +325,16 @@
     changes: Vec<object::Change>,
     revision: u64,
 ) {
+    let _application = lock_application(shared, prefix);
     let changes = shared.view.lock().replicas[prefix as usize].apply(changes, revision);
     notify(shared, prefix, &changes, false);
 }
 
+/// Returns a guard to hold until a change of the operators' objects is in force; `None` for other prefixes.
+fn lock_application(shared: &Shared, prefix: Prefix) -> Option<MutexGuard<'_, ()>> {
+    (prefix == Prefix::Operators).then(|| shared.freshness.lock_application())
+}
+
 /// Applies the changes of a copy to this node, and wakes waiting followers.
 fn notify(shared: &Shared, prefix: Prefix, changes: &[object::Change], is_first_read: bool) {
     if changes.is_empty() && !is_first_read {
