soak: an outage of the store under strict revocation

Cause: only a single node's loss of the store was tested with processes. The metric of the age says the time since boot without a proof.

--- a/crates/shallotroute/tests/cut_off.rs
+++ b/crates/shallotroute/tests/cut_off.rs
@@ -44,6 +44,26 @@
     expect_the_node_returns(Return::Nodes).await;
 }
 
+/// Guards against nodes that pass a proof around among themselves while the store is away, and against a late return.
+#[gtest]
+#[tokio::test]
+async fn all_nodes_leave_the_rotation_without_the_store_and_return_with_it() {
+    let report = cut_off::run_outage(Path::new(env!("CARGO_BIN_EXE_shallotroute")))
+        .await
+        .expect("the stand-ins and the program should start");
+    expect_that!(report.findings, is_empty(), "{report:?}");
+    expect_that!(
+        report.unready_after,
+        some(lt(Duration::from_millis(4500))),
+        "{report:?}"
+    );
+    expect_that!(
+        report.ready_after,
+        some(lt(Duration::from_secs(4))),
+        "{report:?}"
+    );
+}
+
 /// Guards against additional calls to the store where nothing bounds the revocation of keys.
 #[gtest]
 #[tokio::test]
--- a/crates/shallotroute_resident/src/freshness.rs
+++ b/crates/shallotroute_resident/src/freshness.rs
@@ -167,12 +167,13 @@
     let mut last = None;
     loop {
         if shared.requires_freshness() && shared.active_table.borrow().is_some() {
-            let age = shared.freshness.age(shared.boot_time());
+            let now = shared.boot_time();
+            let age = shared.freshness.age(now);
             let state = shared.freshness_standing().name();
             shared
                 .metrics
                 .configuration_age
-                .set(age.unwrap_or_default().as_secs_f64());
+                .set(age.unwrap_or(now).as_secs_f64());
             if last != Some(state) {
                 Metrics::count(&shared.metrics.freshness, state);
                 spdlog::info!("freshness of the configuration", kv: {
--- a/crates/shallotroute_resident/src/metric.rs
+++ b/crates/shallotroute_resident/src/metric.rs
@@ -97,7 +97,7 @@
     pub(crate) connections: Counter,
     /// The version of the active configuration.
     pub(crate) configuration_version: Gauge,
-    /// The age of the proof that the configuration is complete, in seconds.
+    /// The age of the proof that the configuration is complete, in seconds; the time since boot without one.
     pub(crate) configuration_age: Gauge<f64, AtomicU64>,
     /// Changes of the state of that proof, by new state.
     pub(crate) freshness: Family<Label, Counter>,
