--- a/crates/shallotroute_fleet/src/lib.rs
+++ b/crates/shallotroute_fleet/src/lib.rs
@@ -1,13 +1,14 @@
 //! Pure state machines for traffic to backend servers: routes, load balancing, retries and hedging,
 //! limits that servers name, requests under which servers crash, the state of a node's links to
 //! servers, rolling weight updates, the number of servers, the ranking of nodes in elections, at which
-//! software version streams go on, how nodes follow the platform's store, and which workspace a request
-//! belongs to. Start with [`server::Balancer`],
+//! software version streams go on, how nodes follow the platform's store, how fresh their configuration
+//! provably is, and which workspace a request belongs to. Start with [`server::Balancer`],
 //! [`route::Table`], [`link::Links`] and [`source::Selector`].
 
 pub mod access;
 pub mod capacity;
 pub mod election;
+pub mod freshness;
 pub mod limit;
 pub mod link;
 pub mod replica;
--- a/crates/shallotroute_resident/src/peer.rs
+++ b/crates/shallotroute_resident/src/peer.rs
@@ -29,7 +29,7 @@
 use crate::{
     capacity, limit, link, resume,
     shared::Shared,
-    view::{self, Revisions, ViewUpdate},
+    view::{self, Followed, Revisions, ViewUpdate},
 };
 
 /// Why a call to another node failed.
@@ -99,6 +99,13 @@
     ) -> Result<Option<Vec<u8>>, CallError>;
     /// Ends a job, as [`Peer::end_job`] does, for a caller of a workspace.
     async fn end_job_for(workspace: Name, job: Name) -> Result<bool, CallError>;
+    /// Returns what the caller lacks, as `view_updates` does, with this node's proof that its copy of the
+    /// operators' objects is complete. `proof_age` is the age of the caller's proof. Since protocol 1.
+    async fn follow(
+        revisions: Revisions,
+        proof_age: Option<Duration>,
+        wait_ms: u64,
+    ) -> Option<Followed>;
 }
 
 /// The server side of one connection from another node.
@@ -235,6 +242,17 @@
         self.check_workspace(&workspace, &job)?;
         self.end_job(context, job).await
     }
+
+    async fn follow(
+        self,
+        _: Context,
+        revisions: Revisions,
+        proof_age: Option<Duration>,
+        wait_ms: u64,
+    ) -> Option<Followed> {
+        let wait = Duration::from_millis(wait_ms);
+        view::follow(&self.0, revisions, proof_age, wait).await
+    }
 }
 
 impl Server {
--- a/crates/shallotroute_resident/src/shared.rs
+++ b/crates/shallotroute_resident/src/shared.rs
@@ -10,8 +10,9 @@
 use shallotroute_adapter::{backend::Head, caller};
 use shallotroute_batch::record::Owner;
 use shallotroute_fleet::{
-    access::{self, Denial, Freshness, Grant},
+    access::{self, Denial, Grant},
     capacity::{Backlog, Board},
+    freshness::Standing,
     limit::{Observation, Rate},
     link,
     route::{Route, Table},
@@ -26,6 +27,7 @@
 
 use crate::{
     checkpoint::Checkpoints,
+    freshness::Freshness,
     job::Registry,
     limit::Limits,
     link::Monitor,
@@ -79,6 +81,8 @@
     pub(crate) scaling: Records,
     /// The copies of what all nodes follow in the store, which this node passes on to others.
     pub(crate) view: View,
+    /// The proof that this node's copy of the operators' objects is complete.
+    pub(crate) freshness: Freshness,
     /// Whether this node is to have an entry among the members.
     pub(crate) should_register: watch::Sender<bool>,
     /// Cancelled when the node starts to drain.
@@ -136,6 +140,7 @@
         let balancer = Balancer::new(zone).with_seed(seed);
         let store = Store::new(settings.store, Arc::clone(&metrics), Arc::clone(&peers));
         let pool = Pool::new(CONNECT_TIMEOUT, metrics.connections.clone());
+        let freshness = Freshness::new(settings.revocation);
         let (limits, limit_changes) = Limits::new();
         let (suspects, suspect_changes) = Tracker::new();
         let shared = Arc::new(Self {
@@ -159,6 +164,7 @@
             suspects,
             scaling: Records::default(),
             view: View::default(),
+            freshness,
             should_register: watch::channel(false).0,
             drain: CancellationToken::new(),
             secret: Secret::new(rand::random()),
@@ -225,8 +231,11 @@
     }
 
     /// Returns whether the configuration is recent enough to tell which keys are valid.
-    pub(crate) fn configuration_freshness(&self) -> Freshness {
-        Freshness::Fresh
+    pub(crate) fn configuration_freshness(&self) -> access::Freshness {
+        match self.freshness_standing() {
+            Standing::Fresh | Standing::Leaving => access::Freshness::Fresh,
+            Standing::Stale { retry_after } => access::Freshness::Stale { retry_after },
+        }
     }
 
     /// Returns the node that runs the batch jobs submitted to a host and path. All jobs of a route run
@@ -261,12 +270,28 @@
         self.backlog.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns whether requests with keys need a configuration that is provably fresh (strict revocation).
+    pub(crate) fn requires_freshness(&self) -> bool {
+        let active = self.active_table.borrow();
+        let workspaces = active.as_ref().and_then(|active| active.table.workspaces());
+        self.settings.revocation.is_some() && workspaces.is_some()
+    }
+
+    /// Returns whether this node may decide about keys; always if nothing requires a fresh configuration.
+    pub(crate) fn freshness_standing(&self) -> Standing {
+        match self.requires_freshness() {
+            true => self.freshness.standing(self.boot_time()),
+            false => Standing::Fresh,
+        }
+    }
+
     /// Returns whether the node can serve callers: it has a configuration and the host list, reaches servers
-    /// in some way, and does not drain.
+    /// in some way, need not reject requests with keys soon, and does not drain.
     pub(crate) fn is_ready(&self) -> bool {
         self.active_table.borrow().is_some()
             && *self.has_host_list.borrow()
             && self.links.state() != link::State::Isolated
+            && self.freshness_standing() == Standing::Fresh
             && !self.drain.is_cancelled()
     }
 
