--- a/crates/shallotroute/tests/workspaces.rs
+++ b/crates/shallotroute/tests/workspaces.rs
@@ -130,7 +130,7 @@
 async fn servers_learn_the_workspace_and_never_the_key() {
     let desk = start(failing_first(Duration::from_millis(30)), 1).await;
     let (none, alpha) = (None, Some("alpha"));
-    let cases: [(&str, Option<&str>, u16, Option<&str>, usize); 13] = [
+    let cases = [
         ("/again/plain", Some(ALPHA), 200, alpha, 1),
         ("/once/plain", Some(ALPHA_TOO), 200, alpha, 1),
         ("/again/retry", Some(BETA), 200, Some("beta"), 2),
