fleet: who may call the platform for a duty, and usage by window

Duties are performed by one node at a time, and each window of usage may be reported with one figure only.

--- a/crates/shallotroute_fleet/src/lib.rs
+++ b/crates/shallotroute_fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`route::Table`], [`link::Links`] and [`source::Selector`].
 
 pub mod capacity;
+pub mod duty;
 pub mod election;
 pub mod limit;
 pub mod link;
@@ -18,3 +19,4 @@
 pub mod source;
 pub mod stall;
 pub mod suspect;
+pub mod usage;
