fleet: a rejection with two meanings holds calls back until the leadership is read

A number of servers is rejected with the same status when none are available and when a higher token was seen. Calls with the token wait until a read of the leadership shows which. The ledger reads the store only once it has counts.

--- a/crates/shallotroute_fleet/src/duty.rs
+++ b/crates/shallotroute_fleet/src/duty.rs
@@ -44,6 +44,9 @@
     /// The platform has seen a higher token.
     #[display("the platform has seen a higher token")]
     Fenced,
+    /// The platform may have seen a higher token, which has to be found out first.
+    #[display("the platform may have seen a higher token")]
+    Doubted,
     /// The node is about to give the duties up.
     #[display("this node is about to give up the duties")]
     Resigning,
@@ -71,6 +74,8 @@
     Settled,
     /// The platform has answered that it saw a higher token.
     Fenced,
+    /// The platform has rejected the call, perhaps because it saw a higher token.
+    Doubtful,
     /// There was no answer, so that the call may still arrive.
     Unanswered,
 }
@@ -90,6 +95,8 @@
     tenure: Option<Tenure>,
     /// The highest token that the platform rejected because of a higher one.
     fenced: Option<Fence>,
+    /// The last call that the platform may have rejected because of a higher token.
+    doubted: Option<Permit>,
     is_resigning: bool,
     next_number: u64,
     /// When the next call may be sent.
@@ -105,6 +112,7 @@
             timing,
             tenure: None,
             fenced: None,
+            doubted: None,
             is_resigning: false,
             next_number: 0,
             next_call: Duration::ZERO,
@@ -147,27 +155,52 @@
             .is_some_and(|token| self.fenced.is_some_and(|fenced| token <= fenced))
     }
 
-    /// Returns the earliest time of the next call; `None` if the node may send none.
-    pub fn next_call(&self) -> Option<Duration> {
-        let tenure = self.tenure?;
-        (!self.is_fenced() && !self.is_resigning).then(|| tenure.calls_from.max(self.next_call))
+    /// Returns the last call with the present token that the platform may have rejected because of a higher one. It has
+    /// not if a linearizable read of the record of the leadership, after the rejection, shows this token: higher ones
+    /// come with later records only.
+    pub fn doubted(&self) -> Option<Permit> {
+        self.doubted
+            .filter(|permit| self.token() == Some(permit.token))
     }
 
-    /// Permits one call. Has to be asked right before the first byte of the call is written. `lease` is the
-    /// end of the lease to which the token is bound.
+    /// Records whether the token of a doubted call is still the highest one.
+    pub fn resolve_doubt(&mut self, permit: Permit, is_highest: bool) {
+        match is_highest {
+            // The read says nothing about a later rejection.
+            true if self.doubted == Some(permit) => self.doubted = None,
+            true => {}
+            false => self.fenced = self.fenced.max(Some(permit.token)),
+        }
+    }
+
+    /// Returns when the next call may be sent, so that no connection is opened in vain.
     ///
     /// # Errors
     ///
-    /// Returns why the call may not be sent.
-    pub fn permit(&mut self, lease: Option<Duration>, now: Duration) -> Result<Permit> {
+    /// Returns why no call may be sent, whatever the time is.
+    pub fn next_call(&self) -> Result<Duration> {
         let tenure = self.tenure.ok_or(Refusal::NotHolder)?;
         if self.is_fenced() {
             return Err(Refusal::Fenced);
         }
+        if self.doubted().is_some() {
+            return Err(Refusal::Doubted);
+        }
         if self.is_resigning {
             return Err(Refusal::Resigning);
         }
-        let not_before = tenure.calls_from.max(self.next_call);
+        Ok(tenure.calls_from.max(self.next_call))
+    }
+
+    /// Permits one call. Has to be asked right before the first byte of the call is written. `lease` is the
+    /// end of the lease to which the token is bound.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the call may not be sent.
+    pub fn permit(&mut self, lease: Option<Duration>, now: Duration) -> Result<Permit> {
+        let not_before = self.next_call()?;
+        let token = self.token().ok_or(Refusal::NotHolder)?;
         if now < not_before {
             return Err(Refusal::NotBefore(not_before));
         }
@@ -188,10 +221,7 @@
         // The call counts as unanswered until it has ended.
         self.unanswered
             .insert(number, now + margin + call_timeout + abandoned);
-        Ok(Permit {
-            token: tenure.token,
-            number,
-        })
+        Ok(Permit { token, number })
     }
 
     /// Records the end of a call.
@@ -200,6 +230,7 @@
             CallEnd::Unanswered => return,
             CallEnd::Settled => {}
             CallEnd::Fenced => self.fenced = self.fenced.max(Some(permit.token)),
+            CallEnd::Doubtful => self.doubted = Some(permit),
         }
         self.unanswered.remove(&permit.number);
     }
--- a/crates/shallotroute_fleet/src/usage/ledger.rs
+++ b/crates/shallotroute_fleet/src/usage/ledger.rs
@@ -215,7 +215,8 @@
     pub fn next_action(&mut self, now: Moment) -> Option<Action> {
         self.give_up(now);
         if now.boot >= self.store_back_off.until {
-            if !self.is_loaded {
+            // Without counts there is nothing to close; a deployment without workspaces costs no call.
+            if !self.is_loaded && !self.collected.is_empty() {
                 return Some(Action::Load);
             }
             if let Some(close) = self.due_close(now) {
@@ -309,6 +310,21 @@
         Some(entry.reported)
     }
 
+    /// Returns the counts of the windows that are not closed, by process. A leader that steps down passes on those
+    /// of processes that have ended, which nobody else has.
+    pub fn open_tallies(&self) -> BTreeMap<P, Vec<Tally>> {
+        let mut tallies: BTreeMap<P, Vec<Tally>> = BTreeMap::new();
+        for (window, processes) in &self.collected {
+            for (process, counts) in processes {
+                tallies.entry(process.clone()).or_default().push(Tally {
+                    window: *window,
+                    counts: counts.clone(),
+                });
+            }
+        }
+        tallies
+    }
+
     /// Returns the closed windows whose keys exist in the store.
     pub fn closed(&self) -> impl Iterator<Item = (u64, &Window)> {
         self.closed.iter().map(|(number, window)| (*number, window))
@@ -357,7 +373,7 @@
     }
 
     fn due_close(&self, now: Moment) -> Option<Close> {
-        if now.boot < self.since + self.schedule.collect {
+        if !self.is_loaded || now.boot < self.since + self.schedule.collect {
             return None;
         }
         let is_due = |number: u64| {
--- a/crates/shallotroute_fleet/tests/duty.rs
+++ b/crates/shallotroute_fleet/tests/duty.rs
@@ -85,6 +85,23 @@
     expect_that!(holder.permit(lease, 23_000 * MS), ok(anything()));
 }
 
+// Guards against calls with a token while it is open whether a rejection was for it, and against a leader that
+// steps down each time no servers are available.
+#[gtest]
+fn doubted_token_waits_for_the_leadership() {
+    let mut holder = holder_at(Duration::ZERO);
+    let lease = Some(60_000 * MS);
+    let permit = holder.permit(lease, 5000 * MS).unwrap();
+    holder.end(permit, CallEnd::Doubtful);
+    expect_that!(holder.doubted(), some(eq(permit)));
+    expect_that!(holder.permit(lease, 6000 * MS), err(eq(Refusal::Doubted)));
+    holder.resolve_doubt(permit, true);
+    let permit = holder.permit(lease, 7000 * MS).unwrap();
+    holder.end(permit, CallEnd::Doubtful);
+    holder.resolve_doubt(permit, false);
+    expect_true!(holder.is_fenced());
+}
+
 // Guards against a node that lets another one be elected while its own call may still arrive.
 #[gtest]
 fn unanswered_call_delays_resignation() {
