resident: calls for duties, and usage from counting to reporting

`duty::Caller` performs one call under the checks of the holder; `usage` counts callers' requests, sends the counts to the leader and closes and reports windows there. Requests name no workspace yet.

--- a/crates/shallotroute_resident/src/forward.rs
+++ b/crates/shallotroute_resident/src/forward.rs
@@ -28,6 +28,7 @@
     pool::{Connection, Failure},
     shared::Shared,
     suspect,
+    usage::{self, Meter},
 };
 
 /// The maximum size of a response body, which is held in memory.
@@ -115,9 +116,22 @@
     // The sender sends it again when there is no answer.
     let is_idempotent = true;
     let request = request.clone();
-    run_attempt(Arc::clone(shared), server, request, deadline, is_idempotent)
-        .await
-        .1
+    let shared = Arc::clone(shared);
+    run_attempt(
+        shared,
+        server,
+        request,
+        deadline,
+        is_idempotent,
+        Meter::none(),
+    )
+    .await
+    .1
+}
+
+/// Returns the workspace whose usage a caller's request counts for.
+pub(crate) fn workspace(_: &BackendRequest) -> Option<&Name> {
+    None
 }
 
 /// Forwards a request, with retries and hedged attempts as the route allows, until a server answers
@@ -138,6 +152,7 @@
     let mut forwarding = Forwarding {
         shared,
         route,
+        meter: usage::meter(shared, workspace(&request)),
         request,
         policy,
         attempts: Attempts::new(policy),
@@ -174,6 +189,8 @@
     shared: &'a Arc<Shared>,
     route: &'a Route,
     request: BackendRequest,
+    /// Counts the request once over all its attempts.
+    meter: Meter,
     policy: Policy,
     /// The attempts so far, which decide what happens next.
     attempts: Attempts,
@@ -213,8 +230,8 @@
                     is_idempotent,
                     ..
                 } = self.policy;
-                let attempt =
-                    run_attempt(Arc::clone(shared), server, request, deadline, is_idempotent);
+                let (shared, meter) = (Arc::clone(shared), self.meter.clone());
+                let attempt = run_attempt(shared, server, request, deadline, is_idempotent, meter);
                 self.pending.spawn(attempt);
             }
             Err(unavailable) => {
@@ -337,11 +354,14 @@
     request: BackendRequest,
     deadline: Instant,
     is_idempotent: bool,
+    meter: Meter,
 ) -> (Name, AttemptOutcome) {
     let in_flight = shared.start_request(&server.id, None);
     let started_at = shared.now();
+    let attempt = meter.begin();
     let pending = exchange(&shared, &server, &request, deadline, is_idempotent);
-    let attempt_outcome = match tokio::time::timeout_at(deadline.into(), pending).await {
+    let pending = tokio::time::timeout_at(deadline.into(), pending);
+    let attempt_outcome = match attempt.observe(pending).await {
         Ok(attempt_outcome) => attempt_outcome,
         Err(_) => AttemptOutcome::MayHaveRun(format!("{} did not answer in time", server.id)),
     };
@@ -358,6 +378,11 @@
         AttemptOutcome::MayHaveRun(_) | AttemptOutcome::Broken(_) => (Outcome::Failed, "unknown"),
     };
     in_flight.finish(outcome);
+    if let AttemptOutcome::NotRun(_) | AttemptOutcome::Unreachable(_) | AttemptOutcome::NoWay(_) =
+        &attempt_outcome
+    {
+        attempt.dismiss();
+    }
     if let Some(fingerprint) = &request.fingerprint {
         match &attempt_outcome {
             AttemptOutcome::Answer { .. } => suspect::record_answer(&shared, fingerprint),
--- a/crates/shallotroute_resident/src/ledger.rs
+++ b/crates/shallotroute_resident/src/ledger.rs
@@ -15,6 +15,7 @@
     member,
     shared::Shared,
     store::{Error, Result},
+    usage,
 };
 
 /// The prefix of jobs' heads.
@@ -273,11 +274,12 @@
 
 /// Returns what a key or a prefix is about, for metrics and logs.
 pub(crate) fn subject(key: &str) -> &'static str {
-    const SUBJECTS: [(&str, &str); 7] = [
+    const SUBJECTS: [(&str, &str); 8] = [
         (HEAD_PREFIX, "head"),
         (SPECIFICATION_PREFIX, "specification"),
         (RESULT_PREFIX, "result"),
         (CHECKPOINT_PREFIX, "checkpoint"),
+        (usage::PREFIX, "usage"),
         (member::PREFIX, "member"),
         (registry::SERVER_PREFIX, "server"),
         (registry::OPERATOR_PREFIX, "operator"),
--- a/crates/shallotroute_resident/src/lib.rs
+++ b/crates/shallotroute_resident/src/lib.rs
@@ -6,6 +6,7 @@
 mod claim;
 mod drain;
 mod dump;
+mod duty;
 pub mod error;
 mod follow;
 mod forward;
@@ -33,6 +34,7 @@
 mod stream;
 mod suspect;
 mod trainer;
+mod usage;
 mod view;
 
 use std::{
@@ -206,6 +208,8 @@
         tokio::spawn(limit::notice::run(Arc::clone(&shared)));
         tokio::spawn(limit::run(Arc::clone(&shared), inbox.limits));
         tokio::spawn(suspect::run(Arc::clone(&shared), inbox.suspects));
+        tokio::spawn(usage::run(Arc::clone(&shared)));
+        tokio::spawn(usage::run_ledger(Arc::clone(&shared)));
         let leader = tokio::spawn(leader::run(Arc::clone(&shared), lease_receiver.clone()));
         Ok(Self {
             shared,
@@ -244,6 +248,7 @@
             let closed = tokio::time::timeout_at(deadline, callers).await;
             spdlog::info!("closed callers' connections", kv: { in_time = closed.is_ok() });
         }
+        usage::flush(&self.shared).await;
         self.shutdown.cancel();
         let lease = *self.lease.borrow();
         presence::deregister(&self.shared, lease).await;
@@ -261,6 +266,9 @@
             shared.store.log_calls();
         }
         shared.pool.close_expired();
+        if let Some(duties) = &shared.duties {
+            duties.close_expired();
+        }
         let now = shared.now();
         shared.balancer().remove_missing(now);
     }
--- a/crates/shallotroute_resident/src/metric.rs
+++ b/crates/shallotroute_resident/src/metric.rs
@@ -43,6 +43,15 @@
     pub(crate) outcome: &'static str,
 }
 
+/// The labels of calls for duties.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct DutyLabel {
+    /// The duty.
+    pub(crate) duty: &'static str,
+    /// The outcome of the call.
+    pub(crate) outcome: &'static str,
+}
+
 /// The metrics of a node.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -89,6 +98,10 @@
     pub(crate) relayed_calls: Counter,
     /// Orders to model servers, by reply.
     pub(crate) orders: Family<Label, Counter>,
+    /// Calls for duties, by duty and outcome.
+    pub(crate) duty_calls: Family<DutyLabel, Counter>,
+    /// Windows of usage that this node closed and reported, by event.
+    pub(crate) usage_windows: Family<Label, Counter>,
     /// Attempts to open a connection to a backend server.
     pub(crate) connections: Counter,
     /// The version of the active configuration.
@@ -123,6 +136,8 @@
             store_seconds: histogram(),
             relayed_calls: Counter::default(),
             orders: Family::default(),
+            duty_calls: Family::default(),
+            usage_windows: Family::default(),
             connections: Counter::default(),
             configuration_version: Gauge::default(),
         };
@@ -155,6 +170,7 @@
         );
         self.register_servers(registry);
         self.register_jobs(registry);
+        self.register_duties(registry);
         registry.register(
             "store_calls",
             "Calls to the platform's store",
@@ -237,6 +253,19 @@
         );
     }
 
+    fn register_duties(&self, registry: &mut Registry) {
+        registry.register(
+            "duty_calls",
+            "Calls to the platform's API for duties",
+            self.duty_calls.clone(),
+        );
+        registry.register(
+            "usage_windows",
+            "Windows of usage that were closed and reported, by event",
+            self.usage_windows.clone(),
+        );
+    }
+
     /// Increments the counter of an outcome.
     pub(crate) fn count(family: &Family<Label, Counter>, outcome: &'static str) {
         family.get_or_create(&Label { outcome }).inc();
--- a/crates/shallotroute_resident/src/peer.rs
+++ b/crates/shallotroute_resident/src/peer.rs
@@ -12,6 +12,7 @@
     limit::{Claim, Observation, Reply},
     link::Finding,
     resume::{Answer, Group},
+    usage::{Receipt, Tally},
 };
 use shallotroute_peer::{
     client::Clients,
@@ -82,6 +83,8 @@
     /// Returns what this node knows of the origin of a stream. `id` is the identity of the request
     /// that brought its first event, `period` the time that a stream of `service` can last.
     async fn find_stream(id: Name, service: Name, period: Duration) -> Answer;
+    /// Records the cumulative counts of a process, by window. Returns `None` if this node does not lead.
+    async fn report_usage(sender: Owner, tallies: Vec<Tally>) -> Option<Receipt>;
 }
 
 /// The server side of one connection from another node.
@@ -185,6 +188,10 @@
     async fn find_stream(self, _: Context, id: Name, service: Name, period: Duration) -> Answer {
         resume::answer(&self.0, &id, &service, period)
     }
+
+    async fn report_usage(self, _: Context, sender: Owner, tallies: Vec<Tally>) -> Option<Receipt> {
+        self.0.usage.as_ref()?.receive(&sender, &tallies)
+    }
 }
 
 /// A service that accepts connections from other nodes.
--- a/crates/shallotroute_resident/src/shared.rs
+++ b/crates/shallotroute_resident/src/shared.rs
@@ -23,6 +23,7 @@
 
 use crate::{
     checkpoint::Checkpoints,
+    duty,
     job::Registry,
     limit::Limits,
     link::Monitor,
@@ -33,6 +34,7 @@
     resume::Streams,
     store::Store,
     suspect::{self, Tracker},
+    usage,
     view::View,
 };
 
@@ -71,6 +73,10 @@
     pub(crate) relayed: AtomicUsize,
     /// The requests under which backend servers crashed.
     pub(crate) suspects: Tracker,
+    /// The calls for the duties that the leader performs; `None` if the deployment has none.
+    pub(crate) duties: Option<duty::Caller>,
+    /// The usage that callers' requests make; `None` if the deployment does not report it.
+    pub(crate) usage: Option<Arc<usage::Recorder>>,
     /// The copies of what all nodes follow in the store, which this node passes on to others.
     pub(crate) view: View,
     /// Whether this node is to have an entry among the members.
@@ -130,6 +136,8 @@
         let pool = Pool::new(CONNECT_TIMEOUT, metrics.connections.clone());
         let (limits, limit_changes) = Limits::new();
         let (suspects, suspect_changes) = Tracker::new();
+        let duties = duty::Caller::new(&settings, Arc::clone(&clock), Arc::clone(&metrics));
+        let usage = usage::Recorder::new(&settings, Arc::clone(&clock));
         let shared = Arc::new(Self {
             settings,
             owner,
@@ -149,6 +157,8 @@
             links: Monitor::new(),
             relayed: AtomicUsize::new(0),
             suspects,
+            duties,
+            usage,
             view: View::default(),
             should_register: watch::channel(false).0,
             drain: CancellationToken::new(),
--- a/crates/shallotroute_resident/src/stream.rs
+++ b/crates/shallotroute_resident/src/stream.rs
@@ -31,6 +31,7 @@
     response, resume,
     shared::{InFlight, Shared},
     suspect,
+    usage::{self, Attempt, Meter},
 };
 
 /// The maximum number of chunks that are buffered for a slow caller.
@@ -54,6 +55,8 @@
     headers: HeaderMap,
     head: Head,
     body: Incoming,
+    /// Counts the request when the stream ends, unless it was counted with an event.
+    _attempt: Attempt,
 }
 
 /// The servers that may run a stream.
@@ -150,7 +153,8 @@
         false => None,
     };
     let target = Target::new(route, &request.id, take_up.as_ref());
-    let opened = open(shared, &target, &request, None, &mut attempts).await;
+    let meter = usage::meter(shared, forward::workspace(&request));
+    let opened = open(shared, &target, &request, None, &meter, &mut attempts).await;
     if let Some(take_up) = &take_up {
         log_take_up(shared, &request, take_up, &opened);
     }
@@ -171,6 +175,7 @@
         is_software_checked: false,
         is_recorded: false,
         has_event: false,
+        meter,
         request,
         is_resumable,
         deadline: policy.deadline,
@@ -278,6 +283,7 @@
     target: &Target,
     request: &BackendRequest,
     begun: Option<StatusCode>,
+    meter: &Meter,
     attempts: &mut Attempts,
 ) -> Result<OpenStream, (RequestFailure, String)> {
     let deadline = attempts.policy().deadline;
@@ -317,7 +323,7 @@
                     request,
                     begun,
                     attempts.policy(),
-                    in_flight,
+                    (in_flight, meter.begin()),
                 );
                 let error = match tokio::time::timeout_at(deadline.into(), opening).await {
                     Ok(Ok(opened)) => return Ok(opened),
@@ -370,9 +376,12 @@
     request: &BackendRequest,
     begun: Option<StatusCode>,
     policy: &Policy,
-    in_flight: InFlight,
+    (in_flight, attempt): (InFlight, Attempt),
 ) -> Result<OpenStream, OpenError> {
-    let fail = |in_flight: InFlight, error: OpenError| {
+    let fail = |in_flight: InFlight, attempt: Attempt, error: OpenError| {
+        if let OpenError::NotRun(_) | OpenError::NoWay(_) = &error {
+            attempt.dismiss();
+        }
         in_flight.finish(match error {
             OpenError::NotRun(_) | OpenError::NoWay(_) => Outcome::Rejected,
             OpenError::MayHaveRun(_) | OpenError::Broken(_) => Outcome::Failed,
@@ -391,7 +400,7 @@
                 Failure::NoWay(reason) => OpenError::NoWay(reason),
                 Failure::LinkLost(reason) => OpenError::LinkLost(reason),
             };
-            return fail(in_flight, error);
+            return fail(in_flight, attempt, error);
         }
     };
     let (parts, body) = response.into_parts();
@@ -401,7 +410,7 @@
         if !matches!(error, OpenError::MayHaveRun(_)) {
             discard_response(shared, connection, &parts.headers, body).await;
         }
-        return fail(in_flight, error);
+        return fail(in_flight, attempt, error);
     }
     Ok(OpenStream {
         server: server.clone(),
@@ -411,6 +420,7 @@
         headers: parts.headers,
         head,
         body,
+        _attempt: attempt,
     })
 }
 
@@ -451,6 +461,8 @@
     is_recorded: bool,
     /// Whether the present server has sent an event.
     has_event: bool,
+    /// Counts the request once over all its attempts.
+    meter: Meter,
     /// The response of the caller, which is aborted if this is dropped before [`Part::End`].
     sender: mpsc::Sender<Part>,
 }
@@ -510,6 +522,7 @@
                 &self.target,
                 &self.request,
                 Some(begun),
+                &self.meter,
                 &mut attempts,
             );
             opened = match next.await {
@@ -663,6 +676,7 @@
 
     /// Records that the present server has sent an event.
     fn record_event(&mut self) {
+        self.meter.record_event();
         if !std::mem::replace(&mut self.has_event, true)
             && let Some(fingerprint) = &self.request.fingerprint
         {
