resident: the leader holds the duties

The leader's fencing number is the token of the calls. A leader that steps down first waits until its own calls without an answer can no longer arrive, and never uses the token again; after it has stepped down it performs no tasks until the change is seen.

--- a/crates/shallotroute_fleet/src/duty.rs
+++ b/crates/shallotroute_fleet/src/duty.rs
@@ -93,7 +93,7 @@
 pub struct Holder {
     timing: Timing,
     tenure: Option<Tenure>,
-    /// The highest token that the platform rejected because of a higher one.
+    /// The highest token that the platform rejected because of a higher one, or that was retired.
     fenced: Option<Fence>,
     /// The last call that the platform may have rejected because of a higher token.
     doubted: Option<Permit>,
@@ -144,12 +144,18 @@
         self.is_resigning = is_resigning;
     }
 
+    /// Ends the use of a token. The record of the leadership may go on naming this node for a while.
+    pub fn retire(&mut self, token: Fence) {
+        self.fenced = self.fenced.max(Some(token));
+    }
+
     /// Returns the token; `None` if the node does not hold the duties.
     pub fn token(&self) -> Option<Fence> {
         self.tenure.map(|tenure| tenure.token)
     }
 
-    /// Returns whether the platform has seen a higher token than the node's own, so that it has to step down.
+    /// Returns whether the platform has seen a higher token than the node's own or the token is retired, so that the
+    /// node has to step down.
     pub fn is_fenced(&self) -> bool {
         self.token()
             .is_some_and(|token| self.fenced.is_some_and(|fenced| token <= fenced))
@@ -169,7 +175,7 @@
             // The read says nothing about a later rejection.
             true if self.doubted == Some(permit) => self.doubted = None,
             true => {}
-            false => self.fenced = self.fenced.max(Some(permit.token)),
+            false => self.retire(permit.token),
         }
     }
 
@@ -229,7 +235,7 @@
         match end {
             CallEnd::Unanswered => return,
             CallEnd::Settled => {}
-            CallEnd::Fenced => self.fenced = self.fenced.max(Some(permit.token)),
+            CallEnd::Fenced => self.retire(permit.token),
             CallEnd::Doubtful => self.doubted = Some(permit),
         }
         self.unanswered.remove(&permit.number);
--- a/crates/shallotroute_fleet/src/usage/ledger.rs
+++ b/crates/shallotroute_fleet/src/usage/ledger.rs
@@ -161,6 +161,8 @@
     head: Option<(u64, u64)>,
     /// The closed windows whose keys exist in the store.
     closed: BTreeMap<u64, Window>,
+    /// The windows that were given up since the last [`Ledger::take_abandoned`].
+    abandoned: Vec<u64>,
     store_back_off: BackOff,
     report_back_off: BackOff,
 }
@@ -176,6 +178,7 @@
             is_loaded: false,
             head: None,
             closed: BTreeMap::new(),
+            abandoned: Vec::new(),
             store_back_off: BackOff::default(),
             report_back_off: BackOff::default(),
         }
@@ -325,6 +328,11 @@
         tallies
     }
 
+    /// Returns the windows that were given up since the last call.
+    pub fn take_abandoned(&mut self) -> Vec<u64> {
+        std::mem::take(&mut self.abandoned)
+    }
+
     /// Returns the closed windows whose keys exist in the store.
     pub fn closed(&self) -> impl Iterator<Item = (u64, &Window)> {
         self.closed.iter().map(|(number, window)| (*number, window))
@@ -366,10 +374,17 @@
         for (number, entry) in &mut self.closed {
             if entry.reported == Reported::Pending && is_past(*number) {
                 entry.reported = Reported::Abandoned;
+                self.abandoned.push(*number);
             }
         }
-        // A window that the store could not be told of for so long would not be reported either.
-        self.collected.retain(|number, _| !is_past(*number));
+        // A window that could not be closed for so long would not be reported either.
+        let abandoned = &mut self.abandoned;
+        self.collected.retain(|number, _| {
+            if is_past(*number) {
+                abandoned.push(*number);
+            }
+            !is_past(*number)
+        });
     }
 
     fn due_close(&self, now: Moment) -> Option<Close> {
--- a/crates/shallotroute_resident/src/dump.rs
+++ b/crates/shallotroute_resident/src/dump.rs
@@ -6,7 +6,7 @@
 use shallotroute_batch::record::Owner;
 use shallotroute_fleet::limit::Rate;
 
-use crate::{job::Owned, shared::Shared, view};
+use crate::{job::Owned, shared::Shared, usage, view};
 
 /// Returns the state of a node as JSON. Ages and durations are in milliseconds.
 pub(crate) fn dump(shared: &Shared) -> Value {
@@ -34,6 +34,7 @@
         "view": view(shared),
         "links": shared.links.state().name(),
         "members": members(shared),
+        "duties": duties(shared),
         "named_versions": *shared.targets.borrow(),
         "servers": servers(shared),
         "recorded_streams": shared.streams.len(),
@@ -77,6 +78,36 @@
     })
 }
 
+/// Returns the duties as this node knows them; `null` if the deployment has none. `token` is `null` unless this node
+/// holds them; `members.duty` names the holder.
+fn duties(shared: &Shared) -> Value {
+    let Some(duties) = &shared.duties else {
+        return Value::Null;
+    };
+    let now = shared.boot_time();
+    let usage = shared.usage.as_ref().and_then(|usage| usage.summary());
+    json!({
+        "address": duties.address(),
+        "token": duties.token(),
+        "calls": duties.entries().iter().map(|entry| json!({
+            "duty": entry.duty,
+            "subject": entry.subject,
+            "token": entry.token,
+            "outcome": entry.outcome,
+            "ended_ms_ago": now.saturating_sub(entry.at).as_millis(),
+        })).collect::<Vec<_>>(),
+        "usage": usage.map(|(summary, windows)| json!({
+            "closed_through": summary.closed_through,
+            "open": summary.open,
+            "pending": summary.pending,
+            "windows": windows.iter().map(|(window, reported)| json!({
+                "window": window,
+                "state": usage::reported_name(*reported).unwrap_or("pending"),
+            })).collect::<Vec<_>>(),
+        })),
+    })
+}
+
 fn servers(shared: &Shared) -> Vec<Value> {
     let summaries = shared.balancer().summaries(shared.now());
     summaries
--- a/crates/shallotroute_resident/src/duty.rs
+++ b/crates/shallotroute_resident/src/duty.rs
@@ -275,13 +275,18 @@
         self.lock().holder.set_resigning(is_resigning);
     }
 
+    /// Ends the use of a token, before this node steps down.
+    pub(crate) fn retire(&self, token: Fence) {
+        self.lock().holder.retire(token);
+    }
+
     /// Returns whether no call of this node can arrive any more.
     pub(crate) fn can_step_down(&self) -> bool {
         let now = self.clock.boot_time();
         self.lock().holder.can_step_down(now)
     }
 
-    /// Returns whether the platform has seen a higher token, so that this node has to step down.
+    /// Returns whether the token must not be used any more, so that this node has to step down.
     pub(crate) fn is_fenced(&self) -> bool {
         self.lock().holder.is_fenced()
     }
@@ -306,6 +311,11 @@
         self.pool.close_expired();
     }
 
+    /// Returns the address of the platform's API.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Returns the last calls, oldest first.
     pub(crate) fn entries(&self) -> Vec<Entry> {
         self.lock().entries.iter().cloned().collect()
--- a/crates/shallotroute_resident/src/leader.rs
+++ b/crates/shallotroute_resident/src/leader.rs
@@ -37,6 +37,7 @@
     pool::UNACKNOWLEDGED_TIMEOUT,
     presence::Lease,
     shared::Shared,
+    store::Error,
     view,
 };
 
@@ -65,6 +66,12 @@
 /// The interval between two orphan scans while member entries may still return after an outage.
 const RECOVERY_SCAN_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The interval at which a leader that drains checks whether a call for a duty may still arrive.
+const RESIGNATION_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// How long a leader that has stepped down waits until its own record is gone.
+const RESIGNATION_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// The state of this node while it leads.
 struct Leader {
     shared: Arc<Shared>,
@@ -86,6 +93,8 @@
     is_fenced: Arc<AtomicBool>,
     /// When the last order without an answer was sent.
     unanswered_at: Arc<Mutex<Option<Instant>>>,
+    /// When this node last stepped down. It performs no tasks until the change is seen.
+    resigned_at: Option<Instant>,
     /// Notified when a server's load has ended, so that the next order is sent at once.
     load_ended: Arc<Notify>,
 }
@@ -125,6 +134,7 @@
     loop {
         if shared.drain.is_cancelled() {
             if let Some(leader) = leader {
+                finish_calls(&shared).await;
                 step_down(&shared, leader.fence).await;
             }
             return;
@@ -144,9 +154,13 @@
                 leader.fence = fence;
                 leader.perform_tasks().await;
             }
-            Standing::Follows => leader = None,
+            Standing::Follows => {
+                leader = None;
+                lose_duties(&shared);
+            }
             Standing::Vacant(vacancy, revision) => {
                 leader = None;
+                lose_duties(&shared);
                 let live_nodes = current.live_nodes();
                 let lease_id = lease.borrow().map(|lease| lease.id);
                 let fence = match lease_id {
@@ -231,8 +245,28 @@
     }
 }
 
+/// Records that this node does not lead.
+fn lose_duties(shared: &Shared) {
+    if let Some(duties) = &shared.duties {
+        duties.lose();
+    }
+}
+
+/// Waits until no call for a duty can arrive any more, which takes some seconds at most.
+async fn finish_calls(shared: &Shared) {
+    if let Some(duties) = &shared.duties {
+        duties.set_resigning(true);
+        while !duties.can_step_down() {
+            tokio::time::sleep(RESIGNATION_POLL_INTERVAL).await;
+        }
+    }
+}
+
 /// Gives up the leadership, so that another node can be elected before this node's lease ends.
 async fn step_down(shared: &Shared, fence: Fence) {
+    if let Some(duties) = &shared.duties {
+        duties.retire(fence);
+    }
     let encoded = record::encode(&LeaderRecord { holder: None });
     let write = Write {
         conditions: vec![(LEADER_KEY.to_owned(), fence.0)],
@@ -266,31 +300,27 @@
             reported_empty: BTreeSet::new(),
             is_fenced: Arc::default(),
             unanswered_at: Arc::default(),
+            resigned_at: None,
             load_ended: Arc::default(),
         }
     }
 
     async fn perform_tasks(&mut self) {
-        if self.is_fenced.swap(false, Ordering::Relaxed) {
-            spdlog::warn!("a server has seen a higher fencing number; stepping down", kv: {
-                fence = self.fence.0,
-            });
-            step_down(&self.shared, self.fence).await;
-            return;
-        }
-        let lease_id = self.lease.borrow().map(|lease| lease.id);
-        if lease_id.is_some() && lease_id != self.lease_id {
-            spdlog::warn!("the lease of the leadership was replaced; stepping down", kv: {
-                fence = self.fence.0,
-            });
-            step_down(&self.shared, self.fence).await;
+        let now = self.shared.now();
+        if self
+            .resigned_at
+            .is_some_and(|at| now < at + RESIGNATION_TIMEOUT)
+        {
             return;
         }
-        if self.should_hand_over() {
-            spdlog::warn!("lost the links to the servers; stepping down", kv: {
-                fence = self.fence.0,
-            });
-            step_down(&self.shared, self.fence).await;
+        self.update_duties().await;
+        if let Some(reason) = self.resignation() {
+            if self.may_step_down() {
+                spdlog::warn!("{reason}; stepping down", kv: { fence = self.fence.0 });
+                self.is_fenced.store(false, Ordering::Relaxed);
+                self.resigned_at = Some(now);
+                step_down(&self.shared, self.fence).await;
+            }
             return;
         }
         self.send_orders();
@@ -298,6 +328,55 @@
         self.scan_for_orphans().await;
     }
 
+    /// Has the duties performed with this leadership. A call may have been rejected because of a higher token; none can
+    /// exist if the store still has this node's record.
+    async fn update_duties(&self) {
+        let Some(duties) = &self.shared.duties else {
+            return;
+        };
+        duties.gain(self.fence, self.lease.clone(), self.lease_id);
+        let Some(permit) = duties.doubted() else {
+            return;
+        };
+        match self.shared.store.get(LEADER_KEY).await {
+            Ok(item) => duties.resolve_doubt(permit, item.revision == permit.token.0),
+            Err(Error::NotFound) => duties.resolve_doubt(permit, false),
+            Err(error) => {
+                spdlog::warn!("failed to read the leadership; calls for duties wait", kv: {
+                    fence = self.fence.0, error = error.to_string(),
+                })
+            }
+        }
+    }
+
+    /// Returns why this node is to give up the leadership; `None` if it is not.
+    fn resignation(&self) -> Option<&'static str> {
+        let duties = self.shared.duties.as_ref();
+        let lease_id = self.lease.borrow().map(|lease| lease.id);
+        if self.is_fenced.load(Ordering::Relaxed) {
+            Some("a server has seen a higher fencing number")
+        } else if duties.is_some_and(|duties| duties.is_fenced()) {
+            Some("the platform has seen a higher fencing number")
+        } else if lease_id.is_some() && lease_id != self.lease_id {
+            Some("the lease of the leadership was replaced")
+        } else if self.should_hand_over() {
+            Some("lost the links to the servers")
+        } else {
+            if let Some(duties) = duties {
+                duties.set_resigning(false);
+            }
+            None
+        }
+    }
+
+    /// Returns whether no call for a duty can arrive any more. No further one is sent.
+    fn may_step_down(&self) -> bool {
+        self.shared.duties.as_ref().is_none_or(|duties| {
+            duties.set_resigning(true);
+            duties.can_step_down()
+        })
+    }
+
     /// Returns whether another node is to lead, since this one reaches no server and another one does. Orders are not
     /// relayed: servers judge them by the node that sends them.
     ///
--- a/crates/shallotroute_resident/src/lib.rs
+++ b/crates/shallotroute_resident/src/lib.rs
@@ -208,8 +208,7 @@
         tokio::spawn(limit::notice::run(Arc::clone(&shared)));
         tokio::spawn(limit::run(Arc::clone(&shared), inbox.limits));
         tokio::spawn(suspect::run(Arc::clone(&shared), inbox.suspects));
-        tokio::spawn(usage::run(Arc::clone(&shared)));
-        tokio::spawn(usage::run_ledger(Arc::clone(&shared)));
+        usage::start(&shared);
         let leader = tokio::spawn(leader::run(Arc::clone(&shared), lease_receiver.clone()));
         Ok(Self {
             shared,
--- a/crates/shallotroute_resident/src/shared.rs
+++ b/crates/shallotroute_resident/src/shared.rs
@@ -16,7 +16,7 @@
     server::{Balancer, Outcome, Rank},
     source,
 };
-use shallotroute_settings::site::SiteSettings as Settings;
+use shallotroute_settings::site::{Duty, SiteSettings as Settings};
 use shallotroute_types::{clock::Clock, name::Name, node::Incarnation, version::Version};
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
@@ -137,7 +137,10 @@
         let (limits, limit_changes) = Limits::new();
         let (suspects, suspect_changes) = Tracker::new();
         let duties = duty::Caller::new(&settings, Arc::clone(&clock), Arc::clone(&metrics));
-        let usage = usage::Recorder::new(&settings, Arc::clone(&clock));
+        let usage = duties
+            .as_ref()
+            .filter(|duties| duties.performs(Duty::Usage))
+            .and_then(|_| usage::Recorder::new(&settings, Arc::clone(&clock)));
         let shared = Arc::new(Self {
             settings,
             owner,
--- a/crates/shallotroute_resident/src/stream.rs
+++ b/crates/shallotroute_resident/src/stream.rs
@@ -517,21 +517,30 @@
             // A broken attempt is recorded as not run, so that the request is sent to another server.
             attempts.record_failure(failure, self.shared.now());
             is_continuation = true;
-            let next = open(
-                &self.shared,
-                &self.target,
-                &self.request,
-                Some(begun),
-                &self.meter,
-                &mut attempts,
-            );
-            opened = match next.await {
+            opened = match self.open_next(begun, &mut attempts).await {
                 Ok(next) => next,
                 Err((_, reason)) => return self.record_end(&server, "broken", &reason),
             };
         }
     }
 
+    /// Opens the stream at another server. `begun` is the status that the caller has.
+    async fn open_next(
+        &self,
+        begun: StatusCode,
+        attempts: &mut Attempts,
+    ) -> Result<OpenStream, (RequestFailure, String)> {
+        open(
+            &self.shared,
+            &self.target,
+            &self.request,
+            Some(begun),
+            &self.meter,
+            attempts,
+        )
+        .await
+    }
+
     /// Copies the bytes of a stream that can't be resumed.
     async fn copy_bytes(&mut self, opened: OpenStream) -> CopyEnd {
         let OpenStream {
--- a/crates/shallotroute_resident/src/usage.rs
+++ b/crates/shallotroute_resident/src/usage.rs
@@ -21,7 +21,7 @@
         Stored, Summary, Tally,
     },
 };
-use shallotroute_settings::site::{Duty, SiteSettings as Settings};
+use shallotroute_settings::site::SiteSettings as Settings;
 use shallotroute_types::{clock::Clock, fence::Fence, name::Name};
 
 use crate::{
@@ -141,7 +141,9 @@
 
     /// Records that a server has sent an event of the stream.
     pub(crate) fn record_event(&self) {
-        if let Some(subject) = &self.0 {
+        if let Some(subject) = &self.0
+            && !subject.is_counted.load(Ordering::Relaxed)
+        {
             subject.record(subject.recorder.unix());
         }
     }
@@ -184,12 +186,9 @@
 }
 
 impl Recorder {
-    /// Creates the recorder of a node; `None` if the deployment does not report usage.
+    /// Creates the recorder of a node; `None` if the deployment has no duties.
     pub(crate) fn new(settings: &Settings, clock: Arc<dyn Clock>) -> Option<Arc<Self>> {
         let duties = settings.duties.as_ref()?;
-        if !duties.kinds.contains(&Duty::Usage) {
-            return None;
-        }
         Some(Arc::new(Self {
             clock,
             counter: Mutex::new(Counter::new(duties.window)),
@@ -238,8 +237,16 @@
     }
 }
 
+/// Starts the tasks of a node in a deployment that reports usage.
+pub(crate) fn start(shared: &Arc<Shared>) {
+    if shared.usage.is_some() {
+        tokio::spawn(run(Arc::clone(shared)));
+        tokio::spawn(run_ledger(Arc::clone(shared)));
+    }
+}
+
 /// Sends the counts of this node to the leader, for as long as the process runs.
-pub(crate) async fn run(shared: Arc<Shared>) {
+async fn run(shared: Arc<Shared>) {
     let Some(recorder) = shared.usage.clone() else {
         return;
     };
@@ -321,7 +328,7 @@
 }
 
 /// Closes and reports windows while this node leads, for as long as the process runs.
-pub(crate) async fn run_ledger(shared: Arc<Shared>) {
+async fn run_ledger(shared: Arc<Shared>) {
     let (Some(recorder), Some(caller)) = (shared.usage.clone(), &shared.duties) else {
         return;
     };
@@ -331,6 +338,16 @@
         while let Some(action) = next_action(&recorder) {
             perform(&shared, &recorder, caller, action).await;
         }
+        record_abandoned(&shared, &recorder);
+    }
+}
+
+/// Logs and counts the windows that were given up.
+fn record_abandoned(shared: &Shared, recorder: &Recorder) {
+    let abandoned = lock(&recorder.ledger).as_mut().map(Ledger::take_abandoned);
+    for window in abandoned.into_iter().flatten() {
+        Metrics::count(&shared.metrics.usage_windows, "abandoned");
+        spdlog::error!("usage of a window given up", kv: { window });
     }
 }
 
