--- a/crates/shallotroute_fleet/src/lib.rs
+++ b/crates/shallotroute_fleet/src/lib.rs
@@ -1,7 +1,8 @@
 //! Pure state machines for traffic to backend servers: routes, load balancing, retries and hedging,
 //! limits that servers name, requests under which servers crash, the state of a node's links to
 //! servers, rolling weight updates, the ranking of nodes in elections, at which software version
-//! streams go on, and how nodes follow the platform's store. Start with [`server::Balancer`],
+//! streams go on, how nodes follow the platform's store, whether the holder of duties may call the platform,
+//! and the usage by window. Start with [`server::Balancer`],
 //! [`route::Table`], [`link::Links`] and [`source::Selector`].
 
 pub mod capacity;
--- a/crates/shallotroute_resident/src/peer.rs
+++ b/crates/shallotroute_resident/src/peer.rs
@@ -190,7 +190,7 @@
     }
 
     async fn report_usage(self, _: Context, sender: Owner, tallies: Vec<Tally>) -> Option<Receipt> {
-        self.0.usage.as_ref()?.receive(&sender, &tallies)
+        self.0.usage.as_ref()?.receive(&self.0, &sender, tallies)
     }
 }
 
--- a/crates/shallotroute_resident/src/usage.rs
+++ b/crates/shallotroute_resident/src/usage.rs
@@ -17,8 +17,8 @@
     duty::Refusal,
     route::Table,
     usage::{
-        Action, Close, Counter, Ledger, Message, Moment, Receipt, ReportEnd, Reported, Schedule,
-        Stored, Summary, Tally,
+        Action, Close, Counter, Ledger, Message, Moment, RETENTION, Receipt, ReportEnd, Reported,
+        Schedule, Stored, Summary, Tally, window_end,
     },
 };
 use shallotroute_settings::site::SiteSettings as Settings;
@@ -74,6 +74,9 @@
 /// request that a server has had for this long is hardly rejected as not run.
 const COUNT_DELAY: Duration = Duration::from_secs(2);
 
+/// The number of nodes that hold the counts of the leader's own node, which would be lost with it otherwise.
+const HOLDERS: usize = 2;
+
 /// How long a process that ends waits for the leader to take its last counts.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -83,8 +86,9 @@
     counter: Mutex<Counter>,
     /// The ledger while this node leads.
     ledger: Mutex<Option<Ledger<Owner>>>,
-    /// The counts of processes that had ended when this node stepped down, until the new leader has them.
-    inherited: Mutex<BTreeMap<Owner, Vec<Tally>>>,
+    /// Counts of other processes for the next leader: those of the present leader, which it has sent to nobody else, and
+    /// those of processes that had ended when this node stepped down.
+    held: Mutex<BTreeMap<Owner, Vec<Tally>>>,
     schedule: Schedule,
 }
 
@@ -193,7 +197,7 @@
             clock,
             counter: Mutex::new(Counter::new(duties.window)),
             ledger: Mutex::new(None),
-            inherited: Mutex::default(),
+            held: Mutex::default(),
             schedule: Schedule {
                 window: duties.window,
                 close_after: CLOSE_AFTER,
@@ -209,11 +213,31 @@
         lock(&self.counter).record(workspace, unix);
     }
 
-    /// Records the counts of a process. Returns `None` if this node does not lead.
-    pub(crate) fn receive(&self, sender: &Owner, tallies: &[Tally]) -> Option<Receipt> {
+    /// Records the counts of a process. Returns `None` if this node does not lead; it holds the counts of the leader then.
+    pub(crate) fn receive(
+        &self,
+        shared: &Shared,
+        sender: &Owner,
+        tallies: Vec<Tally>,
+    ) -> Option<Receipt> {
         let now = self.moment();
-        let mut ledger = lock(&self.ledger);
-        Some(ledger.as_mut()?.receive(sender, tallies, now))
+        if let Some(ledger) = lock(&self.ledger).as_mut() {
+            return Some(ledger.receive(sender, &tallies, now));
+        }
+        if leader(shared).is_some_and(|(leader, _)| leader == *sender) {
+            lock(&self.held).insert(sender.clone(), tallies);
+        }
+        None
+    }
+
+    /// Drops the counts that are too old to be of use.
+    fn expire_held(&self) {
+        let (now, window) = (self.unix(), self.schedule.window);
+        let mut held = lock(&self.held);
+        held.retain(|_, tallies| {
+            tallies.retain(|tally| window_end(tally.window, window) + RETENTION > now);
+            !tallies.is_empty()
+        });
     }
 
     /// Returns numbers for operators and the closed windows with their states; `None` if this node does not lead.
@@ -257,8 +281,35 @@
             .table()
             .is_some_and(|table| configures_workspaces(&table));
         lock(&recorder.counter).observe(has_workspaces, recorder.unix());
+        recorder.expire_held();
         send(&shared, &recorder).await;
+        copy(&shared, &recorder).await;
+    }
+}
+
+/// Has other nodes hold the counts of this one while it leads.
+async fn copy(shared: &Shared, recorder: &Recorder) {
+    if lock(&recorder.ledger).is_none() {
+        return;
     }
+    let mut tallies = lock(&recorder.counter).tallies();
+    tallies.retain(|tally| !tally.counts.is_empty());
+    if tallies.is_empty() {
+        return;
+    }
+    let holders: Vec<Owner> = {
+        let members = shared.members.borrow();
+        let others = members.nodes.values().map(|member| &member.owner);
+        others
+            .filter(|owner| **owner != shared.owner && members.speaks(owner, PROTOCOL))
+            .take(HOLDERS)
+            .cloned()
+            .collect()
+    };
+    let copies = holders
+        .iter()
+        .map(|holder| deliver(shared, holder, &shared.owner, &tallies));
+    futures::future::join_all(copies).await;
 }
 
 /// Returns whether a configuration has workspaces, whose usage is reported also if it is zero.
@@ -285,10 +336,10 @@
     {
         lock(&recorder.counter).record_receipt(&message, &receipt);
     }
-    let inherited = lock(&recorder.inherited).clone();
-    for (owner, tallies) in inherited {
-        if deliver(shared, &leader, &owner, &tallies).await.is_some() {
-            lock(&recorder.inherited).remove(&owner);
+    let held = lock(&recorder.held).clone();
+    for (owner, tallies) in held {
+        if owner != leader && deliver(shared, &leader, &owner, &tallies).await.is_some() {
+            lock(&recorder.held).remove(&owner);
         }
     }
 }
@@ -367,7 +418,7 @@
     let mut counter = lock(&recorder.counter);
     let receipt = ledger.receive(&shared.owner, &counter.tallies(), now);
     counter.record_receipt(&Message::default(), &receipt);
-    for (owner, tallies) in std::mem::take(&mut *lock(&recorder.inherited)) {
+    for (owner, tallies) in std::mem::take(&mut *lock(&recorder.held)) {
         ledger.receive(&owner, &tallies, now);
     }
 }
@@ -375,10 +426,9 @@
 /// Keeps the counts of processes that have ended for the next leader. The others send theirs again.
 fn inherit(shared: &Shared, recorder: &Recorder, former: &Ledger<Owner>) {
     let members = shared.members.borrow();
-    let mut inherited = lock(&recorder.inherited);
-    *inherited = former.open_tallies();
-    inherited.retain(|owner, _| !members.is_live(owner));
-    inherited.remove(&shared.owner);
+    let mut ended = former.open_tallies();
+    ended.retain(|owner, _| *owner != shared.owner && !members.is_live(owner));
+    lock(&recorder.held).append(&mut ended);
 }
 
 fn next_action(recorder: &Recorder) -> Option<Action> {
