resident: a leader that drains ends its ledger when it has stepped down

Its ledger would have gone on with writes that the store refuses, and nodes with an old view would have sent it counts. The counts that it holds go to the next leader while it drains.

--- a/crates/shallotroute_resident/src/leader.rs
+++ b/crates/shallotroute_resident/src/leader.rs
@@ -136,6 +136,7 @@
             if let Some(leader) = leader {
                 finish_calls(&shared).await;
                 step_down(&shared, leader.fence).await;
+                lose_duties(&shared);
             }
             return;
         }
