--- a/crates/shallotroute_resident/src/peer.rs
+++ b/crates/shallotroute_resident/src/peer.rs
@@ -12,6 +12,7 @@
     limit::{Claim, Observation, Reply},
     link::Finding,
     resume::{Answer, Group},
+    usage::{Receipt, Tally},
 };
 use shallotroute_peer::{
     client::Clients,
@@ -106,6 +107,8 @@
         proof_age: Option<Duration>,
         wait_ms: u64,
     ) -> Option<Followed>;
+    /// Records the cumulative counts of a process, by window. Returns `None` if this node does not lead.
+    async fn report_usage(sender: Owner, tallies: Vec<Tally>) -> Option<Receipt>;
 }
 
 /// The server side of one connection from another node.
@@ -253,6 +256,10 @@
         let wait = Duration::from_millis(wait_ms);
         view::follow(&self.0, revisions, proof_age, wait).await
     }
+
+    async fn report_usage(self, _: Context, sender: Owner, tallies: Vec<Tally>) -> Option<Receipt> {
+        self.0.usage.as_ref()?.receive(&self.0, &sender, tallies)
+    }
 }
 
 impl Server {
--- a/crates/shallotroute_resident/src/scaler.rs
+++ b/crates/shallotroute_resident/src/scaler.rs
@@ -9,15 +9,16 @@
 
 use futures::future::BoxFuture;
 use serde_json::{Value, json};
+use shallotroute_adapter::cloud::Scale;
 use shallotroute_fleet::{
     route::Table,
     scaler::{Account, Demand, Inputs, Order, Policy, Reply, Scaler},
     server::Server,
 };
-use shallotroute_settings::site::{Role, ScalingPolicy};
+use shallotroute_settings::site::{Duty, Role, ScalingPolicy};
 use shallotroute_types::{location::Zone, name::Name};
 
-use crate::{capacity, metric::Metrics, shared::Shared, view};
+use crate::{capacity, duty, metric::Metrics, shared::Shared, view};
 
 /// The interval at which the numbers are decided. Servers need some seconds to boot.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
@@ -44,6 +45,45 @@
     ) -> BoxFuture<'static, Reply>;
 }
 
+/// Sends orders as calls for the duty that the leader holds.
+struct DutyCaller(Arc<Shared>);
+
+impl Caller for DutyCaller {
+    fn order(
+        &self,
+        service: &Name,
+        zone: &Zone,
+        is_spot: bool,
+        count: u32,
+    ) -> BoxFuture<'static, Reply> {
+        let request = duty::Request::Scale(Scale {
+            service: service.clone(),
+            zone: zone.clone(),
+            servers: count,
+            is_spot,
+        });
+        let shared = Arc::clone(&self.0);
+        Box::pin(async move {
+            let Some(duties) = &shared.duties else {
+                return Reply::Unanswered;
+            };
+            match duties.call(&request).await {
+                duty::Reply::Accepted => Reply::Accepted,
+                // A rejection because of the token ends the leadership, so that its meaning here does not matter.
+                duty::Reply::Unavailable => Reply::Refused,
+                _ => Reply::Unanswered,
+            }
+        })
+    }
+}
+
+/// Returns the calls that set the number of servers; `None` where the deployment has no such duty.
+pub(crate) fn caller(shared: &Arc<Shared>) -> Option<Arc<dyn Caller>> {
+    let duties = shared.duties.as_ref()?;
+    let caller = || Arc::new(DutyCaller(Arc::clone(shared))) as Arc<dyn Caller>;
+    duties.performs(Duty::Scale).then(caller)
+}
+
 /// Decides the numbers while this node leads.
 pub(crate) struct Task {
     shared: Arc<Shared>,
--- a/crates/shallotroute_resident/src/shared.rs
+++ b/crates/shallotroute_resident/src/shared.rs
@@ -20,13 +20,14 @@
     source,
     workspace::Secret,
 };
-use shallotroute_settings::site::SiteSettings as Settings;
+use shallotroute_settings::site::{Duty, SiteSettings as Settings};
 use shallotroute_types::{clock::Clock, name::Name, node::Incarnation, version::Version};
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     checkpoint::Checkpoints,
+    duty,
     freshness::Freshness,
     job::Registry,
     limit::Limits,
@@ -39,6 +40,7 @@
     scaler::Records,
     store::Store,
     suspect::{self, Tracker},
+    usage,
     view::View,
 };
 
@@ -79,6 +81,10 @@
     pub(crate) suspects: Tracker,
     /// The last orders that this node gave while it led, and the figures behind them.
     pub(crate) scaling: Records,
+    /// The calls for the duties that the leader performs; `None` if the deployment has none.
+    pub(crate) duties: Option<duty::Caller>,
+    /// The usage that callers' requests make; `None` if the deployment does not report it.
+    pub(crate) usage: Option<Arc<usage::Recorder>>,
     /// The copies of what all nodes follow in the store, which this node passes on to others.
     pub(crate) view: View,
     /// The proof that this node's copy of the operators' objects is complete.
@@ -143,6 +149,11 @@
         let freshness = Freshness::new(settings.revocation);
         let (limits, limit_changes) = Limits::new();
         let (suspects, suspect_changes) = Tracker::new();
+        let duties = duty::Caller::new(&settings, Arc::clone(&clock), Arc::clone(&metrics));
+        let usage = duties
+            .as_ref()
+            .filter(|duties| duties.performs(Duty::Usage))
+            .and_then(|_| usage::Recorder::new(&settings, Arc::clone(&clock)));
         let shared = Arc::new(Self {
             settings,
             owner,
@@ -163,6 +174,8 @@
             relayed: AtomicUsize::new(0),
             suspects,
             scaling: Records::default(),
+            duties,
+            usage,
             view: View::default(),
             freshness,
             should_register: watch::channel(false).0,
--- a/crates/shallotroute_resident/src/stream.rs
+++ b/crates/shallotroute_resident/src/stream.rs
@@ -32,6 +32,7 @@
     response, resume,
     shared::{InFlight, Shared},
     suspect,
+    usage::{self, Attempt, Meter},
 };
 
 /// The maximum number of chunks that are buffered for a slow caller.
@@ -55,6 +56,8 @@
     headers: HeaderMap,
     head: Head,
     body: Incoming,
+    /// Counts the request when the stream ends, unless it was counted with an event.
+    _attempt: Attempt,
 }
 
 /// The servers that may run a stream.
@@ -153,7 +156,8 @@
         false => None,
     };
     let target = Target::new(route, &request.id, take_up.as_ref());
-    let opened = open(shared, &target, &request, None, &mut attempts).await;
+    let meter = usage::meter(shared, forward::workspace(&request));
+    let opened = open(shared, &target, &request, None, &meter, &mut attempts).await;
     if let Some(take_up) = &take_up {
         log_take_up(shared, &request, take_up, &opened);
     }
@@ -174,6 +178,7 @@
         is_software_checked: false,
         is_recorded: false,
         has_event: false,
+        meter,
         request,
         is_resumable,
         deadline: policy.deadline,
@@ -281,6 +286,7 @@
     target: &Target,
     request: &BackendRequest,
     begun: Option<StatusCode>,
+    meter: &Meter,
     attempts: &mut Attempts,
 ) -> Result<OpenStream, (RequestFailure, String)> {
     let deadline = attempts.policy().deadline;
@@ -320,7 +326,7 @@
                     request,
                     begun,
                     attempts.policy(),
-                    in_flight,
+                    (in_flight, meter.begin()),
                 );
                 let error = match tokio::time::timeout_at(deadline.into(), opening).await {
                     Ok(Ok(opened)) => return Ok(opened),
@@ -377,9 +383,12 @@
     request: &BackendRequest,
     begun: Option<StatusCode>,
     policy: &Policy,
-    in_flight: InFlight,
+    (in_flight, attempt): (InFlight, Attempt),
 ) -> Result<OpenStream, OpenError> {
-    let fail = |in_flight: InFlight, error: OpenError| {
+    let fail = |in_flight: InFlight, attempt: Attempt, error: OpenError| {
+        if let OpenError::NotRun(_) | OpenError::NoWay(_) = &error {
+            attempt.dismiss();
+        }
         in_flight.finish(match error {
             OpenError::NotRun(_) | OpenError::NoWay(_) => Outcome::Rejected,
             OpenError::MayHaveRun(_) | OpenError::Broken(_) => Outcome::Failed,
@@ -401,7 +410,7 @@
                 Failure::Denied(denial) => OpenError::Denied(denial),
                 Failure::LinkLost(reason) => OpenError::LinkLost(reason),
             };
-            return fail(in_flight, error);
+            return fail(in_flight, attempt, error);
         }
     };
     let (parts, body) = response.into_parts();
@@ -411,7 +420,7 @@
         if !matches!(error, OpenError::MayHaveRun(_)) {
             discard_response(shared, connection, &parts.headers, body).await;
         }
-        return fail(in_flight, error);
+        return fail(in_flight, attempt, error);
     }
     Ok(OpenStream {
         server: server.clone(),
@@ -421,6 +430,7 @@
         headers: parts.headers,
         head,
         body,
+        _attempt: attempt,
     })
 }
 
@@ -461,6 +471,8 @@
     is_recorded: bool,
     /// Whether the present server has sent an event.
     has_event: bool,
+    /// Counts the request once over all its attempts.
+    meter: Meter,
     /// The response of the caller, which is aborted if this is dropped before [`Part::End`].
     sender: mpsc::Sender<Part>,
 }
@@ -515,20 +527,30 @@
             // A broken attempt is recorded as not run, so that the request is sent to another server.
             attempts.record_failure(failure, self.shared.now());
             is_continuation = true;
-            let next = open(
-                &self.shared,
-                &self.target,
-                &self.request,
-                Some(begun),
-                &mut attempts,
-            );
-            opened = match next.await {
+            opened = match self.open_next(begun, &mut attempts).await {
                 Ok(next) => next,
                 Err((_, reason)) => return self.record_end(&server, "broken", &reason),
             };
         }
     }
 
+    /// Opens the stream at another server. `begun` is the status that the caller has.
+    async fn open_next(
+        &self,
+        begun: StatusCode,
+        attempts: &mut Attempts,
+    ) -> Result<OpenStream, (RequestFailure, String)> {
+        open(
+            &self.shared,
+            &self.target,
+            &self.request,
+            Some(begun),
+            &self.meter,
+            attempts,
+        )
+        .await
+    }
+
     /// Copies the bytes of a stream that can't be resumed.
     async fn copy_bytes(&mut self, opened: OpenStream) -> CopyEnd {
         let OpenStream {
@@ -673,6 +695,7 @@
 
     /// Records that the present server has sent an event.
     fn record_event(&mut self) {
+        self.meter.record_event();
         if !std::mem::replace(&mut self.has_event, true)
             && let Some(fingerprint) = &self.request.fingerprint
         {
