--- a/crates/shallotroute_fleet/src/access.rs
+++ b/crates/shallotroute_fleet/src/access.rs
@@ -12,6 +12,9 @@
     workspace::{Digest, Workspace},
 };
 
+/// The result of a decision.
+pub type Result<T> = std::result::Result<T, Denial>;
+
 /// Whether the configuration is recent enough to tell which keys are valid.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Freshness {
@@ -88,7 +91,7 @@
     /// # Errors
     ///
     /// Returns why there is none.
-    pub fn into_result(self) -> Result<Grant, Denial> {
+    pub fn into_result(self) -> Result<Grant> {
         match self {
             Self::Granted(grant) => Ok(grant),
             Self::Unauthorized => Err(Denial::Unauthorized),
--- a/crates/shallotroute_resident/src/shared.rs
+++ b/crates/shallotroute_resident/src/shared.rs
@@ -10,7 +10,7 @@
 use shallotroute_adapter::{backend::Head, caller};
 use shallotroute_batch::record::Owner;
 use shallotroute_fleet::{
-    access::{self, Denial, Freshness, Grant},
+    access::{self, Freshness, Grant},
     capacity::{Backlog, Board},
     limit::{Observation, Rate},
     link,
@@ -200,7 +200,7 @@
         table: &Table,
         route: Option<&Route>,
         headers: &HeaderMap,
-    ) -> Result<Grant, Denial> {
+    ) -> access::Result<Grant> {
         let key = caller::api_key(headers, &self.secret);
         access::decide(table, route, key, self.configuration_freshness()).into_result()
     }
@@ -211,7 +211,7 @@
     /// # Errors
     ///
     /// Returns why the request may not be sent any more.
-    pub(crate) fn recheck(&self, grant: &Grant) -> Result<Grant, Denial> {
+    pub(crate) fn recheck(&self, grant: &Grant) -> access::Result<Grant> {
         match self.table() {
             Some(table) => {
                 access::recheck(&table, grant, self.configuration_freshness()).into_result()
