--- a/crates/shallotroute_resident/src/lib.rs
+++ b/crates/shallotroute_resident/src/lib.rs
@@ -73,7 +73,7 @@
     metric::{Endpoint, Metrics},
     peer::Acceptor,
     presence::Lease,
-    shared::Shared,
+    shared::{Inbox, Shared},
 };
 
 /// How long the callers' listener and idle connections stay open after SIGTERM: the load balancer
@@ -201,18 +201,9 @@
             callers = Some(tokio::spawn(serving));
         }
         let (lease, lease_receiver) = watch::channel(None);
-        tokio::spawn(follow::run(Arc::clone(&shared)));
-        tokio::spawn(freshness::run(Arc::clone(&shared)));
         tokio::spawn(presence::run(Arc::clone(&shared), lease, shutdown.clone()));
-        tokio::spawn(remove_expired(Arc::clone(&shared)));
-        tokio::spawn(capacity::run(Arc::clone(&shared)));
-        tokio::spawn(resume::run(Arc::clone(&shared)));
-        tokio::spawn(link::run(Arc::clone(&shared)));
         tokio::spawn(link::publish(Arc::clone(&shared), lease_receiver.clone()));
-        tokio::spawn(limit::notice::run(Arc::clone(&shared)));
-        tokio::spawn(limit::run(Arc::clone(&shared), inbox.limits));
-        tokio::spawn(suspect::run(Arc::clone(&shared), inbox.suspects));
-        usage::start(&shared);
+        spawn_tasks(&shared, inbox);
         let leader = tokio::spawn(leader::run(Arc::clone(&shared), lease_receiver.clone()));
         Ok(Self {
             shared,
@@ -258,6 +249,20 @@
     }
 }
 
+/// Starts the tasks that run until the process exits.
+fn spawn_tasks(shared: &Arc<Shared>, inbox: Inbox) {
+    tokio::spawn(follow::run(Arc::clone(shared)));
+    tokio::spawn(freshness::run(Arc::clone(shared)));
+    tokio::spawn(remove_expired(Arc::clone(shared)));
+    tokio::spawn(capacity::run(Arc::clone(shared)));
+    tokio::spawn(resume::run(Arc::clone(shared)));
+    tokio::spawn(link::run(Arc::clone(shared)));
+    tokio::spawn(limit::notice::run(Arc::clone(shared)));
+    tokio::spawn(limit::run(Arc::clone(shared), inbox.limits));
+    tokio::spawn(suspect::run(Arc::clone(shared), inbox.suspects));
+    usage::start(shared);
+}
+
 /// Closes expired idle connections and removes the servers that stay missing from the host list,
 /// until the process exits.
 async fn remove_expired(shared: Arc<Shared>) {
