fleet, resident: by cost, slots are divided between batch jobs by need, due time and priority

Cause: the slots of a service are divided max-min by the number of open items, whatever a job's priority or due time, so that all jobs are late together when there is too little room. Change: with site.overload: by_cost a job's need is the number of slots with which its open items end before it is due, by the mean time that an item of its route keeps a slot. While the needs fit, each job gets its need and the rest is divided as before; otherwise the needs are served by priority, within one priority max-min by workspace and job, and each job keeps a quarter of its equal share. Nodes tell each other the needs in a call appended to those of earlier builds, sent only to nodes that answer it. Items name priorities 6 to 9 to the servers, by the job's priority and the earlier jobs of the same one, so that callers' requests, which have 5, come first. With first_come neither messages nor shares change.

--- a/crates/shallotroute_fleet/src/admission.rs
+++ b/crates/shallotroute_fleet/src/admission.rs
@@ -1,12 +1,15 @@
 //! Decides what is delayed or turned away when a service has too little room.
 //!
-//! Answers the load pattern of requests at a service whose servers reject them. [`governor`] bounds what
-//! a node sends to a service that rejects requests, and this module decides how long a rejected plain
-//! request is retried, and which one is turned away at once.
+//! Answers two load patterns: batch jobs that together need more slots than there are, and requests at
+//! a service whose servers reject them. [`share`] divides the slots between the jobs, [`governor`]
+//! bounds what a node sends to a service that rejects requests, and this module decides how long a
+//! rejected plain request is retried, and which one is turned away at once.
 //!
-//! The inputs are what the node has observed itself; nothing is read from the store.
+//! The inputs are what the node has observed itself and the reports of the other nodes' jobs; nothing
+//! is read from the store.
 
 pub mod governor;
+pub mod share;
 
 use std::time::Duration;
 
--- a/crates/shallotroute_fleet/src/capacity.rs
+++ b/crates/shallotroute_fleet/src/capacity.rs
@@ -18,6 +18,8 @@
     node::{Id, Incarnation},
 };
 
+use crate::admission::share::{self, Need};
+
 /// How long the report of a node counts that sends no further one.
 pub const REPORT_RETENTION: Duration = Duration::from_secs(5);
 
@@ -85,15 +87,37 @@
     incarnation: Incarnation,
     received_at: Instant,
     report: Report,
+    /// What the jobs need, by position in the report's demands; empty if the node does not say it.
+    needs: Vec<Need>,
 }
 
 impl Board {
     /// Records the report of a node's process. A report of an earlier process is ignored.
-    pub fn record(
+    pub fn record(&mut self, node: &Id, incarnation: Incarnation, report: Report, now: Instant) {
+        self.insert(node, incarnation, report, Vec::new(), now);
+    }
+
+    /// Records the report of a node's process that says what its jobs need. A report of an earlier process
+    /// is ignored.
+    pub fn record_needs(
+        &mut self,
+        node: &Id,
+        incarnation: Incarnation,
+        report: share::Report,
+        now: Instant,
+    ) {
+        let share::Report { mut needs, loads } = report;
+        needs.truncate(MAX_REPORT_LENGTH);
+        let demands = needs.iter().map(|need| need.demand.clone()).collect();
+        self.insert(node, incarnation, Report { demands, loads }, needs, now);
+    }
+
+    fn insert(
         &mut self,
         node: &Id,
         incarnation: Incarnation,
         mut report: Report,
+        needs: Vec<Need>,
         now: Instant,
     ) {
         let is_outdated = self
@@ -109,6 +133,7 @@
             incarnation,
             received_at: now,
             report,
+            needs,
         };
         self.reports.insert(node.clone(), entry);
     }
@@ -131,6 +156,19 @@
             .flat_map(|entry| &entry.report.demands)
     }
 
+    /// Returns what the jobs of other nodes need. For nodes that do not say it, `unknown` returns the need
+    /// of a job that lacks as much.
+    pub fn needs(&self, unknown: impl Fn(&Demand) -> Need) -> Vec<Need> {
+        let mut needs = Vec::new();
+        for entry in self.reports.values() {
+            match entry.needs.is_empty() {
+                true => needs.extend(entry.report.demands.iter().map(&unknown)),
+                false => needs.extend_from_slice(&entry.needs),
+            }
+        }
+        needs
+    }
+
     /// Returns the requests of other nodes in flight by server. `slots` returns the number of slots of
     /// a server; `None` for an unknown one.
     pub fn loads(
--- a/crates/shallotroute_resident/src/admission.rs
+++ b/crates/shallotroute_resident/src/admission.rs
@@ -11,6 +11,7 @@
     admission::{
         Policy, Request,
         governor::{Admission, End, Governor, Source, Summary},
+        share::Hold,
     },
     retry::{self, Attempts, RequestFailure},
 };
@@ -21,7 +22,7 @@
     metric::{Label, Metrics},
 };
 
-/// The maximum number of services whose state is kept; it is cleared when it is full.
+/// The maximum number of services, and of routes, whose state is kept; it is cleared when it is full.
 const MAX_SERVICES: usize = 1024;
 
 /// The reason in the log of a request that was turned away before it was sent.
@@ -33,6 +34,8 @@
     /// What was delayed or turned away, by what was done.
     decisions: Family<Label, Counter>,
     governors: Mutex<BTreeMap<Name, Governor>>,
+    /// The time for which an item of a job keeps a slot, by route.
+    holds: Mutex<BTreeMap<Name, Hold>>,
 }
 
 impl Governors {
@@ -43,6 +46,7 @@
             policy,
             decisions,
             governors: Mutex::default(),
+            holds: Mutex::default(),
         })
     }
 
@@ -51,6 +55,21 @@
         self.policy
     }
 
+    /// Records the time that a completed attempt of a route's item has kept a slot.
+    pub(crate) fn record_hold(&self, route: &Name, elapsed: Duration) {
+        let mut holds = lock(&self.holds);
+        if holds.len() >= MAX_SERVICES && !holds.contains_key(route) {
+            holds.clear();
+        }
+        holds.entry(route.clone()).or_default().record(elapsed);
+    }
+
+    /// Returns the time for which an item of a route keeps a slot.
+    pub(crate) fn hold(&self, route: &Name) -> Duration {
+        let holds = lock(&self.holds);
+        holds.get(route).copied().unwrap_or_default().mean()
+    }
+
     /// Returns how many more scorings may be sent to a service now.
     pub(crate) fn scoring_room(&self, service: &Name, now: Instant) -> usize {
         let governors = self.lock();
@@ -201,12 +220,14 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<Name, Governor>> {
-        self.governors
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        lock(&self.governors)
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// A scoring in flight. One that is dropped without an end, because its job has ended, had no response.
 pub(crate) struct Scoring {
     governors: Arc<Governors>,
--- a/crates/shallotroute_resident/src/dump.rs
+++ b/crates/shallotroute_resident/src/dump.rs
@@ -6,7 +6,7 @@
 use shallotroute_batch::record::Owner;
 use shallotroute_fleet::limit::Rate;
 
-use crate::{job::Owned, shared::Shared, view};
+use crate::{capacity, job::Owned, shared::Shared, view};
 
 /// Returns the state of a node as JSON. Ages and durations are in milliseconds.
 pub(crate) fn dump(shared: &Shared) -> Value {
@@ -114,6 +114,13 @@
             "repeats_left": summary.budget,
             "paused_ms": summary.pause.as_millis(),
         })).collect::<Vec<_>>(),
+        "jobs": capacity::needs(shared).map(|(id, need)| json!({
+            "id": id,
+            "priority": need.priority,
+            "workspace": need.workspace,
+            "open": need.demand.items,
+            "needed": need.slots,
+        })).collect::<Vec<_>>(),
     })
 }
 
--- a/crates/shallotroute_resident/src/generate.rs
+++ b/crates/shallotroute_resident/src/generate.rs
@@ -18,6 +18,7 @@
 use shallotroute_types::{name::Name, version::Version};
 
 use crate::{
+    capacity,
     job::Owned,
     limit,
     link::Sender,
@@ -90,6 +91,10 @@
                 taken_ms = self.shared.now().saturating_duration_since(started_at).as_millis(),
             });
         }
+        if end.generation_end == GenerationEnd::Complete && self.resume_after == 0 {
+            let elapsed = self.shared.now().saturating_duration_since(started_at);
+            capacity::record_hold(&self.shared, &self.owned, elapsed);
+        }
         self.emit(Event::GenerationEnded(end.generation_end));
     }
 
@@ -178,7 +183,8 @@
             HeaderValue::from_str(&self.specification.host)?,
         );
         backend::set_attempt_headers(&mut headers, &item.id, server, self.remaining_time());
-        backend::set_priority(&mut headers, self.shared.jobs.priority(&self.owned));
+        let priority = capacity::item_priority(&self.shared, &self.owned);
+        backend::set_priority(&mut headers, priority);
         if self.resume_after > 0 {
             backend::set_last_event_id(&mut headers, self.resume_after);
         }
--- a/crates/shallotroute_resident/src/job.rs
+++ b/crates/shallotroute_resident/src/job.rs
@@ -155,18 +155,24 @@
     /// Returns the priority of a job's items at the servers, which queue them behind more urgent ones:
     /// each unfinished job that was submitted before it makes its items one less urgent.
     pub(crate) fn priority(&self, owned: &Owned) -> u8 {
+        let earlier = self.earlier_jobs(owned, |_| true);
+        let earlier = u8::try_from(earlier).unwrap_or(u8::MAX);
+        (backend::DEFAULT_PRIORITY - 1).saturating_add(earlier)
+    }
+
+    /// Returns the number of unfinished jobs that were submitted before one and for which `is_equal` holds.
+    pub(crate) fn earlier_jobs(&self, owned: &Owned, is_equal: impl Fn(&Owned) -> bool) -> usize {
         let submitted_ms = owned.state().head.submitted_ms;
         let jobs = self.all_owned();
         let earlier = jobs.iter().filter(|other| {
             let progress = *other.progress.borrow();
-            if progress.is_ended || progress.is_lost || other.id == owned.id {
+            if progress.is_ended || progress.is_lost || other.id == owned.id || !is_equal(other) {
                 return false;
             }
             let state = other.state();
             state.head.submitted_ms < submitted_ms && !state.job.is_finished()
         });
-        let earlier = u8::try_from(earlier.count()).unwrap_or(u8::MAX);
-        (backend::DEFAULT_PRIORITY - 1).saturating_add(earlier)
+        earlier.count()
     }
 
     /// Adds a job that this node owns.
--- a/crates/shallotroute_resident/src/member.rs
+++ b/crates/shallotroute_resident/src/member.rs
@@ -191,7 +191,6 @@
     }
 
     /// Returns whether a process answers the calls that were added with a protocol version.
-    #[allow(dead_code)]
     pub(crate) fn speaks(&self, owner: &Owner, protocol: u32) -> bool {
         let member = self.nodes.get(&owner.node);
         member.is_some_and(|member| member.owner == *owner && member.protocol >= protocol)
--- a/crates/shallotroute_resident/src/peer.rs
+++ b/crates/shallotroute_resident/src/peer.rs
@@ -8,6 +8,7 @@
 use shallotroute_adapter::store::Call;
 use shallotroute_batch::record::{self, Owner};
 use shallotroute_fleet::{
+    admission::share,
     capacity::Report,
     limit::{Claim, Observation, Reply},
     link::Finding,
@@ -82,6 +83,8 @@
     /// Returns what this node knows of the origin of a stream. `id` is the identity of the request
     /// that brought its first event, `period` the time that a stream of `service` can last.
     async fn find_stream(id: Name, service: Name, period: Duration) -> Answer;
+    /// Records what the caller's batch jobs need and have in flight.
+    async fn report_needs(sender: Owner, report: share::Report);
 }
 
 /// The server side of one connection from another node.
@@ -185,6 +188,10 @@
     async fn find_stream(self, _: Context, id: Name, service: Name, period: Duration) -> Answer {
         resume::answer(&self.0, &id, &service, period)
     }
+
+    async fn report_needs(self, _: Context, sender: Owner, report: share::Report) {
+        capacity::record_needs(&self.0, &sender, report);
+    }
 }
 
 /// A service that accepts connections from other nodes.
--- a/crates/shallotroute_resident/src/runner.rs
+++ b/crates/shallotroute_resident/src/runner.rs
@@ -16,6 +16,7 @@
     record::Specification,
 };
 use shallotroute_fleet::{
+    admission::Policy,
     limit::Class,
     route::{Route, Table},
     server::{Rank, Requirements},
@@ -290,12 +291,13 @@
         self.next_share = now + SHARE_INTERVAL;
         let service = route.service_for(&specification.path);
         let job_routes = table.batch_route_count(service).max(1);
-        self.share = match age < SETTLING_TIME {
-            true => (self.shared.balancer().total_slots(service) / job_routes).max(1),
-            false => {
-                let oldest = specification.min_version;
-                capacity::job_slots(&self.shared, &self.owned, service, oldest)
-            }
+        let oldest = specification.min_version;
+        let share = || capacity::job_slots(&self.shared, &self.owned, service, oldest);
+        let equal = || (self.shared.balancer().total_slots(service) / job_routes).max(1);
+        self.share = match (age < SETTLING_TIME, self.shared.governors.policy()) {
+            (false, _) => share(),
+            (true, Policy::FirstCome) => equal(),
+            (true, Policy::ByCost) => equal().min(share()),
         };
     }
 
@@ -432,6 +434,9 @@
             ready = counts.ready,
             listed = counts.committed,
         });
+        if self.shared.governors.policy() == Policy::ByCost && counts.waiting > 0 {
+            capacity::log_share(&self.shared, &self.owned, self.share);
+        }
     }
 
     /// Replicates to other nodes what would be lost if this one failed.
