fleet, resident: urgent callers first at a short service; repeats of all paths are spread

An advised delay of the store was not read. Change: by cost, a node sends a short service at most 1.5 times the requests of callers that it accepts, the most urgent priorities first and each priority a tenth in any case; the others are told at once that they did not run, and come back after the time in which the service accepts as many as it has turned away. While a caller waits, one scoring of a node goes on. For all policies, pauses before repeats to the store are spread by half, and a delay of up to 2 s that the store advises is kept.

--- a/crates/shallotroute_fleet/src/admission.rs
+++ b/crates/shallotroute_fleet/src/admission.rs
@@ -13,7 +13,7 @@
 
 use std::time::Duration;
 
-use self::governor::Shortage;
+use self::governor::{PRIORITIES, Shortage, rank};
 
 /// How it is decided who waits or is turned away.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -37,11 +37,15 @@
 
 /// The shares of the time up to the target latency in which a rejected request is retried, by
 /// priority, in percent. A retry of a less urgent request takes a slot from a more urgent one.
-const RETRY_PERCENT: [u32; 3] = [100, 70, 40];
+const RETRY_PERCENT: [u32; PRIORITIES] = [100, 70, 40];
 
-/// The number of requests that a node sends to a short service for each that it accepts, by priority.
-/// B. Beyer et al., "Site Reliability Engineering", chapter 21 (client-side throttling), uses 2.
-const SENT_PER_ACCEPTED: [f64; 3] = [3.0, 2.0, 1.3];
+/// The number of requests that a node sends to a short service for each that it accepts. Further ones
+/// would only be rejected there; the excess finds out when the shortage ends. Compare B. Beyer et al.,
+/// "Site Reliability Engineering", chapter 21 (client-side throttling).
+const SENT_PER_ACCEPTED: f64 = 1.5;
+
+/// The part of the accepted requests that each priority may send in any case, so that none is starved.
+const MIN_SHARE: f64 = 0.1;
 
 /// The shortest advised delay of a caller that a short service turned away: a server frees a slot
 /// within the time of a few requests.
@@ -80,7 +84,7 @@
         let useful = self.target_latency.min(self.timeout);
         let last_start = useful.saturating_sub(shortage.service_time);
         Some(Patience {
-            retry_for: last_start * by_priority(&RETRY_PERCENT, self.priority) / 100,
+            retry_for: last_start * RETRY_PERCENT[rank(self.priority)] / 100,
             retry_after: shortage.retry_after(random),
         })
     }
@@ -91,18 +95,26 @@
         if policy == Policy::FirstCome {
             return None;
         }
-        let sendable = by_priority(&SENT_PER_ACCEPTED, self.priority) * shortage.accepted;
-        let requested = shortage.accepted + shortage.refused;
-        let excess = (requested - sendable) / (requested + 1.0);
+        let rank = rank(self.priority);
+        let more_urgent: f64 = shortage.requested[..rank].iter().sum();
+        let accepted = shortage.accepted();
+        let room = SENT_PER_ACCEPTED * accepted - more_urgent;
+        let own = shortage.requested[rank];
+        let excess = (own - room.max(MIN_SHARE * accepted)) / (own + 1.0);
         (random < excess).then(|| shortage.retry_after(random / excess))
     }
 }
 
 impl Shortage {
+    /// Returns the requests that the service has accepted, or still may.
+    fn accepted(&self) -> f64 {
+        (self.requested.iter().sum::<f64>() - self.refused).max(0.0)
+    }
+
     /// Returns the time in which the service accepts as many requests as it has turned away lately, so
     /// that those that come back find room. `random` is in `0.0..1.0`.
     fn retry_after(&self, random: f64) -> Duration {
-        let per_accepted = self.refused / self.accepted.max(f64::MIN_POSITIVE);
+        let per_accepted = self.refused / self.accepted().max(f64::MIN_POSITIVE);
         let backlog = per_accepted * self.period.as_secs_f64();
         let spread = backlog * (0.75 + random / 2.0);
         Duration::try_from_secs_f64(spread)
@@ -110,7 +122,3 @@
             .clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
     }
 }
-
-fn by_priority<T: Copy>(values: &[T; 3], priority: u8) -> T {
-    values[usize::from(priority).min(values.len() - 1)]
-}
--- a/crates/shallotroute_fleet/src/admission/governor.rs
+++ b/crates/shallotroute_fleet/src/admission/governor.rs
@@ -49,6 +49,9 @@
 /// The largest budget, which is also the first one.
 const MAX_REPEATS: f64 = 30.0;
 
+/// The number of priorities that are told apart. Further ones count as the last of them.
+pub const PRIORITIES: usize = 3;
+
 /// The attempts at one service and their recent outcomes, as one node sees them.
 #[derive(Debug)]
 pub struct Governor {
@@ -75,9 +78,9 @@
 struct Recent {
     attempts: f64,
     rejections: f64,
-    /// Requests of callers that the service ran.
-    accepted: f64,
-    /// Requests of callers that were turned away, by the servers or before they were sent.
+    /// Requests of callers by priority, whether they were sent or not.
+    requested: [f64; PRIORITIES],
+    /// Those among them that were turned away, by the servers or before they were sent.
     refused: f64,
 }
 
@@ -115,9 +118,9 @@
 /// How short a service is of room.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Shortage {
-    /// The recent requests of callers that the service ran.
-    pub accepted: f64,
-    /// Those that were turned away, by the servers or before they were sent.
+    /// The recent requests of callers by priority, whether they were sent or not.
+    pub requested: [f64; PRIORITIES],
+    /// Those among them that were turned away, by the servers or before they were sent.
     pub refused: f64,
     /// The time over which both are counted.
     pub period: Duration,
@@ -160,11 +163,15 @@
 
     /// Returns how many more scorings may be sent now.
     pub fn scoring_room(&self, now: Instant) -> usize {
-        let is_paused = |until: Option<Instant>| until.is_some_and(|until| now < until);
-        if is_paused(self.paused_until) || is_paused(self.caller_waits_until) {
+        let is_before = |until: Option<Instant>| until.is_some_and(|until| now < until);
+        if is_before(self.paused_until) {
             return 0;
         }
-        let window = self.window.map_or(usize::MAX, |window| window as usize);
+        let window = match is_before(self.caller_waits_until) {
+            // One goes on, so that jobs are not starved while callers keep waiting.
+            true => 1,
+            false => self.window.map_or(usize::MAX, |window| window as usize),
+        };
         window.saturating_sub(self.scorings)
     }
 
@@ -172,11 +179,8 @@
     pub fn admit_scoring(&mut self, is_repeat: bool, random: f64, now: Instant) -> Admission {
         self.update(now);
         if self.scoring_room(now) == 0 {
-            let ends = [self.paused_until, self.caller_waits_until];
-            let pause = ends
-                .into_iter()
-                .flatten()
-                .max()
+            let pause = self
+                .paused_until
                 .map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
             return Admission::Deferred(pause + spread(PAUSE_MIN, random));
         }
@@ -191,9 +195,10 @@
         Admission::Granted
     }
 
-    /// Records the first try of a caller's request.
-    pub fn record_first_try(&mut self, now: Instant) {
+    /// Records a request of a caller before its first try.
+    pub fn record_request(&mut self, priority: u8, now: Instant) {
         self.update(now);
+        self.recent.requested[rank(priority)] += 1.0;
         self.earn(REPEATS_PER_FIRST_TRY);
     }
 
@@ -249,7 +254,7 @@
     pub fn shortage(&mut self, now: Instant) -> Shortage {
         self.update(now);
         Shortage {
-            accepted: self.recent.accepted,
+            requested: self.recent.requested,
             refused: self.recent.refused,
             period: PERIOD,
             service_time: Duration::from_secs_f64(self.service_time),
@@ -283,9 +288,6 @@
     fn record_response(&mut self, source: Source, is_repeat: bool, elapsed: Duration) {
         self.recent.attempts += 1.0;
         self.pauses = 0;
-        if source == Source::Caller {
-            self.recent.accepted += 1.0;
-        }
         if let Some(window) = &mut self.window
             && source == Source::Scoring
         {
@@ -343,12 +345,12 @@
         self.earn(REPEATS_PER_SECOND * elapsed.as_secs_f64());
         let factor = (-elapsed.as_secs_f64() / PERIOD.as_secs_f64()).exp();
         let recent = &mut self.recent;
-        for count in [
+        let totals = [
             &mut recent.attempts,
             &mut recent.rejections,
-            &mut recent.accepted,
             &mut recent.refused,
-        ] {
+        ];
+        for count in totals.into_iter().chain(&mut recent.requested) {
             *count *= factor;
         }
         let has_recovered = self
@@ -360,6 +362,11 @@
     }
 }
 
+/// Returns the position of a priority among the [`PRIORITIES`].
+pub fn rank(priority: u8) -> usize {
+    usize::from(priority).min(PRIORITIES - 1)
+}
+
 /// Returns a time between half and one and a half times `mean`. `random` is in `0.0..1.0`.
 pub fn spread(mean: Duration, random: f64) -> Duration {
     mean.mul_f64(0.5 + random.clamp(0.0, 1.0))
--- a/crates/shallotroute_fleet/tests/retry.rs
+++ b/crates/shallotroute_fleet/tests/retry.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
+use shallotroute_fleet::admission::Patience;
 use shallotroute_fleet::retry::{AttemptFailure, Attempts, Decision, Policy, RequestFailure};
 use shallotroute_types::name::Name;
 
@@ -255,3 +256,42 @@
     expect_that!(attempts.servers(), is_empty());
     expect_that!(attempts.decide(after(started_at, 500)), eq(Decision::Send));
 }
+
+/// Guards against an urgent request that is given up although a server may have a free slot in time, against
+/// servers that get it again without a growing pause, and against a caller that is told another delay.
+#[gtest]
+fn a_request_with_patience_goes_to_the_same_servers_again() {
+    let started_at = Instant::now();
+    let patience = Patience {
+        retry_for: Duration::from_millis(120),
+        retry_after: Duration::from_millis(900),
+    };
+    let mut attempts = Attempts::new(policy(started_at, false))
+        .with_spread(0.5)
+        .with_patience(Some(patience));
+    let mut now = started_at;
+    let mut sent_at = Vec::new();
+    let failure = loop {
+        match attempts.decide(now) {
+            Decision::Send => {
+                let free = ["a", "b"].map(Name::from);
+                let server = free
+                    .into_iter()
+                    .find(|server| !attempts.avoided().contains(server))
+                    .expect("a server should be left");
+                attempts.record_attempt(&server);
+                sent_at.push(now);
+                attempts.record_failure(AttemptFailure::NotRun, now);
+            }
+            Decision::WaitUntil(until) => now = until,
+            Decision::Fail(failure) => break failure,
+        }
+    };
+    let retry_after = patience.retry_after;
+    expect_that!(failure, eq(RequestFailure::NotRun { retry_after }));
+    expect_that!(now, ge(after(started_at, 120)));
+    expect_that!(now, le(after(started_at, 180)));
+    expect_that!(sent_at.len(), eq(8));
+    expect_that!(sent_at[5], eq(after(started_at, 45)));
+    expect_that!(attempts.servers().len(), eq(2));
+}
--- a/crates/shallotroute_fleet/tests/server.rs
+++ b/crates/shallotroute_fleet/tests/server.rs
@@ -382,3 +382,27 @@
         expect_that!(ids, elements_are![eq(&"d"), eq(&"b")]);
     }
 }
+
+/// Guards against scorings that are sent again to the only server that is left, which has just rejected requests
+/// or asked for a pause.
+#[gtest]
+fn a_server_that_rejects_gets_no_requests_of_batch_jobs() {
+    let mut balancer = balancer(&["a"]);
+    let now = Instant::now();
+    let scoring = Requirements {
+        class: Class::Batch,
+        ..ANY
+    };
+    balancer.record_start("a");
+    balancer.record_end("a", Outcome::Rejected, now);
+    expect_that!(chosen(&balancer, &scoring, now), none());
+    expect_that!(chosen(&balancer, &ANY, now), some(eq("a")));
+    let later = now + Duration::from_secs(1);
+    expect_that!(chosen(&balancer, &scoring, later), some(eq("a")));
+    balancer.record_advice("a", Duration::from_secs(3), now);
+    expect_that!(chosen(&balancer, &scoring, later), none());
+    balancer.insert(server("b", "far", 3));
+    expect_that!(chosen(&balancer, &ANY, later), some(eq("b")));
+    let end = now + Duration::from_secs(3);
+    expect_that!(chosen(&balancer, &scoring, end), some(eq("a")));
+}
--- a/crates/shallotroute_resident/src/admission.rs
+++ b/crates/shallotroute_resident/src/admission.rs
@@ -10,7 +10,7 @@
 use shallotroute_fleet::{
     admission::{
         Policy, Request,
-        governor::{Admission, End, Governor, Source, Summary},
+        governor::{self, Admission, End, Governor, Source, Summary},
         share::Hold,
     },
     retry::{self, Attempts, RequestFailure},
@@ -124,7 +124,7 @@
             timeout: policy.deadline.saturating_duration_since(now),
         };
         let (refusal, patience) = self.with(service, now, |governor| {
-            governor.record_first_try(now);
+            governor.record_request(priority, now);
             let shortage = governor.shortage(now);
             let random = rand::random();
             let refusal = request.refusal(self.policy, &shortage, random);
@@ -259,6 +259,12 @@
     }
 }
 
+/// Returns a pause around `mean`, spread so that nodes and tasks that failed together do not call again
+/// together.
+pub(crate) fn pause(mean: Duration) -> Duration {
+    governor::spread(mean, rand::random())
+}
+
 /// Returns the end of an attempt that took `elapsed`.
 pub(crate) fn end(outcome: &AttemptOutcome, elapsed: Duration) -> End {
     match outcome {
--- a/crates/shallotroute_resident/src/claim.rs
+++ b/crates/shallotroute_resident/src/claim.rs
@@ -16,7 +16,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    checkpoint,
+    admission, checkpoint,
     job::{Owned, Reservation},
     ledger::{self, StoredHead},
     member::Member,
@@ -354,7 +354,7 @@
 ) {
     let (shared, job) = (reservation.shared(), reservation.job());
     loop {
-        tokio::time::sleep(ledger::RETRY_DELAY).await;
+        tokio::time::sleep(admission::pause(ledger::RETRY_DELAY)).await;
         if let Ok((specification, results)) = ledger::load(shared, job, &stored.head).await {
             let progress = Progress {
                 origin: Origin::TakenOver,
@@ -381,7 +381,7 @@
                     });
                 }
                 failures += 1;
-                tokio::time::sleep(ledger::RETRY_DELAY * 3).await;
+                tokio::time::sleep(admission::pause(ledger::RETRY_DELAY * 3)).await;
             }
         }
     };
@@ -417,7 +417,7 @@
         if Instant::now() >= deadline {
             return false;
         }
-        tokio::time::sleep(ledger::RETRY_DELAY).await;
+        tokio::time::sleep(admission::pause(ledger::RETRY_DELAY)).await;
     }
 }
 
@@ -431,7 +431,7 @@
     tokio::spawn(async move {
         let deadline = Instant::now() + shared.settings.retention;
         while Instant::now() < deadline {
-            tokio::time::sleep(END_RETRY_DELAY).await;
+            tokio::time::sleep(admission::pause(END_RETRY_DELAY)).await;
             match try_end(&shared, &job).await {
                 Ok(true) => {
                     spdlog::info!("end of job stored late", kv: { job = job.as_str() });
@@ -528,7 +528,7 @@
                 });
             }
         }
-        tokio::time::sleep(ledger::RETRY_DELAY).await;
+        tokio::time::sleep(admission::pause(ledger::RETRY_DELAY)).await;
     }
 }
 
--- a/crates/shallotroute_resident/src/follow.rs
+++ b/crates/shallotroute_resident/src/follow.rs
@@ -19,6 +19,7 @@
 use tokio::{sync::watch, task::JoinSet};
 
 use crate::{
+    admission,
     member::{self, Members},
     object,
     shared::Shared,
@@ -299,7 +300,7 @@
                 is_failing = true;
                 is_first = true;
                 shared.view.lock().watched[prefix as usize] = false;
-                tokio::time::sleep(STORE_RETRY_DELAY).await;
+                tokio::time::sleep(admission::pause(STORE_RETRY_DELAY)).await;
             }
         }
     }
--- a/crates/shallotroute_resident/src/ledger.rs
+++ b/crates/shallotroute_resident/src/ledger.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    member,
+    admission, member,
     shared::Shared,
     store::{Error, Result},
 };
@@ -242,7 +242,7 @@
         if Instant::now() >= deadline {
             return Outcome::Unknown(lost.unwrap_or_default());
         }
-        tokio::time::sleep(RETRY_DELAY).await;
+        tokio::time::sleep(admission::pause(RETRY_DELAY)).await;
     }
 }
 
--- a/crates/shallotroute_resident/src/presence.rs
+++ b/crates/shallotroute_resident/src/presence.rs
@@ -9,7 +9,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    claim,
+    admission, claim,
     member::{self, Member},
     shared::Shared,
     store::{Error, Result},
@@ -81,7 +81,7 @@
                 spdlog::debug!("failed to renew lease; retrying", kv: {
                     error = error.to_string(),
                 });
-                RETRY_DELAY
+                admission::pause(RETRY_DELAY)
             }
         };
         let next_renewal = Instant::now() + delay;
--- a/crates/shallotroute_resident/src/score.rs
+++ b/crates/shallotroute_resident/src/score.rs
@@ -9,7 +9,7 @@
     job::{Event, ScoringEnd},
     record::{Scorer, Specification},
 };
-use shallotroute_fleet::admission::governor::{self, End};
+use shallotroute_fleet::admission::governor::End;
 
 use crate::{
     admission,
@@ -92,7 +92,7 @@
             };
             scoring.finish(End::Unsent(wait), shared.now());
             let delay = wait.unwrap_or(UNAVAILABLE_DELAY);
-            return ScoringEnd::Deferred(governor::spread(delay, rand::random()));
+            return ScoringEnd::Deferred(admission::pause(delay));
         }
     };
     let elapsed = shared.now().saturating_duration_since(started_at);
--- a/crates/shallotroute_resident/src/store.rs
+++ b/crates/shallotroute_resident/src/store.rs
@@ -14,8 +14,9 @@
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
 use prometheus_client::metrics::counter::Counter;
-use shallotroute_adapter::store::{
-    self, Call, Changes, ErrorStatus, Item, Kind, Lease, Page, Write, WriteOutcome,
+use shallotroute_adapter::{
+    backend,
+    store::{self, Call, Changes, ErrorStatus, Item, Kind, Lease, Page, Write, WriteOutcome},
 };
 use shallotroute_batch::claim::SETTLING_TIME;
 use shallotroute_http::body;
@@ -53,6 +54,9 @@
 /// period.
 const CIRCUIT_OPEN_PERIOD: Duration = Duration::from_millis(300);
 
+/// The longest delay advised by the store that is kept: leases end within 2.5 s without a renewal.
+const MAX_ADVISED_DELAY: Duration = Duration::from_secs(2);
+
 /// The timeout of a relay's own call, unless it is a watch.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -108,6 +112,8 @@
     relays: Mutex<Vec<SocketAddr>>,
     /// Until when calls go only through relays.
     relay_until: Mutex<Option<Instant>>,
+    /// Until when the store has asked for no further calls of this node.
+    advised_until: Mutex<Option<Instant>>,
     /// Until when calls fail at once.
     circuit_open_until: Mutex<Option<Instant>>,
     /// When the store last served a direct call.
@@ -130,6 +136,7 @@
             peers,
             relays: Mutex::new(Vec::new()),
             relay_until: Mutex::new(None),
+            advised_until: Mutex::new(None),
             circuit_open_until: Mutex::new(None),
             last_answer: Mutex::new(None),
             calls: Mutex::default(),
@@ -266,7 +273,7 @@
         call: &Call,
         call_timeout: Duration,
     ) -> Result<RawResponse> {
-        match self.is_circuit_open() {
+        match self.is_circuit_open() || is_before(&self.advised_until) {
             true => Err(circuit_open_error()),
             false => self.call_directly(call, RELAY_SUBJECT, call_timeout).await,
         }
@@ -286,7 +293,7 @@
     }
 
     fn is_circuit_open(&self) -> bool {
-        lock(&self.circuit_open_until).is_some_and(|until| Instant::now() < until)
+        is_before(&self.circuit_open_until)
     }
 
     async fn call(
@@ -315,7 +322,7 @@
         subject: &'static str,
         call_timeout: Duration,
     ) -> Result<RawResponse> {
-        let relays_only = lock(&self.relay_until).is_some_and(|until| Instant::now() < until);
+        let relays_only = is_before(&self.relay_until) || is_before(&self.advised_until);
         let mut outcome = match relays_only {
             true => Err(Error::NotApplied(format!(
                 "{} failed recently",
@@ -407,6 +414,11 @@
                 }
             })?;
         let status = response.status();
+        if is_rejection(status)
+            && let Some(delay) = backend::parse_retry_after(response.headers())
+        {
+            *lock(&self.advised_until) = Some(Instant::now() + delay.min(MAX_ADVISED_DELAY));
+        }
         let body = body::read(response.into_body(), MAX_RESPONSE_BYTES)
             .await
             .map_err(|error| Error::OutcomeUnknown(error.to_string()))?;
@@ -484,6 +496,10 @@
     }
 }
 
+fn is_before(until: &Mutex<Option<Instant>>) -> bool {
+    lock(until).is_some_and(|until| Instant::now() < until)
+}
+
 fn circuit_open_error() -> Error {
     Error::NotApplied(
         "circuit breaker open: the store recently answered neither this node nor its relays"
--- a/crates/shallotroute_resident/src/suspect.rs
+++ b/crates/shallotroute_resident/src/suspect.rs
@@ -19,6 +19,7 @@
 use tokio::sync::mpsc;
 
 use crate::{
+    admission,
     forward::BackendRequest,
     link, member,
     metric::Metrics,
@@ -257,7 +258,7 @@
                     spdlog::warn!("failed to store the record of a request; retrying", kv: {
                         change = format!("{change:?}"), error = error.to_string(),
                     });
-                    tokio::time::sleep(WRITE_RETRY_DELAY).await;
+                    tokio::time::sleep(admission::pause(WRITE_RETRY_DELAY)).await;
                 }
             }
         }
--- a/crates/shallotroute_settings/tests/site.rs
+++ b/crates/shallotroute_settings/tests/site.rs
@@ -3,7 +3,7 @@
 use std::{path::Path, time::Duration};
 
 use googletest::prelude::*;
-use shallotroute_settings::site::{Duty, NodeSettings, Role, SiteSettings};
+use shallotroute_settings::site::{Duty, NodeSettings, Overload, Role, SiteSettings};
 
 const SETTINGS: &str = "\
 node:
@@ -145,3 +145,21 @@
     expect_that!(site.lease, eq(Duration::from_secs(3)));
     Ok(())
 }
+
+/// Guards against a policy that differs from the one of earlier builds without a word in the settings, and
+/// against a misspelt one.
+#[gtest]
+fn requests_wait_in_the_order_of_arrival_unless_the_settings_say_otherwise() -> Result<()> {
+    let with = |overload: &str| {
+        let text = format!("  lease_s: 3000e-3\n  overload: {overload}\n");
+        parse(&SETTINGS.replace("  lease_s: 3000e-3\n", &text))
+    };
+    expect_that!(parse(SETTINGS).or_fail()?.overload, eq(Overload::FirstCome));
+    expect_that!(with("by_cost").or_fail()?.overload, eq(Overload::ByCost));
+    expect_that!(with("").or_fail()?.overload, eq(Overload::FirstCome));
+    expect_that!(
+        with("by_prize"),
+        err(contains_substring("is not one of first_come, by_cost"))
+    );
+    Ok(())
+}
