fleet, resident: no request goes to a server twice; scorings trickle while callers are turned away

Cause: by cost, a request was sent again to a server that had rejected it. A late copy of the rejection would look like one of the second attempt, and a request that runs would be reported as not run. Where callers were turned away, scorings still took a quarter of what the servers ran. Change: a request with patience goes to further servers only, and ends as soon as all have rejected it. While callers wait or were turned away within 0.2 s, a node sends one scoring in 0.5 s.

--- a/crates/shallotroute_fleet/src/admission/governor.rs
+++ b/crates/shallotroute_fleet/src/admission/governor.rs
@@ -36,6 +36,13 @@
 /// The pause while no server may be sent a scoring.
 const UNAVAILABLE_PAUSE: Duration = Duration::from_millis(50);
 
+/// The time in which most callers come back that were turned away.
+const RETURN_TIME: Duration = Duration::from_millis(200);
+
+/// The interval between the scorings that a node sends while callers keep waiting, so that jobs are not
+/// starved.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// The delay of a repeat for which the budget has nothing left.
 const BUDGET_DELAY: Duration = Duration::from_millis(300);
 
@@ -64,6 +71,8 @@
     /// The number of pauses since the service last ran a request.
     pauses: u32,
     paused_until: Option<Instant>,
+    /// When the last scoring was granted.
+    granted_at: Option<Instant>,
     /// Until when a rejected caller waits for its next try.
     caller_waits_until: Option<Instant>,
     budget: f64,
@@ -153,6 +162,7 @@
             rejected_at: None,
             pauses: 0,
             paused_until: None,
+            granted_at: None,
             caller_waits_until: None,
             budget: MAX_REPEATS,
             recent: Recent::default(),
@@ -168,8 +178,10 @@
             return 0;
         }
         let window = match is_before(self.caller_waits_until) {
-            // One goes on, so that jobs are not starved while callers keep waiting.
-            true => 1,
+            true => usize::from(
+                self.granted_at
+                    .is_none_or(|at| now >= at + TRICKLE_INTERVAL),
+            ),
             false => self.window.map_or(usize::MAX, |window| window as usize),
         };
         window.saturating_sub(self.scorings)
@@ -192,6 +204,7 @@
             false => self.earn(REPEATS_PER_FIRST_TRY),
         }
         self.scorings += 1;
+        self.granted_at = Some(now);
         Admission::Granted
     }
 
@@ -202,10 +215,11 @@
         self.earn(REPEATS_PER_FIRST_TRY);
     }
 
-    /// Records that a caller's request was turned away.
+    /// Records that a caller's request was turned away. It comes back soon, and scorings make room for it.
     pub fn record_refusal(&mut self, now: Instant) {
         self.update(now);
         self.recent.refused += 1.0;
+        self.record_waiting_caller(now + RETURN_TIME);
     }
 
     /// Takes a repeat from the budget. Returns whether it may be sent, which it always may while the
--- a/crates/shallotroute_fleet/src/retry.rs
+++ b/crates/shallotroute_fleet/src/retry.rs
@@ -92,8 +92,6 @@
     policy: Policy,
     /// The servers tried so far.
     servers: Vec<Name>,
-    /// Those among them that the next attempt avoids.
-    avoided: Vec<Name>,
     in_flight: usize,
     may_have_run: bool,
     /// Whether a server has responded that it did not run the request.
@@ -108,6 +106,8 @@
     verdict: Verdict,
     /// How long a rejected request is retried; `None` for [`RETRY_WINDOW_PERCENT`].
     patience: Option<Patience>,
+    /// Whether no server is left that has not rejected the request.
+    is_rejected_by_all: bool,
     /// The number of delays so far.
     delays: u32,
     /// The factor by which delays are spread.
@@ -120,7 +120,6 @@
         Self {
             policy,
             servers: Vec::new(),
-            avoided: Vec::new(),
             in_flight: 0,
             may_have_run: false,
             was_rejected: false,
@@ -129,6 +128,7 @@
             has_no_way: false,
             verdict: Verdict::Clear,
             patience: None,
+            is_rejected_by_all: false,
             delays: 0,
             spread: 1.0,
         }
@@ -142,8 +142,9 @@
         self
     }
 
-    /// Sets how long a rejected request is retried and what its caller is told then. Servers that have
-    /// rejected it may get it again, after delays that grow.
+    /// Sets how long a rejected request is retried, with delays that grow, and what its caller is told then.
+    /// It ends at once when all servers have rejected it: none gets it again, because a late copy of its
+    /// rejection would look like one of the second attempt.
     #[must_use]
     pub fn with_patience(mut self, patience: Option<Patience>) -> Self {
         self.patience = patience;
@@ -167,11 +168,6 @@
         &self.servers
     }
 
-    /// Returns the servers that the next attempt avoids.
-    pub fn avoided(&self) -> &[Name] {
-        &self.avoided
-    }
-
     /// Returns whether the next attempt repeats one that a server has rejected.
     pub fn is_repeat(&self) -> bool {
         self.was_rejected
@@ -181,10 +177,8 @@
     pub fn record_attempt(&mut self, server: &Name) {
         self.in_flight += 1;
         self.limited_until = None;
-        for servers in [&mut self.servers, &mut self.avoided] {
-            if !servers.contains(server) {
-                servers.push(server.clone());
-            }
+        if !self.servers.contains(server) {
+            self.servers.push(server.clone());
         }
     }
 
@@ -208,13 +202,19 @@
         self.in_flight = self.in_flight.saturating_sub(1);
         self.may_have_run = true;
         self.servers.retain(|tried| tried != server);
-        self.avoided.retain(|tried| tried != server);
     }
 
     /// Records that no server is available for an attempt.
     pub fn record_no_server(&mut self, now: Instant) {
         self.delay(now);
         self.limited_until = None;
+        self.is_rejected_by_all = self.was_rejected;
+    }
+
+    /// Records that the budget of repeats denies an attempt.
+    pub fn record_denied(&mut self, now: Instant) {
+        self.delay(now);
+        self.limited_until = None;
     }
 
     /// Records that the limits of all servers deny an attempt for some time.
@@ -255,7 +255,8 @@
             |patience| patience.retry_for,
         );
         let give_up_at = policy.started_at + retry_for;
-        let is_denied = self.limited_until.is_some_and(|until| until > give_up_at);
+        let is_denied = self.limited_until.is_some_and(|until| until > give_up_at)
+            || (self.patience.is_some() && self.is_rejected_by_all);
         match self.retry_at {
             // Waiting is of no use if the limits deny the last attempt too.
             Some(until) if now < until && !is_denied => {
@@ -292,20 +293,13 @@
         let mut delay = RETRY_DELAY;
         if self.patience.is_some() {
             delay = (delay * 2_u32.pow(self.delays.min(2))).min(RETRY_DELAY_MAX);
-            // Where an attempt may have run, the request must not reach its server again.
-            if !self.may_have_run && self.in_flight == 0 {
-                self.avoided.clear();
-            }
         }
         self.delays += 1;
         self.retry_at = Some(now + delay.mul_f64(self.spread));
     }
 
     fn is_exhausted(&self) -> bool {
-        match self.patience {
-            Some(_) => self.avoided.len() >= self.policy.max_attempts,
-            None => self.servers.len() >= self.policy.max_attempts,
-        }
+        self.servers.len() >= self.policy.max_attempts
     }
 
     fn not_run_failure(&self, now: Instant) -> RequestFailure {
--- a/crates/shallotroute_resident/src/forward.rs
+++ b/crates/shallotroute_resident/src/forward.rs
@@ -209,7 +209,7 @@
     /// answers meanwhile, or `None` to go on.
     async fn start_attempt(&mut self) -> Option<ForwardOutcome> {
         let service = self.route.service_for(&self.request.id).clone();
-        let avoid = self.attempts.avoided().to_vec();
+        let avoid = self.attempts.servers().to_vec();
         let requirements = requirements(&service, None, &avoid, Class::Caller);
         let shared = self.shared;
         let is_repeat = self.attempts.is_repeat();
@@ -217,7 +217,7 @@
             .governors
             .may_send(&service, &self.attempts, shared.now())
         {
-            self.attempts.record_no_server(shared.now());
+            self.attempts.record_denied(shared.now());
             return None;
         }
         let mut acquiring = std::pin::pin!(limit::acquire_server(shared, &requirements));
--- a/crates/shallotroute_resident/src/stream.rs
+++ b/crates/shallotroute_resident/src/stream.rs
@@ -317,11 +317,11 @@
             }
             Decision::WaitUntil(until) => tokio::time::sleep_until(until.into()).await,
             Decision::Send if !may_send(governors, target, begun, attempts, shared.now()) => {
-                attempts.record_no_server(shared.now());
+                attempts.record_denied(shared.now());
             }
             Decision::Send => {
                 let software = target.software.as_deref();
-                let avoid = attempts.avoided();
+                let avoid = attempts.servers();
                 let requirements =
                     forward::requirements(&target.service, software, avoid, Class::Caller);
                 let acquired = limit::acquire_server(shared, &requirements).await;
