--- a/crates/shallotroute_fleet/src/retry.rs
+++ b/crates/shallotroute_fleet/src/retry.rs
@@ -168,9 +168,14 @@
         &self.servers
     }
 
-    /// Returns whether the next attempt repeats one that a server has rejected.
+    /// Returns whether the next attempt is not the first one.
     pub fn is_repeat(&self) -> bool {
-        self.was_rejected
+        !self.servers.is_empty()
+    }
+
+    /// Returns whether the request lacked room: a server has rejected it, or limits deny it.
+    pub fn lacks_room(&self) -> bool {
+        self.was_rejected || self.limited_until.is_some()
     }
 
     /// Records that the request was sent to a server.
--- a/crates/shallotroute_resident/src/admission.rs
+++ b/crates/shallotroute_resident/src/admission.rs
@@ -169,9 +169,16 @@
         self.finish_attempt(service, Source::Caller, is_repeat, end, now);
     }
 
-    /// Records that a caller's request has failed.
-    pub(crate) fn record_failure(&self, service: &Name, failure: RequestFailure, now: Instant) {
-        if matches!(failure, RequestFailure::NotRun { .. }) {
+    /// Records that a caller's request has failed. One that did not run for another reason than a lack of room, such
+    /// as servers that crashed under it before, says nothing about the service.
+    pub(crate) fn record_failure(
+        &self,
+        service: &Name,
+        attempts: &Attempts,
+        failure: RequestFailure,
+        now: Instant,
+    ) {
+        if attempts.lacks_room() && matches!(failure, RequestFailure::NotRun { .. }) {
             self.with(service, now, |governor| governor.record_refusal(now));
         }
     }
--- a/crates/shallotroute_resident/src/forward.rs
+++ b/crates/shallotroute_resident/src/forward.rs
@@ -181,7 +181,7 @@
                 }
             }
             Decision::Fail(failure) => {
-                governors.record_failure(&service, failure, shared.now());
+                governors.record_failure(&service, &forwarding.attempts, failure, shared.now());
                 return forwarding.conclude(failure);
             }
         }
--- a/crates/shallotroute_resident/src/stream.rs
+++ b/crates/shallotroute_resident/src/stream.rs
@@ -136,10 +136,16 @@
 ) -> Response<Body> {
     let started_at = shared.now();
     let policy = retry_policy(route, &request, is_resumable, started_at);
+    let last_event = backend::last_event_id(&request.headers).unwrap_or(0);
+    // The work of a stream that its caller takes up would be lost.
+    let priority = match last_event {
+        0 => route.priority,
+        _ => 0,
+    };
     let service = route.service_for(&request.id);
     let admitted = shared
         .governors
-        .begin(service, route.priority, policy, started_at);
+        .begin(service, priority, policy, started_at);
     let mut attempts = match admitted {
         Ok(attempts) => attempts,
         Err(failure) => {
@@ -147,7 +153,6 @@
             return refuse_stream(shared, table, route, &request, failure, reason);
         }
     };
-    let last_event = backend::last_event_id(&request.headers).unwrap_or(0);
     if is_resumable {
         shared.streams.record_wait(route, &request);
     }
@@ -312,7 +317,7 @@
         suspect::judge(shared, request, &target.service, attempts);
         match attempts.decide(shared.now()) {
             Decision::Fail(failure) => {
-                governors.record_failure(&target.service, failure, shared.now());
+                governors.record_failure(&target.service, attempts, failure, shared.now());
                 return Err((failure, reason));
             }
             Decision::WaitUntil(until) => tokio::time::sleep_until(until.into()).await,
@@ -359,9 +364,9 @@
     server: &Server,
     attempts: &mut Attempts,
 ) -> Result<OpenStream, String> {
+    let is_repeat = attempts.is_repeat();
     attempts.record_attempt(&server.id);
     let started_at = shared.now();
-    let is_repeat = attempts.is_repeat();
     let in_flight = shared.start_request(&server.id, None);
     let policy = *attempts.policy();
     let opening = open_at(shared, server, request, begun, &policy, in_flight);
