fleet: fewer requests are sent to a short service for each that it accepts

Cause: with 1.5 requests sent for each accepted one, less urgent requests took servers from urgent ones. Change: 1.25, of which the test of refusals takes its new figures.

--- a/crates/shallotroute_fleet/src/admission.rs
+++ b/crates/shallotroute_fleet/src/admission.rs
@@ -41,8 +41,9 @@
 
 /// The number of requests that a node sends to a short service for each that it accepts. Further ones
 /// would only be rejected there; the excess finds out when the shortage ends. Compare B. Beyer et al.,
-/// "Site Reliability Engineering", chapter 21 (client-side throttling).
-const SENT_PER_ACCEPTED: f64 = 1.5;
+/// "Site Reliability Engineering", chapter 21 (client-side throttling), where it is 2. With 1.5, less urgent
+/// requests took more of the servers: 234 of some 2,100 urgent callers were refused in the storm test, 184 with 1.25.
+const SENT_PER_ACCEPTED: f64 = 1.25;
 
 /// The part of the accepted requests that each priority may send in any case, so that none is starved.
 const MIN_SHARE: f64 = 0.1;
--- a/crates/shallotroute_fleet/src/admission/share.rs
+++ b/crates/shallotroute_fleet/src/admission/share.rs
@@ -70,7 +70,7 @@
         });
     }
 
-    /// Returns the mean; [`DEFAULT_HOLD`] before an attempt has completed.
+    /// Returns the mean; one second before an attempt has completed.
     pub fn mean(&self) -> Duration {
         self.mean.map_or(DEFAULT_HOLD, Duration::from_secs_f64)
     }
