--- a/crates/shallotroute_fleet/src/lib.rs
+++ b/crates/shallotroute_fleet/src/lib.rs
@@ -7,6 +7,7 @@
 //! [`route::Table`], [`link::Links`] and [`source::Selector`].
 
 pub mod access;
+pub mod admission;
 pub mod capacity;
 pub mod duty;
 pub mod election;
--- a/crates/shallotroute_fleet/src/retry.rs
+++ b/crates/shallotroute_fleet/src/retry.rs
@@ -9,7 +9,7 @@
 
 use shallotroute_types::name::Name;
 
-use crate::{access::Denial, suspect::Verdict};
+use crate::{access::Denial, admission::Patience, suspect::Verdict};
 
 /// The share of the target latency after which a request is hedged, in percent. A request is about
 /// 25 ms of work, so that the second server can still respond within the target latency.
@@ -18,9 +18,12 @@
 /// The share of the target latency for which a rejected request is retried, in percent.
 const RETRY_WINDOW_PERCENT: u32 = 20;
 
-/// The delay before the same servers are tried again.
+/// The delay before the same servers are tried again, on average.
 const RETRY_DELAY: Duration = Duration::from_millis(15);
 
+/// The longest delay of a request that is retried for longer, see [`Attempts::with_patience`].
+const RETRY_DELAY_MAX: Duration = Duration::from_millis(60);
+
 /// The advised retry delay of a caller whose request full servers rejected. A server frees a slot
 /// within the time of a few requests.
 const RETRY_AFTER_REJECTED: Duration = Duration::from_millis(200);
@@ -105,6 +108,14 @@
     verdict: Verdict,
     /// Why the request may not be sent any more.
     denial: Option<Denial>,
+    /// How long a rejected request is retried; `None` for [`RETRY_WINDOW_PERCENT`].
+    patience: Option<Patience>,
+    /// Whether no server is left that has not rejected the request.
+    is_rejected_by_all: bool,
+    /// The number of delays so far.
+    delays: u32,
+    /// The factor by which delays are spread.
+    spread: f64,
 }
 
 impl Attempts {
@@ -121,9 +132,30 @@
             has_no_way: false,
             verdict: Verdict::Clear,
             denial: None,
+            patience: None,
+            is_rejected_by_all: false,
+            delays: 0,
+            spread: 1.0,
         }
     }
 
+    /// Spreads the delays before the same servers are tried again between half and one and a half times
+    /// their mean. `random` is in `0.0..1.0`.
+    #[must_use]
+    pub fn with_spread(mut self, random: f64) -> Self {
+        self.spread = 0.5 + random.clamp(0.0, 1.0);
+        self
+    }
+
+    /// Sets how long a rejected request is retried, with delays that grow, and what its caller is told then.
+    /// It ends at once when all servers have rejected it: none gets it again, because a late copy of its
+    /// rejection would look like one of the second attempt.
+    #[must_use]
+    pub fn with_patience(mut self, patience: Option<Patience>) -> Self {
+        self.patience = patience;
+        self
+    }
+
     /// Sets whether the request may be sent, in view of servers that crashed under it. Returns whether the
     /// verdict is of another kind than before.
     pub fn set_verdict(&mut self, verdict: Verdict) -> bool {
@@ -141,6 +173,16 @@
         &self.servers
     }
 
+    /// Returns whether the next attempt is not the first one.
+    pub fn is_repeat(&self) -> bool {
+        !self.servers.is_empty()
+    }
+
+    /// Returns whether the request lacked room: a server has rejected it, or limits deny it.
+    pub fn lacks_room(&self) -> bool {
+        self.was_rejected || self.limited_until.is_some()
+    }
+
     /// Records that the request was sent to a server.
     pub fn record_attempt(&mut self, server: &Name) {
         self.in_flight += 1;
@@ -160,7 +202,7 @@
             AttemptFailure::Unreachable => {}
         }
         if failure != AttemptFailure::MayHaveRun && self.is_exhausted() {
-            self.retry_at = Some(now + RETRY_DELAY);
+            self.delay(now);
         }
     }
 
@@ -180,7 +222,14 @@
 
     /// Records that no server is available for an attempt.
     pub fn record_no_server(&mut self, now: Instant) {
-        self.retry_at = Some(now + RETRY_DELAY);
+        self.delay(now);
+        self.limited_until = None;
+        self.is_rejected_by_all = self.was_rejected;
+    }
+
+    /// Records that the budget of repeats denies an attempt.
+    pub fn record_denied(&mut self, now: Instant) {
+        self.delay(now);
         self.limited_until = None;
     }
 
@@ -224,8 +273,13 @@
                 false => self.not_run_failure(now),
             });
         }
-        let give_up_at = policy.started_at + policy.target_latency * RETRY_WINDOW_PERCENT / 100;
-        let is_denied = self.limited_until.is_some_and(|until| until > give_up_at);
+        let retry_for = self.patience.map_or(
+            policy.target_latency * RETRY_WINDOW_PERCENT / 100,
+            |patience| patience.retry_for,
+        );
+        let give_up_at = policy.started_at + retry_for;
+        let is_denied = self.limited_until.is_some_and(|until| until > give_up_at)
+            || (self.patience.is_some() && self.is_rejected_by_all);
         match self.retry_at {
             // Waiting is of no use if the limits deny the last attempt too.
             Some(until) if now < until && !is_denied => {
@@ -258,6 +312,16 @@
         }
     }
 
+    /// Starts the delay before the same servers are tried again.
+    fn delay(&mut self, now: Instant) {
+        let mut delay = RETRY_DELAY;
+        if self.patience.is_some() {
+            delay = (delay * 2_u32.pow(self.delays.min(2))).min(RETRY_DELAY_MAX);
+        }
+        self.delays += 1;
+        self.retry_at = Some(now + delay.mul_f64(self.spread));
+    }
+
     fn is_exhausted(&self) -> bool {
         self.servers.len() >= self.policy.max_attempts
     }
@@ -269,7 +333,9 @@
         RequestFailure::NotRun {
             retry_after: match (limited_for, self.was_rejected) {
                 (Some(limited_for), _) => limited_for.max(RETRY_AFTER_REJECTED),
-                (None, true) => RETRY_AFTER_REJECTED,
+                (None, true) => self
+                    .patience
+                    .map_or(RETRY_AFTER_REJECTED, |patience| patience.retry_after),
                 (None, false) => RETRY_AFTER_UNREACHABLE,
             },
         }
--- a/crates/shallotroute_fleet/src/workspace.rs
+++ b/crates/shallotroute_fleet/src/workspace.rs
@@ -122,6 +122,12 @@
         self.by_key.get(key).map(|workspace| &**workspace)
     }
 
+    /// Returns the workspace with a name.
+    pub fn find(&self, name: &str) -> Option<&Workspace> {
+        self.workspaces()
+            .find(|workspace| workspace.name.as_str() == name)
+    }
+
     /// Returns the workspaces in the order of the configuration.
     pub fn workspaces(&self) -> impl Iterator<Item = &Workspace> {
         self.workspaces.iter().map(|workspace| &**workspace)
--- a/crates/shallotroute_fleet/tests/retry.rs
+++ b/crates/shallotroute_fleet/tests/retry.rs
@@ -5,6 +5,7 @@
 use googletest::prelude::*;
 use shallotroute_fleet::{
     access::Denial,
+    admission::Patience,
     retry::{AttemptFailure, Attempts, Decision, Policy, RequestFailure},
 };
 use shallotroute_types::name::Name;
@@ -297,3 +298,44 @@
         );
     }
 }
+
+/// Guards against an urgent request that is given up although another server may have a free slot in time, against
+/// retries without a growing pause, and against a caller that waits after the last server has rejected its request.
+#[gtest]
+fn a_request_with_patience_goes_to_further_servers() {
+    let started_at = Instant::now();
+    let patience = Patience {
+        retry_for: Duration::from_millis(120),
+        retry_after: Duration::from_millis(900),
+    };
+    let run = |servers: &[&str]| {
+        let mut attempts = Attempts::new(policy(started_at, false))
+            .with_spread(0.5)
+            .with_patience(Some(patience));
+        let mut now = started_at;
+        loop {
+            match attempts.decide(now) {
+                Decision::Send => {
+                    let mut left = servers.iter().map(|server| Name::from(*server));
+                    match left.find(|server| !attempts.servers().contains(server)) {
+                        Some(server) => {
+                            attempts.record_attempt(&server);
+                            attempts.record_failure(AttemptFailure::NotRun, now);
+                        }
+                        None => attempts.record_no_server(now),
+                    }
+                }
+                Decision::WaitUntil(until) => now = until,
+                Decision::Fail(failure) => return (failure, now, attempts.servers().len()),
+            }
+        }
+    };
+    let retry_after = patience.retry_after;
+    let not_run = RequestFailure::NotRun { retry_after };
+    expect_that!(
+        run(&["a", "b", "c"]),
+        eq((not_run, after(started_at, 45), 3))
+    );
+    let many = ["a", "b", "c", "d", "e", "f", "g"];
+    expect_that!(run(&many), eq((not_run, after(started_at, 165), 5)));
+}
--- a/crates/shallotroute_resident/src/dump.rs
+++ b/crates/shallotroute_resident/src/dump.rs
@@ -6,7 +6,7 @@
 use shallotroute_batch::record::Owner;
 use shallotroute_fleet::{limit::Rate, workspace::Directory};
 
-use crate::{job::Owned, shared::Shared, usage, view};
+use crate::{capacity, job::Owned, shared::Shared, usage, view};
 
 /// Returns the state of a node as JSON. Ages and durations are in milliseconds.
 pub(crate) fn dump(shared: &Shared) -> Value {
@@ -43,6 +43,7 @@
         "scaling": shared.scaling.dump(now),
         "recorded_streams": shared.streams.len(),
         "suspects": suspects(shared),
+        "admission": admission(shared),
         "jobs": shared.jobs.all_owned().iter().map(|owned| job(owned, shared.boot_time())).collect::<Vec<_>>(),
     })
 }
@@ -156,6 +157,28 @@
         .collect()
 }
 
+fn admission(shared: &Shared) -> Value {
+    let summaries = shared.governors.summaries(shared.now());
+    json!({
+        "policy": shared.governors.policy().name(),
+        "services": summaries.iter().map(|(service, summary)| json!({
+            "service": service,
+            "scorings": summary.scorings,
+            "max_scorings": summary.window,
+            "rejected_share": summary.rejected_share,
+            "repeats_left": summary.budget,
+            "paused_ms": summary.pause.as_millis(),
+        })).collect::<Vec<_>>(),
+        "jobs": capacity::needs(shared).map(|(id, need)| json!({
+            "id": id,
+            "priority": need.priority,
+            "workspace": need.workspace,
+            "open": need.demand.items,
+            "needed": need.slots,
+        })).collect::<Vec<_>>(),
+    })
+}
+
 fn suspects(shared: &Shared) -> Value {
     let (known, blocked) = shared.suspects.counts();
     json!({ "requests": known, "blocked": blocked })
--- a/crates/shallotroute_resident/src/forward.rs
+++ b/crates/shallotroute_resident/src/forward.rs
@@ -11,6 +11,7 @@
 use shallotroute_adapter::backend::{self, Head};
 use shallotroute_fleet::{
     access::{Denial, Grant},
+    admission::governor::End,
     limit::Class,
     retry::{AttemptFailure, Attempts, Decision, Policy, RequestFailure},
     route::{Kind, Route},
@@ -23,6 +24,7 @@
 
 use crate::{
     access::Outgoing,
+    admission,
     generate::{discard_response, idle_timeout},
     limit::{self, Unavailable},
     link::Sender,
@@ -104,17 +106,18 @@
 }
 
 /// Sends a request to one server, without retries at another.
+///
+/// # Errors
+///
+/// Returns why no server can be sent the request.
 pub(crate) async fn send_once(
     shared: &Arc<Shared>,
     route: &Route,
     request: &BackendRequest,
-) -> AttemptOutcome {
+) -> Result<AttemptOutcome, Unavailable> {
     let service = route.service_for(&request.id);
     let requirements = requirements(service, None, &[], Class::Batch);
-    let server = match limit::acquire_server(shared, &requirements).await {
-        Ok(server) => server,
-        Err(unavailable) => return AttemptOutcome::NotRun(unavailable.reason().to_owned()),
-    };
+    let server = limit::acquire_server(shared, &requirements).await?;
     let timeout = request
         .timeout
         .min(route.target_latency * SEND_ONCE_TIMEOUT_FACTOR);
@@ -123,16 +126,15 @@
     let is_idempotent = true;
     let request = request.clone();
     let shared = Arc::clone(shared);
-    run_attempt(
+    let attempt = run_attempt(
         shared,
         server,
         request,
         deadline,
         is_idempotent,
         Meter::none(),
-    )
-    .await
-    .1
+    );
+    Ok(attempt.await.1)
 }
 
 /// Returns the workspace whose usage a caller's request counts for.
@@ -148,30 +150,36 @@
     request: BackendRequest,
 ) -> ForwardOutcome {
     let started_at = shared.now();
-    let policy = Policy {
-        is_idempotent: route.kind == Kind::Idempotent,
-        max_attempts: route.max_attempts,
-        started_at,
-        target_latency: route.target_latency,
-        deadline: started_at + request.timeout,
-    };
+    let policy = retry_policy(route, &request, started_at);
+    let service = route.service_for(&request.id).clone();
+    let governors = &shared.governors;
+    let attempts =
+        match governors.begin(&service, request.grant.priority(route), policy, started_at) {
+            Ok(attempts) => attempts,
+            Err(failure) => {
+                return ForwardOutcome::NoAnswer {
+                    failure,
+                    reason: admission::REFUSAL_REASON.to_owned(),
+                    servers: Vec::new(),
+                };
+            }
+        };
     let mut forwarding = Forwarding {
         shared,
         route,
         meter: usage::meter(shared, workspace(&request)),
         request,
         policy,
-        attempts: Attempts::new(policy),
+        attempts,
         pending: JoinSet::new(),
         reason: String::new(),
         last_error_response: None,
     };
     loop {
-        let service = route.service_for(&forwarding.request.id);
         suspect::judge(
             shared,
             &forwarding.request,
-            service,
+            &service,
             &mut forwarding.attempts,
         );
         match forwarding.attempts.decide(shared.now()) {
@@ -181,15 +189,31 @@
                 }
             }
             Decision::WaitUntil(until) => {
+                if forwarding.pending.is_empty() {
+                    governors.record_wait(&service, until, shared.now());
+                }
                 if let Some(outcome) = forwarding.wait_for_attempt(until).await {
                     return outcome;
                 }
             }
-            Decision::Fail(failure) => return forwarding.conclude(failure),
+            Decision::Fail(failure) => {
+                governors.record_failure(&service, &forwarding.attempts, failure, shared.now());
+                return forwarding.conclude(failure);
+            }
         }
     }
 }
 
+fn retry_policy(route: &Route, request: &BackendRequest, started_at: Instant) -> Policy {
+    Policy {
+        is_idempotent: route.kind == Kind::Idempotent,
+        max_attempts: route.max_attempts,
+        started_at,
+        target_latency: route.target_latency,
+        deadline: started_at + request.timeout,
+    }
+}
+
 /// The state of forwarding one request.
 struct Forwarding<'a> {
     shared: &'a Arc<Shared>,
@@ -216,6 +240,14 @@
         let avoid = self.attempts.servers().to_vec();
         let requirements = requirements(&service, None, &avoid, Class::Caller);
         let shared = self.shared;
+        let is_repeat = self.attempts.is_repeat();
+        if !shared
+            .governors
+            .may_send(&service, &self.attempts, shared.now())
+        {
+            self.attempts.record_denied(shared.now());
+            return None;
+        }
         let mut acquiring = std::pin::pin!(limit::acquire_server(shared, &requirements));
         let acquired = loop {
             tokio::select! {
@@ -228,26 +260,47 @@
             }
         };
         match acquired {
-            Ok(server) => {
-                self.attempts.record_attempt(&server.id);
-                let request = self.request.clone();
-                let Policy {
-                    deadline,
-                    is_idempotent,
-                    ..
-                } = self.policy;
-                let (shared, meter) = (Arc::clone(shared), self.meter.clone());
-                let attempt = run_attempt(shared, server, request, deadline, is_idempotent, meter);
-                self.pending.spawn(attempt);
-            }
+            Ok(server) => self.spawn_attempt(server, service.clone(), is_repeat),
             Err(unavailable) => {
                 unavailable.reason().clone_into(&mut self.reason);
+                let now = shared.now();
+                shared
+                    .governors
+                    .finish(&service, is_repeat, End::Unsent(None), now);
                 record_unavailable(&mut self.attempts, unavailable, shared.now());
             }
         }
         None
     }
 
+    /// Starts an attempt at a server, and tells the governor of its service how it ends.
+    fn spawn_attempt(&mut self, server: Server, service: Name, is_repeat: bool) {
+        self.attempts.record_attempt(&server.id);
+        let Policy {
+            deadline,
+            is_idempotent,
+            ..
+        } = self.policy;
+        let shared = Arc::clone(self.shared);
+        let started_at = shared.now();
+        let attempt = run_attempt(
+            Arc::clone(&shared),
+            server,
+            self.request.clone(),
+            deadline,
+            is_idempotent,
+            self.meter.clone(),
+        );
+        self.pending.spawn(async move {
+            let (server, outcome) = attempt.await;
+            let now = shared.now();
+            let elapsed = now.saturating_duration_since(started_at);
+            let end = admission::end(&outcome, elapsed);
+            shared.governors.finish(&service, is_repeat, end, now);
+            (server, outcome)
+        });
+    }
+
     /// Waits until an attempt ends, at most until `deadline`. Returns the outcome for the caller,
     /// or `None` to go on.
     async fn wait_for_attempt(&mut self, deadline: Instant) -> Option<ForwardOutcome> {
--- a/crates/shallotroute_resident/src/lib.rs
+++ b/crates/shallotroute_resident/src/lib.rs
@@ -2,6 +2,7 @@
 //! in the platform's store. The entry point is [`run`].
 
 mod access;
+mod admission;
 mod capacity;
 mod checkpoint;
 mod claim;
--- a/crates/shallotroute_resident/src/peer.rs
+++ b/crates/shallotroute_resident/src/peer.rs
@@ -8,6 +8,7 @@
 use shallotroute_adapter::store::Call;
 use shallotroute_batch::record::{self, Owner};
 use shallotroute_fleet::{
+    admission::share,
     capacity::Report,
     limit::{Claim, Observation, Reply},
     link::Finding,
@@ -109,6 +110,8 @@
     ) -> Option<Followed>;
     /// Records the cumulative counts of a process, by window. Returns `None` if this node does not lead.
     async fn report_usage(sender: Owner, tallies: Vec<Tally>) -> Option<Receipt>;
+    /// Records what the caller's batch jobs need and have in flight.
+    async fn report_needs(sender: Owner, report: share::Report);
 }
 
 /// The server side of one connection from another node.
@@ -260,6 +263,10 @@
     async fn report_usage(self, _: Context, sender: Owner, tallies: Vec<Tally>) -> Option<Receipt> {
         self.0.usage.as_ref()?.receive(&self.0, &sender, tallies)
     }
+
+    async fn report_needs(self, _: Context, sender: Owner, report: share::Report) {
+        capacity::record_needs(&self.0, &sender, report);
+    }
 }
 
 impl Server {
--- a/crates/shallotroute_resident/src/shared.rs
+++ b/crates/shallotroute_resident/src/shared.rs
@@ -11,6 +11,7 @@
 use shallotroute_batch::record::Owner;
 use shallotroute_fleet::{
     access::{self, Grant},
+    admission::Policy,
     capacity::{Backlog, Board},
     freshness::Standing,
     limit::{Observation, Rate},
@@ -20,12 +21,13 @@
     source,
     workspace::Secret,
 };
-use shallotroute_settings::site::{Duty, SiteSettings as Settings};
+use shallotroute_settings::site::{Duty, Overload, SiteSettings as Settings};
 use shallotroute_types::{clock::Clock, name::Name, node::Incarnation, version::Version};
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    admission::Governors,
     checkpoint::Checkpoints,
     duty,
     freshness::Freshness,
@@ -73,6 +75,8 @@
     pub(crate) streams: Streams,
     /// The limits that backend servers have named.
     pub(crate) limits: Limits,
+    /// What this node sends to services that reject requests.
+    pub(crate) governors: Arc<Governors>,
     /// Whether this node's links to the backend servers work.
     pub(crate) links: Monitor,
     /// The number of requests in progress that this node relays for others.
@@ -150,10 +154,12 @@
         let (limits, limit_changes) = Limits::new();
         let (suspects, suspect_changes) = Tracker::new();
         let duties = duty::Caller::new(&settings, Arc::clone(&clock), Arc::clone(&metrics));
-        let usage = duties
+        let reports_usage = duties
             .as_ref()
-            .filter(|duties| duties.performs(Duty::Usage))
-            .and_then(|_| usage::Recorder::new(&settings, Arc::clone(&clock)));
+            .is_some_and(|duties| duties.performs(Duty::Usage));
+        let usage = reports_usage.then(|| usage::Recorder::new(&settings, Arc::clone(&clock)));
+        let policy = admission_policy(settings.overload);
+        let governors = Governors::new(policy, metrics.admissions.clone());
         let shared = Arc::new(Self {
             settings,
             owner,
@@ -170,12 +176,13 @@
             held_checkpoints: Checkpoints::default(),
             streams: Streams::new(),
             limits,
+            governors,
             links: Monitor::new(),
             relayed: AtomicUsize::new(0),
             suspects,
             scaling: Records::default(),
             duties,
-            usage,
+            usage: usage.flatten(),
             view: View::default(),
             freshness,
             should_register: watch::channel(false).0,
@@ -314,6 +321,9 @@
             self.record_leaving(server);
         }
         let now = self.now();
+        if let Some(delay) = head.retry_after.filter(|_| head.is_rejected) {
+            self.balancer().record_advice(server, delay, now);
+        }
         let observed = self.balancer().record_limit(server, head.limit, now);
         if let Some(observation) = observed {
             let rate = observation.rate.map(Rate::per_second);
@@ -388,6 +398,13 @@
     }
 }
 
+fn admission_policy(overload: Overload) -> Policy {
+    match overload {
+        Overload::FirstCome => Policy::FirstCome,
+        Overload::ByCost => Policy::ByCost,
+    }
+}
+
 fn unix_milliseconds(time: SystemTime) -> u64 {
     let elapsed = time.duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
