resident: usage of a window is reported also if nobody counted anything

Cause: the report of usage did not know yet whether a configuration has workspaces. Change: it asks the active configuration.

--- a/crates/shallotroute_resident/src/usage.rs
+++ b/crates/shallotroute_resident/src/usage.rs
@@ -15,7 +15,6 @@
 use shallotroute_batch::record::{self, Owner};
 use shallotroute_fleet::{
     duty::Refusal,
-    route::Table,
     usage::{
         Action, Close, Counter, Ledger, Message, Moment, RETENTION, Receipt, ReportEnd, Reported,
         Schedule, Stored, Summary, Tally, window_end,
@@ -277,9 +276,10 @@
     loop {
         // The jitter spreads the messages that a leader gets.
         tokio::time::sleep(SEND_INTERVAL.mul_f64(rand::random_range(0.8..1.0))).await;
+        // Their usage is reported also if it is zero.
         let has_workspaces = shared
             .table()
-            .is_some_and(|table| configures_workspaces(&table));
+            .is_some_and(|table| table.workspaces().is_some());
         lock(&recorder.counter).observe(has_workspaces, recorder.unix());
         recorder.expire_held();
         send(&shared, &recorder).await;
@@ -312,11 +312,6 @@
     futures::future::join_all(copies).await;
 }
 
-/// Returns whether a configuration has workspaces, whose usage is reported also if it is zero.
-fn configures_workspaces(_: &Table) -> bool {
-    false
-}
-
 /// Sends once more what the leader lacks, before the process ends.
 pub(crate) async fn flush(shared: &Shared) {
     if let Some(recorder) = &shared.usage {
