fleet, resident: a new leader orders no servers before the host list can be complete

Cause: at the start of a fleet the leader saw none of the servers of two zones, ordered one for each, and so lowered their numbers from 13 and 12 to 1; several orders at a time exceeded the rate of calls, and all but the first were repeated two seconds later. A server that is cut off from the store lowered the next number too. Change: a new leader waits until servers that start with it are listed; a raised number is at least the highest of the last 30 s; an order waits for its turn within the rate.

--- a/crates/shallotroute_fleet/src/scaler.rs
+++ b/crates/shallotroute_fleet/src/scaler.rs
@@ -32,6 +32,10 @@
 /// have arrived.
 pub const NEW_LEADER_HOLD: Duration = Duration::from_secs(10);
 
+/// How long after its boot time a server may appear in the host list. A new leader gives no order before: a number
+/// that lacks the servers which its predecessor ordered, or which start together with it, would lower theirs.
+const LISTING_DELAY: Duration = Duration::from_secs(3);
+
 /// How long no number is lowered after servers were reclaimed, an order was refused, or data was missing.
 const LOSS_HOLD: Duration = Duration::from_secs(10);
 
@@ -214,6 +218,10 @@
         if inputs.servers.is_none() || state.slots == 0.0 || self.policy == Policy::Unchanged {
             return Vec::new();
         }
+        if now < self.started_at + inputs.scaling.boot_time + LISTING_DELAY {
+            state.account.hold = Some(Hold::NewLeader);
+            return Vec::new();
+        }
         let plan = state.plan(inputs.scaling, now);
         state.account = Account {
             servers: plan.total(),
@@ -387,8 +395,14 @@
         let mut orders = Vec::new();
         for (zone, wanted) in plan.zones.iter().zip(&target.zones) {
             for is_spot in [true, false] {
-                let (former, count) = (zone.count(is_spot), wanted.count(is_spot));
                 let pool = self.pools.get(&(zone.zone.clone(), is_spot));
+                let former = zone.count(is_spot);
+                let count = match wanted.count(is_spot) {
+                    count if count > former => {
+                        count.max(pool.map_or(0, |pool| pool.recent_number(now)))
+                    }
+                    count => count,
+                };
                 let is_due = pool.is_none_or(|pool| pool.may_raise(now));
                 if count > former && is_due {
                     orders.push(order(zone, is_spot, count, reason));
--- a/crates/shallotroute_fleet/src/scaler/pool.rs
+++ b/crates/shallotroute_fleet/src/scaler/pool.rs
@@ -2,10 +2,11 @@
 
 use std::time::{Duration, Instant};
 
-use super::{GROWTH_INTERVAL, Reply};
+use super::{GROWTH_INTERVAL, LISTING_DELAY, Reply};
 
-/// How long after its boot time a server may appear in the host list.
-const LISTING_DELAY: Duration = Duration::from_secs(3);
+/// How long a server counts that is no longer listed: it may be cut off from the store, or start again, and an order
+/// without it would lower the number.
+const UNLISTED_RETENTION: Duration = Duration::from_secs(30);
 
 /// The interval between an order without a response and its repetition.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(2);
@@ -21,6 +22,8 @@
 pub(super) struct Pool {
     /// The servers that are listed and not draining.
     live: u32,
+    /// The highest number of servers since it was last lowered on purpose, and when there were as many.
+    highest: Option<(u32, Instant)>,
     order: Option<Sent>,
     blocked_until: Option<Instant>,
     refusals: u32,
@@ -52,6 +55,10 @@
         self.live = live;
         if is_reclaimed {
             self.block(now);
+            self.highest = None;
+        }
+        if live >= self.recent_number(now) {
+            self.highest = Some((live, now));
         }
         is_reclaimed
     }
@@ -62,6 +69,14 @@
         self.order = None;
     }
 
+    /// Returns the highest recent number of servers that were listed.
+    pub(super) fn recent_number(&self, now: Instant) -> u32 {
+        let recent = self
+            .highest
+            .filter(|(_, at)| now < *at + UNLISTED_RETENTION);
+        recent.map_or(0, |(number, _)| number)
+    }
+
     /// Returns whether no server can be had at the moment.
     pub(super) fn is_blocked(&self, now: Instant) -> bool {
         self.blocked_until.is_some_and(|until| now < until)
@@ -98,6 +113,9 @@
     }
 
     pub(super) fn send(&mut self, count: u32, now: Instant) {
+        if count < self.recent_number(now) {
+            self.highest = Some((count, now));
+        }
         self.order = Some(Sent {
             count,
             former: self.live,
--- a/crates/shallotroute_resident/src/scaler.rs
+++ b/crates/shallotroute_resident/src/scaler.rs
@@ -11,12 +11,13 @@
 use serde_json::{Value, json};
 use shallotroute_adapter::cloud::Scale;
 use shallotroute_fleet::{
+    duty::Refusal,
     route::Table,
     scaler::{Account, Demand, Inputs, Order, Policy, Reply, Scaler},
     server::Server,
 };
 use shallotroute_settings::site::{Duty, Role, ScalingPolicy};
-use shallotroute_types::{location::Zone, name::Name};
+use shallotroute_types::{clock::Clock, location::Zone, name::Name};
 
 use crate::{capacity, duty, metric::Metrics, shared::Shared, view};
 
@@ -29,6 +30,9 @@
 /// The weight of one second in the average of callers' requests in flight: about two steps, as for items.
 const REQUEST_WEIGHT: f64 = 0.125;
 
+/// How long an order may wait for the calls before it. The next poll would order another number.
+const MAX_CALL_DELAY: Duration = Duration::from_millis(800);
+
 /// The number of orders that are kept for operators.
 const MAX_RECORDS: usize = 40;
 
@@ -67,7 +71,7 @@
             let Some(duties) = &shared.duties else {
                 return Reply::Unanswered;
             };
-            match duties.call(&request).await {
+            match call(duties, &request, &*shared.clock).await {
                 duty::Reply::Accepted => Reply::Accepted,
                 // A rejection because of the token ends the leadership, so that its meaning here does not matter.
                 duty::Reply::Unavailable => Reply::Refused,
@@ -77,6 +81,19 @@
     }
 }
 
+/// Makes a call as soon as the rate of calls allows it, which several orders at a time use up.
+async fn call(duties: &duty::Caller, request: &duty::Request, clock: &dyn Clock) -> duty::Reply {
+    let deadline = clock.boot_time() + MAX_CALL_DELAY;
+    loop {
+        match duties.call(request).await {
+            duty::Reply::Refused(Refusal::NotBefore(at)) if at < deadline => {
+                tokio::time::sleep(at.saturating_sub(clock.boot_time())).await;
+            }
+            reply => return reply,
+        }
+    }
+}
+
 /// Returns the calls that set the number of servers; `None` where the deployment has no such duty.
 pub(crate) fn caller(shared: &Arc<Shared>) -> Option<Arc<dyn Caller>> {
     let duties = shared.duties.as_ref()?;
--- a/crates/shallotroute_resident/src/shared.rs
+++ b/crates/shallotroute_resident/src/shared.rs
@@ -154,10 +154,7 @@
         let (limits, limit_changes) = Limits::new();
         let (suspects, suspect_changes) = Tracker::new();
         let duties = duty::Caller::new(&settings, Arc::clone(&clock), Arc::clone(&metrics));
-        let reports_usage = duties
-            .as_ref()
-            .is_some_and(|duties| duties.performs(Duty::Usage));
-        let usage = reports_usage.then(|| usage::Recorder::new(&settings, Arc::clone(&clock)));
+        let usage = usage_recorder(&settings, duties.as_ref(), &clock);
         let policy = admission_policy(settings.overload);
         let governors = Governors::new(policy, metrics.admissions.clone());
         let shared = Arc::new(Self {
@@ -182,7 +179,7 @@
             suspects,
             scaling: Records::default(),
             duties,
-            usage: usage.flatten(),
+            usage,
             view: View::default(),
             freshness,
             should_register: watch::channel(false).0,
@@ -398,6 +395,17 @@
     }
 }
 
+/// Returns the recorder of usage, where the deployment has that duty.
+fn usage_recorder(
+    settings: &Settings,
+    duties: Option<&duty::Caller>,
+    clock: &Arc<dyn Clock>,
+) -> Option<Arc<usage::Recorder>> {
+    let is_performed = duties.is_some_and(|duties| duties.performs(Duty::Usage));
+    let recorder = || usage::Recorder::new(settings, Arc::clone(clock));
+    is_performed.then(recorder).flatten()
+}
+
 fn admission_policy(overload: Overload) -> Policy {
     match overload {
         Overload::FirstCome => Policy::FirstCome,
