fleet: tests of a leader whose host list is incomplete

Cause: two faults of the scaler lowered the numbers of servers that were not listed. Change: a test for each.

--- a/crates/shallotroute_fleet/tests/scaler/main.rs
+++ b/crates/shallotroute_fleet/tests/scaler/main.rs
@@ -9,7 +9,7 @@
 use googletest::prelude::*;
 use platform::{Platform, known_scaling};
 use shallotroute_fleet::{
-    route::Price,
+    route::{Price, Scaling},
     scaler::{Hold, Order, Policy, Reason, Scaler},
 };
 
@@ -174,6 +174,41 @@
     expect_that!(account.hold, some(eq(Hold::NewLeader)));
 }
 
+/// Guards against a new leader that takes servers which are not listed yet for missing: the number that it orders
+/// would lower theirs.
+#[gtest]
+fn a_new_leader_does_not_order_fewer_servers_than_there_are() {
+    let mut platform = Platform::new(known_scaling(), &START);
+    let servers = platform.serving();
+    platform.unlisted = ["a".into(), "b".into()].into();
+    for _ in 0..5 {
+        platform.step(Some(100));
+        expect_that!(platform.serving(), eq(servers));
+    }
+    platform.unlisted.clear();
+    for _ in 0..5 {
+        platform.step(Some(100));
+        expect_that!(platform.serving(), ge(servers));
+    }
+}
+
+/// Guards against an order that lowers the number of servers that serve, but are cut off from the store.
+#[gtest]
+fn servers_that_are_not_listed_for_a_while_are_kept() {
+    let on_demand_only = Scaling {
+        spot_price: Price::new(1.0).unwrap(),
+        ..known_scaling()
+    };
+    let mut platform = Platform::new(on_demand_only, &START);
+    platform.run(9, |_| Some(50));
+    let servers = platform.pool("b", false);
+    platform.unlisted = ["b".into()].into();
+    for _ in 0..10 {
+        platform.step(Some(200));
+        expect_that!(platform.pool("b", false), ge(servers));
+    }
+}
+
 /// Guards against an order that is lost: a call without a response is repeated with the same number, not
 /// at each poll.
 #[gtest]
--- a/crates/shallotroute_fleet/tests/scaler/platform.rs
+++ b/crates/shallotroute_fleet/tests/scaler/platform.rs
@@ -48,6 +48,8 @@
     pub(crate) is_silent: bool,
     /// Whether the host list can be read.
     pub(crate) is_listed: bool,
+    /// The zones whose servers are not in the host list.
+    pub(crate) unlisted: BTreeSet<Zone>,
     pub(crate) orders: Vec<(Instant, Order)>,
     machines: Vec<Machine>,
     targets: BTreeMap<(Zone, bool), u32>,
@@ -64,6 +66,7 @@
             unavailable: BTreeSet::new(),
             is_silent: false,
             is_listed: true,
+            unlisted: BTreeSet::new(),
             orders: Vec::new(),
             machines: Vec::new(),
             targets: BTreeMap::new(),
@@ -162,7 +165,9 @@
     }
 
     fn servers(&self) -> Vec<Server> {
-        let is_listed = |machine: &&Machine| machine.ready_at <= self.now;
+        let is_listed = |machine: &&Machine| {
+            machine.ready_at <= self.now && !self.unlisted.contains(&machine.zone)
+        };
         let server = |(index, machine): (usize, &Machine)| Server {
             id: format!("s{index}").into(),
             service: "llm".into(),
