settings, standin, soak: limits of a node's memory and descriptors in tests' settings

Cause: tests of clients that nobody controls need nodes with lowered limits, and the project's own interface had no setting for them.

--- a/crates/shallotroute_settings/src/check.rs
+++ b/crates/shallotroute_settings/src/check.rs
@@ -6,7 +6,7 @@
 use shallotroute_types::name::Name;
 
 use crate::{
-    Level, Listen, Log, Node, Operator, Peers, Platform, Result, Settings,
+    Level, Limits, Listen, Log, Node, Operator, Peers, Platform, Result, Settings,
     finding::{Finding, Findings},
     reader::{Reader, join_path},
 };
@@ -15,7 +15,7 @@
 const KEY_HEX_DIGITS: usize = 64;
 
 /// The keys at the root of the file.
-const SECTIONS: [&str; 7] = [
+const SECTIONS: [&str; 8] = [
     "node",
     "listen",
     "peers",
@@ -23,6 +23,7 @@
     "operators",
     "data_folder",
     "log",
+    "limits",
 ];
 
 pub(crate) fn parse(path: &Path, text: &str) -> Result<Settings> {
@@ -59,6 +60,7 @@
     let operators = read_operators(reader, root.get("operators"));
     let data_folder = read_folder(reader, root.get("data_folder"));
     let log = read_log(reader, root.get("log"));
+    let limits = read_limits(reader, root.get("limits"));
     Some(Settings {
         node: node?,
         listen: listen?,
@@ -67,9 +69,40 @@
         operators,
         data_folder,
         log,
+        limits: limits?,
     })
 }
 
+fn read_limits(reader: &mut Reader<'_>, value: Option<&Value>) -> Option<Limits> {
+    if value.is_none() {
+        return Some(Limits::default());
+    }
+    let section = reader.mapping(value, "limits", &["memory_mb", "descriptors"])?;
+    let memory_mb = read_count(reader, section.get("memory_mb"), "limits.memory_mb");
+    let descriptors = read_count(reader, section.get("descriptors"), "limits.descriptors");
+    Some(Limits {
+        memory_mb: memory_mb?,
+        descriptors: descriptors?,
+    })
+}
+
+/// Reads an optional positive number. Returns `None` if it is invalid.
+pub(crate) fn read_count(
+    reader: &mut Reader<'_>,
+    value: Option<&Value>,
+    path: &str,
+) -> Option<Option<u64>> {
+    let Some(value) = value.filter(|value| !value.is_null()) else {
+        return Some(None);
+    };
+    let count: u64 = reader.parse(Some(value), path, "a positive whole number")?;
+    if count == 0 {
+        reader.report(path, "has to be positive");
+        return None;
+    }
+    Some(Some(count))
+}
+
 pub(crate) fn read_node(reader: &mut Reader<'_>, value: Option<&Value>) -> Option<Node> {
     let section = reader.mapping(value, "node", &["id", "region", "zone"])?;
     let id = read_name(reader, section.get("id"), "node.id");
--- a/crates/shallotroute_settings/src/lib.rs
+++ b/crates/shallotroute_settings/src/lib.rs
@@ -33,6 +33,17 @@
     pub data_folder: Option<PathBuf>,
     /// The log levels; `info` for every crate if absent.
     pub log: Log,
+    /// What the process may use of its host.
+    pub limits: Limits,
+}
+
+/// What a process may use of its host.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Limits {
+    /// The memory, in megabytes; `None` if only the host's memory bounds it.
+    pub memory_mb: Option<u64>,
+    /// The file descriptors; `None` if only the operating system bounds them.
+    pub descriptors: Option<u64>,
 }
 
 /// The identity and the location of a node.
--- a/crates/shallotroute_settings/src/site.rs
+++ b/crates/shallotroute_settings/src/site.rs
@@ -167,8 +167,8 @@
     };
     let revocation = read_optional(reader, &site, "revocation_s", read_seconds);
     let duties = read_optional(reader, &site, "duties", read_duties);
-    let memory_mb = read_count(reader, site.get("memory_mb"), "site.memory_mb");
-    let descriptors = read_count(reader, site.get("descriptors"), "site.descriptors");
+    let memory_mb = check::read_count(reader, site.get("memory_mb"), "site.memory_mb");
+    let descriptors = check::read_count(reader, site.get("descriptors"), "site.descriptors");
     let (role, listen) = (role?, listen?);
     if role == Role::Entry && (listen.callers.is_none() || listen.readiness.is_none()) {
         reader.report(
@@ -212,19 +212,6 @@
     }
 }
 
-/// Reads an optional positive number. Returns `None` if it is invalid.
-fn read_count(reader: &mut Reader<'_>, value: Option<&Value>, path: &str) -> Option<Option<u64>> {
-    let Some(value) = optional(value) else {
-        return Some(None);
-    };
-    let count: u64 = reader.parse(Some(value), path, "a positive whole number")?;
-    if count == 0 {
-        reader.report(path, "has to be positive");
-        return None;
-    }
-    Some(Some(count))
-}
-
 /// Reads the duties. Names that are not known are those of other builds and ignored.
 fn read_duties(reader: &mut Reader<'_>, value: Option<&Value>, path: &str) -> Option<Duties> {
     let known = [
--- a/crates/shallotroute_standin/src/cluster.rs
+++ b/crates/shallotroute_standin/src/cluster.rs
@@ -68,6 +68,10 @@
     pub store: Option<SocketAddr>,
     /// The log level of the nodes.
     pub log_level: String,
+    /// The memory that each node may use, in megabytes; unlimited when absent.
+    pub memory_mb: Option<u64>,
+    /// The file descriptors that each node may use; unlimited when absent.
+    pub descriptors: Option<u64>,
 }
 
 impl Layout {
@@ -78,6 +82,8 @@
             zones: zones.iter().map(|&zone| zone.to_owned()).collect(),
             store: None,
             log_level: "warn".to_owned(),
+            memory_mb: None,
+            descriptors: None,
         }
     }
 }
@@ -214,6 +220,8 @@
                 hosts: self.hosts.address(),
                 operators: vec![(OPERATOR.to_owned(), OPERATOR_KEY.to_owned())],
                 log_level: layout.log_level.clone(),
+                memory_mb: layout.memory_mb,
+                descriptors: layout.descriptors,
             })
             .collect()
     }
--- a/crates/shallotroute_standin/src/process.rs
+++ b/crates/shallotroute_standin/src/process.rs
@@ -41,6 +41,10 @@
     pub operators: Vec<(String, String)>,
     /// The log level, such as `warn`.
     pub log_level: String,
+    /// The memory that the process may use, in megabytes; unlimited when absent.
+    pub memory_mb: Option<u64>,
+    /// The file descriptors that the process may use; unlimited when absent.
+    pub descriptors: Option<u64>,
 }
 
 impl Settings {
@@ -58,6 +62,7 @@
             "platform": { "store": self.store, "hosts": self.hosts },
             "operators": operators,
             "log": { "level": self.log_level },
+            "limits": { "memory_mb": self.memory_mb, "descriptors": self.descriptors },
         });
         serde_yaml_ng::to_string(&value).expect("a JSON value should have a YAML form")
     }
@@ -199,6 +204,11 @@
         }
     }
 
+    /// Returns the identifier of the process; none when it is not running.
+    pub fn pid(&self) -> Option<u32> {
+        Some(self.lock().as_ref()?.id())
+    }
+
     /// Returns the processor time that the process has used; none when it is not running.
     pub fn cpu_time(&self) -> Option<Duration> {
         let pid = self.lock().as_ref()?.id();
