http: a memory budget for bodies, responses and connections

Cause: the size of one body was bounded, the sum of all was not, nor the number of connections. Change: a pure budget of bytes (shallotroute_http::budget) that request bodies reserve as they arrive, responses until their reader has them and incomplete frames of other nodes; connections that make no progress are closed under pressure, and idle ones for new ones at a limit. Refused requests get 503 with Retry-After; they have not run.

--- a/crates/shallotroute_control/src/api.rs
+++ b/crates/shallotroute_control/src/api.rs
@@ -141,10 +141,12 @@
 }
 
 async fn read_json<T: DeserializeOwned>(content: Incoming) -> Result<T, Rejection> {
-    let bytes = body::read(content, MAX_BODY_BYTES).await.map_err(|error| {
-        let message = format!("the body could not be read: {error}");
-        reject(StatusCode::PAYLOAD_TOO_LARGE, "body", &message)
-    })?;
+    let bytes = body::read_request(content, MAX_BODY_BYTES)
+        .await
+        .map_err(|error| {
+            let message = format!("the body could not be read: {error}");
+            reject(StatusCode::PAYLOAD_TOO_LARGE, "body", &message)
+        })?;
     serde_json::from_slice(&bytes).map_err(|error| {
         let message = format!("the body is not the expected JSON: {error}");
         reject(StatusCode::BAD_REQUEST, "body", &message)
--- a/crates/shallotroute_control/src/peer.rs
+++ b/crates/shallotroute_control/src/peer.rs
@@ -68,8 +68,8 @@
 impl Service for Server {
     fn accept(&self, stream: TcpStream, peer: SocketAddr) {
         let server = self.clone();
+        let channel = BaseChannel::with_defaults(stream::frame(stream));
         tokio::spawn(async move {
-            let channel = BaseChannel::with_defaults(stream::frame(stream));
             let responses = channel
                 .execute(server.serve())
                 .for_each_concurrent(None, |response| response);
--- a/crates/shallotroute_gateway/src/ingress.rs
+++ b/crates/shallotroute_gateway/src/ingress.rs
@@ -12,7 +12,10 @@
 use hyper::body::Incoming;
 use serde::Serialize;
 use shallotroute_config::object::Route;
-use shallotroute_http::body::{self, Body};
+use shallotroute_http::{
+    body::{self, Body},
+    memory::{Exhausted, RETRY_AFTER},
+};
 use shallotroute_routing::{
     inference::RoutingFields,
     table::{self, CallerEntry},
@@ -263,12 +266,18 @@
 async fn read_body(incoming: Incoming) -> Result<Bytes> {
     let rejected =
         |status, code, message: String| Err(Failure::not_run(status, code, Step::Entry, message));
-    match timeout(BODY_TIMEOUT, body::read(incoming, MAX_BODY_BYTES)).await {
+    match timeout(BODY_TIMEOUT, body::read_request(incoming, MAX_BODY_BYTES)).await {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
             let message = format!("the body is longer than {MAX_BODY_BYTES} bytes");
             rejected(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", message)
         }
+        Ok(Err(error)) if error.is::<Exhausted>() => {
+            let message = "the node has no memory for the body at the moment";
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            let failure = Failure::not_run(status, "memory_exhausted", Step::Entry, message);
+            Err(failure.with_retry_after(RETRY_AFTER))
+        }
         Ok(Err(_)) => {
             let message = "the body could not be read to its end".into();
             rejected(StatusCode::BAD_REQUEST, "body_cut", message)
--- a/crates/shallotroute_http/src/body.rs
+++ b/crates/shallotroute_http/src/body.rs
@@ -44,6 +44,19 @@
     Ok(Limited::new(body, limit).collect().await?.to_bytes())
 }
 
+/// Reads the whole body of the request that the current task handles, within the memory budget of its server.
+///
+/// # Errors
+///
+/// Fails as [`read`] does, and with [`Exhausted`](crate::memory::Exhausted) if the budget has no room for the body.
+pub async fn read_request<B>(body: B, limit: usize) -> Result<Bytes, Error>
+where
+    B: HttpBody<Data = Bytes>,
+    B::Error: Into<Error>,
+{
+    crate::memory::read_request(body, limit).await
+}
+
 /// Creates a response with a JSON body and its content type.
 ///
 /// # Panics
--- a/crates/shallotroute_http/src/lib.rs
+++ b/crates/shallotroute_http/src/lib.rs
@@ -2,5 +2,7 @@
 //! [`client::Client`] and [`server::serve`].
 
 pub mod body;
+pub mod budget;
 pub mod client;
+pub mod memory;
 pub mod server;
--- a/crates/shallotroute_http/src/server.rs
+++ b/crates/shallotroute_http/src/server.rs
@@ -3,7 +3,8 @@
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use futures::future::BoxFuture;
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response, StatusCode, Version, header};
+use http_body_util::BodyExt;
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -12,7 +13,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-use crate::body::Body;
+use crate::{
+    body::{self, Body},
+    memory::{Connection, Listener, RETRY_AFTER, Reserved},
+};
 
 /// Handles the requests of a server.
 pub trait Handler: Send + Sync + 'static {
@@ -56,17 +60,53 @@
 /// The smallest read buffer that `hyper` accepts, in bytes; a smaller one panics.
 const MIN_HEAD_BYTES: usize = 8192;
 
+/// The size of a connection's read and write buffers within a memory budget, in bytes; the library's default is 400 KB.
+const BOUNDED_BUFFER_BYTES: usize = 64 << 10;
+
+/// The window of an HTTP/2 connection and of each of its streams within a memory budget, in bytes.
+const BOUNDED_WINDOW_BYTES: u32 = 128 << 10;
+
+/// The interval at which connections are looked for whose clients make no progress.
+const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// The maximum number of headers of a request.
 const MAX_HEADERS: usize = 100;
 
 /// Serves HTTP/1.1 and HTTP/2 without TLS until `drain` is cancelled. Then closes the listener and
 /// returns once the requests in progress are complete.
 pub async fn serve(listener: TcpListener, handler: Arc<dyn Handler>, drain: CancellationToken) {
+    accept(listener, handler, drain, None).await;
+}
+
+/// Serves as [`serve`] does, within the memory budget of `connections`.
+pub async fn serve_within(
+    listener: TcpListener,
+    handler: Arc<dyn Handler>,
+    drain: CancellationToken,
+    connections: Arc<Listener>,
+) {
+    Listener::bound_buffers(&listener);
+    accept(listener, handler, drain, Some(connections)).await;
+}
+
+async fn accept(
+    listener: TcpListener,
+    handler: Arc<dyn Handler>,
+    drain: CancellationToken,
+    connections: Option<Arc<Listener>>,
+) {
     let graceful = GracefulShutdown::new();
+    let mut check = tokio::time::interval(STALL_CHECK_INTERVAL);
     loop {
         let accepted = tokio::select! {
             () = drain.cancelled() => break,
             accepted = listener.accept() => accepted,
+            _ = check.tick(), if connections.is_some() => {
+                if let Some(connections) = &connections {
+                    connections.memory().close_stalled();
+                }
+                continue;
+            }
         };
         let Ok((stream, peer)) = accepted else {
             // Accepting fails while the process is out of file descriptors. The delay avoids a busy
@@ -74,39 +114,97 @@
             tokio::time::sleep(Duration::from_millis(20)).await;
             continue;
         };
-        let builder = builder(handler.options());
-        spawn_connection(&builder, &graceful, &handler, stream, peer);
+        let connection = connections.as_ref().map(Listener::admit);
+        if let Some(None) = connection {
+            continue;
+        }
+        let connection = connection.flatten();
+        let builder = builder(handler.options(), connection.is_some());
+        spawn_connection(&builder, &graceful, &handler, stream, peer, connection);
     }
     drop(listener);
     graceful.shutdown().await;
 }
 
-fn builder(options: Options) -> Builder<TokioExecutor> {
+fn builder(options: Options, is_bounded: bool) -> Builder<TokioExecutor> {
     let mut builder = Builder::new(TokioExecutor::new());
     let mut http1 = builder.http1();
     http1
         .timer(TokioTimer::new())
         .header_read_timeout(options.head_timeout)
         .max_headers(MAX_HEADERS);
-    if let Some(bytes) = options.head_bytes {
+    let head_bytes = options
+        .head_bytes
+        .or(is_bounded.then_some(BOUNDED_BUFFER_BYTES));
+    if let Some(bytes) = head_bytes {
         http1.max_buf_size(bytes.max(MIN_HEAD_BYTES));
     }
-    builder.http2().timer(TokioTimer::new());
+    let mut http2 = builder.http2();
+    http2.timer(TokioTimer::new());
+    if is_bounded {
+        http2
+            .initial_stream_window_size(BOUNDED_WINDOW_BYTES)
+            .initial_connection_window_size(BOUNDED_WINDOW_BYTES)
+            .max_send_buf_size(BOUNDED_BUFFER_BYTES)
+            .max_header_list_size(BOUNDED_WINDOW_BYTES / 2);
+    }
     builder
 }
 
-/// Serves one connection until it ends.
-pub async fn serve_connection(stream: TcpStream, handler: Arc<dyn Handler>, peer: SocketAddr) {
-    let builder = builder(handler.options());
-    let connection = builder.serve_connection(TokioIo::new(stream), service(handler, peer));
-    if let Err(error) = connection.await {
-        spdlog::debug!("connection from {} failed: {}", peer, error);
+/// Serves one connection until it ends, or until its memory budget closes it: that of the connection for which the function
+/// is called.
+pub fn serve_connection(
+    stream: TcpStream,
+    handler: Arc<dyn Handler>,
+    peer: SocketAddr,
+) -> impl Future<Output = ()> + Send + 'static {
+    let connection = Connection::current();
+    async move {
+        let builder = builder(handler.options(), connection.is_some());
+        let service = service(handler, peer, connection.clone());
+        let serving = builder.serve_connection(TokioIo::new(stream), service);
+        tokio::select! {
+            served = serving => if let Err(error) = served {
+                spdlog::debug!("connection from {} failed: {}", peer, error);
+            },
+            () = wait_until_closed(connection.as_ref()) => {}
+        }
     }
 }
 
+/// Waits until the memory budget closes a connection.
+async fn wait_until_closed(connection: Option<&Arc<Connection>>) {
+    match connection {
+        Some(connection) => connection.closed().cancelled().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Returns the response to a request whose body did not fit into the memory budget, so that it has not run.
+fn refuse(version: Version, mut response: Response<Body>) -> Response<Body> {
+    let is_refusal = [
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::TOO_MANY_REQUESTS,
+    ]
+    .contains(&response.status());
+    if !is_refusal {
+        response = Response::new(body::full("the memory budget is exhausted"));
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        let seconds = HeaderValue::from(RETRY_AFTER.as_secs());
+        response.headers_mut().insert(header::RETRY_AFTER, seconds);
+    }
+    // The rest of the body is not read.
+    if version <= Version::HTTP_11 {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
 fn service(
     handler: Arc<dyn Handler>,
     peer: SocketAddr,
+    connection: Option<Arc<Connection>>,
 ) -> impl hyper::service::Service<
     Request<Incoming>,
     Response = Response<Body>,
@@ -114,8 +212,19 @@
     Future: Send + 'static,
 > {
     service_fn(move |request| {
+        let version = request.version();
+        let open = connection.as_ref().map(|it| Arc::new(it.begin_request()));
         let response = Arc::clone(&handler).handle(request, peer);
-        async move { Ok::<_, Infallible>(response.await) }
+        async move {
+            let Some(open) = open else {
+                return Ok::<_, Infallible>(response.await);
+            };
+            let mut response = Arc::clone(&open).scope(response).await;
+            if open.is_refused() {
+                response = refuse(version, response);
+            }
+            Ok(response.map(|body| Reserved::new(body, open).boxed_unsync()))
+        }
     })
 }
 
@@ -125,16 +234,20 @@
     handler: &Arc<dyn Handler>,
     stream: TcpStream,
     peer: SocketAddr,
+    connection: Option<Arc<Connection>>,
 ) {
     let _ = stream.set_nodelay(true);
-    let service = service(Arc::clone(handler), peer);
-    let connection = builder
+    let service = service(Arc::clone(handler), peer, connection.clone());
+    let serving = builder
         .serve_connection_with_upgrades(TokioIo::new(stream), service)
         .into_owned();
-    let connection = graceful.watch(connection);
+    let serving = graceful.watch(serving);
     tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            spdlog::debug!("connection from {} failed: {}", peer, error);
+        tokio::select! {
+            served = serving => if let Err(error) = served {
+                spdlog::debug!("connection from {} failed: {}", peer, error);
+            },
+            () = wait_until_closed(connection.as_ref()) => {}
         }
     });
 }
--- a/crates/shallotroute_node/src/node.rs
+++ b/crates/shallotroute_node/src/node.rs
@@ -12,7 +12,11 @@
 use shallotroute_context::{Context, Local, freshness::Freshness};
 use shallotroute_control::{Control, Dump, Operator, Outputs};
 use shallotroute_gateway::Gateway;
-use shallotroute_http::{client::Client, server};
+use shallotroute_http::{
+    client::Client,
+    memory::{Bounds, Memory},
+    server,
+};
 use shallotroute_peer::{
     heartbeat::{Heartbeat, Options},
     service::Kind,
@@ -101,8 +105,15 @@
         } = listeners;
         let components = Components::new(settings, &context, channels, &leaving, heartbeats);
         let services = Arc::new(components.services());
+        let limits = settings.limits;
+        let memory = Memory::new(Bounds::new(limits.memory_mb, limits.descriptors));
         let mut tasks = vec![
-            tokio::spawn(stream::serve(peers, services, context.stop.clone())),
+            tokio::spawn(stream::serve_within(
+                peers,
+                services,
+                context.stop.clone(),
+                memory.nodes(),
+            )),
             tokio::spawn(Arc::clone(&components.heartbeat).run()),
             tokio::spawn(Arc::clone(&components.control).run()),
             tokio::spawn(Arc::clone(&components.gateway).run()),
@@ -119,17 +130,20 @@
             leaving: leaving.clone(),
         };
         let stop = context.stop.clone();
-        tasks.push(tokio::spawn(server::serve(
+        tasks.push(tokio::spawn(server::serve_within(
             admin,
             Arc::new(admin_endpoint),
             stop,
+            memory.operators(),
         )));
         let caller_endpoint = callers::Endpoint {
             gateway: components.gateway,
             sampler: components.sampler,
         };
         let drain = context.drain.clone();
-        let callers = tokio::spawn(server::serve(callers, Arc::new(caller_endpoint), drain));
+        let serving =
+            server::serve_within(callers, Arc::new(caller_endpoint), drain, memory.clients());
+        let callers = tokio::spawn(serving);
         Ok(Self {
             context,
             leaving,
--- a/crates/shallotroute_peer/src/codec.rs
+++ b/crates/shallotroute_peer/src/codec.rs
@@ -1,10 +1,14 @@
 //! Frames of connections between nodes, and the `postcard` codec of their content, which `tarpc`
 //! lacks.
 
-use std::{io, marker::PhantomData, pin::Pin};
+use std::{io, marker::PhantomData, pin::Pin, sync::Arc};
 
 use bytes::{Bytes, BytesMut};
 use serde::{Serialize, de::DeserializeOwned};
+use shallotroute_http::{
+    budget::Phase,
+    memory::{Connection, Hold},
+};
 use tokio_serde::{Deserializer, Serializer};
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
@@ -19,15 +23,28 @@
 pub const MAX_RETAINED_BYTES: usize = 64 << 10;
 
 /// A codec of length-prefixed frames of at most [`MAX_FRAME_BYTES`] that releases large buffers.
+///
+/// On an accepted connection, the bytes of a frame that has not arrived completely count against the memory budget.
 #[derive(Debug)]
-pub struct FrameCodec(LengthDelimitedCodec);
+pub struct FrameCodec {
+    codec: LengthDelimitedCodec,
+    /// The bytes in the budget, and their number.
+    held: Option<(Hold, usize)>,
+    /// The accepted connection; `None` on an outgoing one.
+    connection: Option<Arc<Connection>>,
+}
 
 impl Default for FrameCodec {
     fn default() -> Self {
         let codec = LengthDelimitedCodec::builder()
             .max_frame_length(MAX_FRAME_BYTES)
             .new_codec();
-        Self(codec)
+        let connection = Connection::current();
+        Self {
+            codec,
+            held: connection.as_ref().map(|it| (it.hold(Phase::Arriving), 0)),
+            connection,
+        }
     }
 }
 
@@ -36,7 +53,20 @@
     type Error = io::Error;
 
     fn decode(&mut self, buffer: &mut BytesMut) -> io::Result<Option<BytesMut>> {
-        let frame = self.0.decode(buffer)?;
+        let arrived = buffer.len();
+        let frame = self.codec.decode(buffer)?;
+        if let (Some(connection), Some(_)) = (&self.connection, &frame) {
+            connection.record_use();
+        }
+        if let Some((hold, held)) = &mut self.held {
+            // A complete frame is decoded and dropped at once, or answered.
+            let now_held = if frame.is_some() { 0 } else { arrived };
+            if now_held > MAX_RETAINED_BYTES || *held > 0 {
+                hold.resize(*held, now_held)
+                    .map_err(|error| io::Error::new(io::ErrorKind::OutOfMemory, error))?;
+                *held = now_held;
+            }
+        }
         if frame
             .as_ref()
             .is_some_and(|it| it.len() > MAX_RETAINED_BYTES)
@@ -56,7 +86,7 @@
         if buffer.is_empty() && buffer.capacity() > MAX_RETAINED_BYTES {
             *buffer = BytesMut::new();
         }
-        self.0.encode(frame, buffer)
+        self.codec.encode(frame, buffer)
     }
 }
 
--- a/crates/shallotroute_peer/src/lib.rs
+++ b/crates/shallotroute_peer/src/lib.rs
@@ -2,6 +2,7 @@
 //! are [`heartbeat::Heartbeat`], [`stream::serve`] and [`client::Clients`].
 
 pub mod client;
+pub mod closable;
 pub mod codec;
 pub mod heartbeat;
 mod metrics;
--- a/crates/shallotroute_peer/src/stream.rs
+++ b/crates/shallotroute_peer/src/stream.rs
@@ -4,6 +4,7 @@
 use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use serde::{Serialize, de::DeserializeOwned};
+use shallotroute_http::memory::{Connection, Listener};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -13,6 +14,7 @@
 
 pub use crate::codec::MAX_FRAME_BYTES;
 use crate::{
+    closable::Closable,
     codec::{FrameCodec, Postcard},
     service::Kind,
 };
@@ -23,7 +25,7 @@
 
 /// A framed connection that receives `In` and sends `Out`, both encoded with `postcard`.
 pub type Framed<In, Out> = tokio_serde::Framed<
-    tokio_util::codec::Framed<TcpStream, FrameCodec>,
+    tokio_util::codec::Framed<Closable, FrameCodec>,
     In,
     Out,
     Postcard<In, Out>,
@@ -55,7 +57,10 @@
 }
 
 /// Wraps a connection in the frames and the codec that a `tarpc` transport needs.
+///
+/// An accepted connection counts against the memory budget if the function is called within [`Service::accept`].
 pub fn frame<In: DeserializeOwned, Out: Serialize>(stream: TcpStream) -> Framed<In, Out> {
+    let stream = Closable::new(stream);
     tokio_serde::Framed::new(FrameCodec::default().framed(stream), Postcard::default())
 }
 
@@ -63,6 +68,26 @@
 ///
 /// A connection that names no known service within the connect timeout is closed.
 pub async fn serve(listener: TcpListener, services: Arc<Services>, stop: CancellationToken) {
+    accept(listener, services, stop, None).await;
+}
+
+/// Accepts as [`serve`] does, within the memory budget of `connections`.
+pub async fn serve_within(
+    listener: TcpListener,
+    services: Arc<Services>,
+    stop: CancellationToken,
+    connections: Arc<Listener>,
+) {
+    Listener::bound_buffers(&listener);
+    accept(listener, services, stop, Some(connections)).await;
+}
+
+async fn accept(
+    listener: TcpListener,
+    services: Arc<Services>,
+    stop: CancellationToken,
+    connections: Option<Arc<Listener>>,
+) {
     loop {
         let accepted = tokio::select! {
             () = stop.cancelled() => return,
@@ -74,18 +99,31 @@
             tokio::time::sleep(Duration::from_millis(20)).await;
             continue;
         };
-        tokio::spawn(dispatch(stream, peer, Arc::clone(&services)));
+        let connection = connections.as_ref().map(Listener::admit);
+        if let Some(None) = connection {
+            continue;
+        }
+        let services = Arc::clone(&services);
+        tokio::spawn(dispatch(stream, peer, services, connection.flatten()));
     }
 }
 
-async fn dispatch(mut stream: TcpStream, peer: SocketAddr, services: Arc<Services>) {
+async fn dispatch(
+    mut stream: TcpStream,
+    peer: SocketAddr,
+    services: Arc<Services>,
+    connection: Option<Arc<Connection>>,
+) {
     let _ = stream.set_nodelay(true);
     let service_byte = match timeout(CONNECT_TIMEOUT, stream.read_u8()).await {
         Ok(Ok(service_byte)) => service_byte,
         Ok(Err(_)) | Err(_) => return,
     };
     match Kind::from_byte(service_byte).and_then(|kind| services.get(&kind)) {
-        Some(service) => service.accept(stream, peer),
+        Some(service) => match connection {
+            Some(connection) => connection.enter(|| service.accept(stream, peer)),
+            None => service.accept(stream, peer),
+        },
         None => spdlog::warn!(
             "connection from node {} requested unknown service {}",
             peer,
--- a/crates/shallotroute_resident/src/ingress.rs
+++ b/crates/shallotroute_resident/src/ingress.rs
@@ -19,6 +19,7 @@
 };
 use shallotroute_http::{
     body::{self, Body},
+    memory::{Exhausted, RETRY_AFTER},
     server::{Handler, Options},
 };
 
@@ -143,8 +144,11 @@
         let response = response::text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
         return reject(shared, &id, "too_long", response);
     }
-    let content = match body::read(content, max_bytes).await {
+    let content = match body::read_request(content, max_bytes).await {
         Ok(content) => content,
+        Err(error) if error.is::<Exhausted>() => {
+            return reject(shared, &id, "memory", response::not_run(RETRY_AFTER));
+        }
         Err(error) => {
             spdlog::info!("failed to read the request body", kv: { request = id.as_str(), error = error.to_string() });
             let response = response::text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
--- a/crates/shallotroute_resident/src/lib.rs
+++ b/crates/shallotroute_resident/src/lib.rs
@@ -46,10 +46,13 @@
 };
 
 use error_stack::ResultExt;
-use shallotroute_http::server;
+use shallotroute_http::{
+    memory::{Bounds, Memory},
+    server,
+};
 use shallotroute_peer::{
     service::Kind,
-    stream::{Service, Services, serve},
+    stream::{Service, Services, serve_within},
 };
 use shallotroute_settings::site::{Role, SiteSettings as Settings};
 use shallotroute_types::clock::System;
@@ -127,7 +130,13 @@
     });
     let listener = listen("metrics", settings.listen.metrics).await?;
     let shutdown = CancellationToken::new();
-    tokio::spawn(server::serve(listener, endpoint, shutdown));
+    let memory = Memory::new(Bounds::new(settings.memory_mb, settings.descriptors));
+    tokio::spawn(server::serve_within(
+        listener,
+        endpoint,
+        shutdown,
+        memory.operators(),
+    ));
     signals.wait_for_stop(file).await;
     Ok(())
 }
@@ -173,17 +182,32 @@
         let services: Services = [(Kind::Jobs, acceptor), (Kind::Relay, relay)]
             .into_iter()
             .collect();
-        tokio::spawn(serve(peers, Arc::new(services), shutdown.clone()));
+        let memory = Arc::clone(&shared.memory);
+        let stop = shutdown.clone();
+        tokio::spawn(serve_within(
+            peers,
+            Arc::new(services),
+            stop,
+            memory.nodes(),
+        ));
         let metrics = listen("metrics", listen_at.metrics).await?;
         let endpoint = Arc::new(Endpoint {
             metrics: Arc::clone(&shared.metrics),
             shared: Some(Arc::clone(&shared)),
         });
-        tokio::spawn(server::serve(metrics, endpoint, shutdown.clone()));
+        let stop = shutdown.clone();
+        tokio::spawn(server::serve_within(
+            metrics,
+            endpoint,
+            stop,
+            memory.operators(),
+        ));
         if let Some(address) = listen_at.readiness {
             let readiness = listen("the readiness check", address).await?;
             let handler = Arc::new(Readiness(Arc::clone(&shared)));
-            tokio::spawn(server::serve(readiness, handler, shutdown.clone()));
+            let stop = shutdown.clone();
+            let serving = server::serve_within(readiness, handler, stop, memory.operators());
+            tokio::spawn(serving);
         }
         let mut callers = None;
         if let Some(address) = listen_at.callers {
@@ -192,7 +216,8 @@
                 shared: Arc::clone(&shared),
                 open_requests: Arc::clone(&open_requests),
             });
-            let serving = server::serve(listener, handler, callers_shutdown.clone());
+            let drain = callers_shutdown.clone();
+            let serving = server::serve_within(listener, handler, drain, memory.clients());
             callers = Some(tokio::spawn(serving));
         }
         let (lease, lease_receiver) = watch::channel(None);
--- a/crates/shallotroute_resident/src/relay.rs
+++ b/crates/shallotroute_resident/src/relay.rs
@@ -316,7 +316,7 @@
     let max_bytes = shared
         .table()
         .map_or(MAX_BODY_BYTES, |table| table.limits().max_body_bytes);
-    let Ok(content) = body::read(content, max_bytes).await else {
+    let Ok(content) = body::read_request(content, max_bytes).await else {
         return Err(Progress::Declined);
     };
     backend::remove_hop_by_hop_headers(&mut parts.headers);
--- a/crates/shallotroute_resident/src/shared.rs
+++ b/crates/shallotroute_resident/src/shared.rs
@@ -16,6 +16,7 @@
     server::{Balancer, Outcome, Rank},
     source,
 };
+use shallotroute_http::memory::{Bounds, Memory};
 use shallotroute_settings::site::SiteSettings as Settings;
 use shallotroute_types::{clock::Clock, name::Name, node::Incarnation, version::Version};
 use tokio::sync::{mpsc, watch};
@@ -49,6 +50,8 @@
     pub(crate) owner: Owner,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) metrics: Arc<Metrics>,
+    /// The memory that requests, responses and batch jobs may hold.
+    pub(crate) memory: Arc<Memory>,
     pub(crate) peers: Arc<Peers>,
     pub(crate) store: Store,
     pub(crate) pool: Arc<Pool>,
@@ -130,7 +133,9 @@
         let pool = Pool::new(CONNECT_TIMEOUT, metrics.connections.clone());
         let (limits, limit_changes) = Limits::new();
         let (suspects, suspect_changes) = Tracker::new();
+        let bounds = Bounds::new(settings.memory_mb, settings.descriptors);
         let shared = Arc::new(Self {
+            memory: Memory::new(bounds),
             settings,
             owner,
             clock,
--- a/crates/shallotroute_sampling/src/endpoint.rs
+++ b/crates/shallotroute_sampling/src/endpoint.rs
@@ -194,7 +194,7 @@
 }
 
 async fn read_json<T: DeserializeOwned>(request: Request<Incoming>) -> Result<T> {
-    let bytes = body::read(request.into_body(), MAX_BODY_BYTES)
+    let bytes = body::read_request(request.into_body(), MAX_BODY_BYTES)
         .await
         .map_err(|error| Failure::Invalid(error.to_string()))?;
     serde_json::from_slice(&bytes).map_err(|error| Failure::Invalid(error.to_string()))
--- a/crates/shallotroute_sampling/src/service.rs
+++ b/crates/shallotroute_sampling/src/service.rs
@@ -134,8 +134,8 @@
     fn accept(&self, stream: TcpStream, peer: SocketAddr) {
         let server = Server(Arc::clone(&self.0));
         let stop = self.0.context.stop.clone();
+        let channel = BaseChannel::with_defaults(stream::frame(stream));
         tokio::spawn(async move {
-            let channel = BaseChannel::with_defaults(stream::frame(stream));
             let serve = channel.execute(server.serve()).for_each(|call| async {
                 tokio::spawn(call);
             });
