--- a/crates/shallotroute_batch/src/record.rs
+++ b/crates/shallotroute_batch/src/record.rs
@@ -81,6 +81,17 @@
     pub items: Vec<Item>,
 }
 
+impl Specification {
+    /// Returns the size of the bodies of all items, in bytes, which are most of a specification.
+    pub fn body_bytes(&self) -> usize {
+        let of_item = |item: &Item| {
+            let scorer = item.scorer.as_ref().map_or(0, |scorer| scorer.body.len());
+            item.body.len() + scorer
+        };
+        self.items.iter().map(of_item).sum()
+    }
+}
+
 /// A sample to generate.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
@@ -216,6 +227,37 @@
     postcard::to_stdvec(record).expect("records of batch jobs have a binary encoding")
 }
 
+/// Returns the binary encoding of a record in parts of [`MAX_PART_BYTES`], of which the last may be shorter.
+///
+/// # Panics
+///
+/// Panics under the same condition as [`encode`].
+pub fn encode_parts<T: Serialize + ?Sized>(record: &T) -> Vec<Vec<u8>> {
+    let parts = postcard::to_extend(record, Parts::default());
+    parts
+        .expect("records of batch jobs have a binary encoding")
+        .0
+}
+
+/// Collects bytes in parts, so that a long encoding is never copied as a whole.
+#[derive(Default)]
+struct Parts(Vec<Vec<u8>>);
+
+impl Extend<u8> for Parts {
+    fn extend<I: IntoIterator<Item = u8>>(&mut self, bytes: I) {
+        for byte in bytes {
+            match self.0.last_mut() {
+                Some(part) if part.len() < MAX_PART_BYTES => part.push(byte),
+                _ => {
+                    let mut part = Vec::with_capacity(MAX_PART_BYTES);
+                    part.push(byte);
+                    self.0.push(part);
+                }
+            }
+        }
+    }
+}
+
 /// Decodes a record; `kind` names it in the error.
 ///
 /// # Errors
--- a/crates/shallotroute_gateway/src/attempt.rs
+++ b/crates/shallotroute_gateway/src/attempt.rs
@@ -204,14 +204,14 @@
             )
         }
         Some(fields) => {
-            let bytes = body::read(incoming, MAX_ENGINE_RESPONSE_BYTES).await;
+            let bytes = body::read_response(incoming, MAX_ENGINE_RESPONSE_BYTES).await;
             let bytes = bytes.map_err(|_| Evidence::Truncated)?;
             let usage = validate_response(attempt_id, &bytes)?;
             in_flight.update_prefix_cache(fields.prefix, usage.as_ref());
             buffered_response(method, &parts, bytes)
         }
         None if is_small(&incoming) => {
-            let bytes = body::read(incoming, usize::MAX).await;
+            let bytes = body::read_response(incoming, usize::MAX).await;
             buffered_response(method, &parts, bytes.map_err(|_| Evidence::Truncated)?)
         }
         None => build_response(
--- a/crates/shallotroute_http/src/body.rs
+++ b/crates/shallotroute_http/src/body.rs
@@ -57,6 +57,20 @@
     crate::memory::read_request(body, limit).await
 }
 
+/// Reads the whole body of a server's response, which goes to the client of the request that the current task handles. If
+/// the memory budget has no room for it, the client's connection is closed: the request may have run.
+///
+/// # Errors
+///
+/// Fails as [`read`] does.
+pub async fn read_response<B>(body: B, limit: usize) -> Result<Bytes, Error>
+where
+    B: HttpBody<Data = Bytes>,
+    B::Error: Into<Error>,
+{
+    crate::memory::read_response(body, limit).await
+}
+
 /// Creates a response with a JSON body and its content type.
 ///
 /// # Panics
--- a/crates/shallotroute_http/src/memory.rs
+++ b/crates/shallotroute_http/src/memory.rs
@@ -622,17 +622,7 @@
             request.is_refused.store(true, Ordering::Relaxed);
             return Err(error.into());
         }
-        if first.is_empty() && collected.is_empty() {
-            first = data;
-            continue;
-        }
-        if collected.is_empty() {
-            let whole = declared.and_then(|length| usize::try_from(length).ok());
-            // Memory that was not written to is not the process's yet.
-            collected.reserve_exact(whole.unwrap_or(0).min(limit));
-            collected.extend_from_slice(&std::mem::take(&mut first));
-        }
-        collected.extend_from_slice(&data);
+        append(&mut first, &mut collected, data, declared, limit);
     }
     hold.set_phase(Phase::Kept);
     match (first.is_empty(), collected.is_empty()) {
@@ -658,6 +648,74 @@
     }
 }
 
+/// Lets a future that another task runs belong to the request that the current task handles.
+pub fn for_request<F: Future>(future: F) -> impl Future<Output = F::Output> {
+    let request = REQUEST.try_with(Arc::clone).ok();
+    async move {
+        match request {
+            Some(request) => request.scope(future).await,
+            None => future.await,
+        }
+    }
+}
+
+/// Reads the body of a response to the client of the request that the current task handles. Its bytes are reserved while they
+/// arrive, and again once the response goes to the client.
+///
+/// # Errors
+///
+/// Fails as [`crate::body::read`] does. Does not return if the budget has no room, since the connection is closed then.
+pub(crate) async fn read_response<B>(body: B, limit: usize) -> Result<Bytes, Error>
+where
+    B: HttpBody<Data = Bytes>,
+    B::Error: Into<Error>,
+{
+    let Ok(request) = REQUEST.try_with(Arc::clone) else {
+        return crate::body::read(body, limit).await;
+    };
+    let hold = request.connection.hold(Phase::Kept);
+    let connection = &request.connection;
+    let has_room = |bytes: usize| hold.grow(bytes).is_ok();
+    let (mut first, mut collected) = (Bytes::new(), Vec::new());
+    let declared = body.size_hint().exact();
+    let mut body = std::pin::pin!(Limited::new(body, limit));
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        if !has_room(data.len()) {
+            connection.closed.cancel();
+            std::future::pending::<()>().await;
+        }
+        append(&mut first, &mut collected, data, declared, limit);
+    }
+    Ok(match collected.is_empty() {
+        true => first,
+        false => Bytes::from(collected),
+    })
+}
+
+/// Appends data to a body, which stays as it is while it is the only one.
+fn append(
+    first: &mut Bytes,
+    collected: &mut Vec<u8>,
+    data: Bytes,
+    declared: Option<u64>,
+    limit: usize,
+) {
+    if first.is_empty() && collected.is_empty() {
+        *first = data;
+        return;
+    }
+    if collected.is_empty() {
+        let whole = declared.and_then(|length| usize::try_from(length).ok());
+        // Memory that was not written to is not the process's yet.
+        collected.reserve_exact(whole.unwrap_or(0).min(limit));
+        collected.extend_from_slice(&std::mem::take(first));
+    }
+    collected.extend_from_slice(&data);
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/shallotroute_resident/src/claim.rs
+++ b/crates/shallotroute_resident/src/claim.rs
@@ -23,7 +23,7 @@
     metric::Metrics,
     presence, runner,
     shared::Shared,
-    store::{Error, Result},
+    store::{Error, LARGE_WRITE_BYTES, Result},
 };
 
 /// How long the write of a head that accepts or takes over a job is retried while its outcome is
@@ -33,6 +33,9 @@
 /// The timeout of the call that starts an accepted job at its assignee.
 const START_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// The rate at which the specification of a job has to reach its assignee; an ordinary one takes some milliseconds.
+const MIN_TRANSFER_BYTES_PER_SECOND: f64 = 8e6;
+
 /// How long the write of a job's end or release is retried.
 pub(crate) const END_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -100,8 +103,16 @@
     route: &Name,
     specification: Specification,
 ) -> Acceptance {
-    let encoded = record::encode(&specification);
-    let parts: Vec<&[u8]> = encoded.chunks(MAX_PART_BYTES).collect();
+    let Ok(_room) = shared.memory.keep(specification.body_bytes()) else {
+        return Acceptance::Refused("the memory budget is exhausted".to_owned());
+    };
+    // A large job is not encoded as a whole before it is stored.
+    let is_large = specification.body_bytes() > LARGE_WRITE_BYTES;
+    let encoded = (!is_large).then(|| record::encode(&specification));
+    let parts: Vec<Vec<u8>> = match &encoded {
+        Some(encoded) => encoded.chunks(MAX_PART_BYTES).map(<[u8]>::to_vec).collect(),
+        None => record::encode_parts(&specification),
+    };
     let assignee = shared.members.borrow().node_for(route).cloned();
     let owner = match &assignee {
         Some(assignee) => &assignee.owner,
@@ -117,9 +128,9 @@
         ended: false,
     };
     let puts = parts
-        .iter()
+        .into_iter()
         .enumerate()
-        .map(|(index, part)| (ledger::specification_key(job, index), part.to_vec(), 0))
+        .map(|(index, part)| (ledger::specification_key(job, index), part, 0))
         .collect();
     let claim = Claim::new(shared.boot_time());
     match ledger::write_head(shared, job, &head, 0, puts, CLAIM_TIMEOUT).await {
@@ -130,6 +141,8 @@
                     shared
                         .jobs
                         .set_known_owner(job, Some(assignee.owner.clone()));
+                    let encoded = encoded.unwrap_or_else(|| record::encode(&specification));
+                    drop(specification);
                     let remote_start =
                         start_remotely(Arc::clone(shared), job.clone(), assignee, stored, encoded);
                     tokio::spawn(remote_start);
@@ -167,11 +180,13 @@
     specification: Vec<u8>,
 ) {
     let (id, head, revision) = (job.clone(), record::encode(&stored.head), stored.revision);
+    let transfer = specification.len() as f64 / MIN_TRANSFER_BYTES_PER_SECOND;
+    let start_timeout = START_TIMEOUT + Duration::from_secs_f64(transfer);
     let start_result = shared
         .peers
         .call(
             assignee.owner.address,
-            START_TIMEOUT,
+            start_timeout,
             |client, context| async move {
                 client
                     .start_job(context, id, head, revision, specification)
@@ -199,7 +214,7 @@
     revision: u64,
     specification: &[u8],
 ) -> bool {
-    if shared.drain.is_cancelled() {
+    if shared.drain.is_cancelled() || shared.memory.keep(specification.len()).is_err() {
         return false;
     }
     let decoded = ledger::decode::<Head>("head", head).and_then(|head| {
@@ -631,6 +646,7 @@
         age_ms = age.as_millis(),
     });
     let remaining = (abandon_after + CLOCK_SKEW_MARGIN).saturating_sub(age.min(abandon_after));
+    let held = shared.memory.keep_always(specification.body_bytes());
     let mut state_machine = Job::new(specification, progress.results, now + remaining);
     state_machine.restore(progress.checkpoints, now);
     let (owned, events) = Owned::new(
@@ -642,5 +658,10 @@
         now,
     );
     shared.jobs.insert(Arc::clone(&owned));
-    tokio::spawn(runner::run(Arc::clone(shared), owned, events));
+    let running = runner::run(Arc::clone(shared), owned, events);
+    tokio::spawn(async move {
+        running.await;
+        // The runner has released the bodies of the items.
+        drop(held);
+    });
 }
--- a/crates/shallotroute_resident/src/forward.rs
+++ b/crates/shallotroute_resident/src/forward.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode};
-use http_body_util::Full;
+use http_body_util::{Either, Full};
 use shallotroute_adapter::backend::{self, Head};
 use shallotroute_fleet::{
     limit::Class,
@@ -16,7 +16,7 @@
     server::{Outcome, Requirements, Server},
     suspect::Fingerprint,
 };
-use shallotroute_http::body;
+use shallotroute_http::{body, memory};
 use shallotroute_types::name::Name;
 use tokio::task::JoinSet;
 
@@ -25,7 +25,7 @@
     limit::{self, Unavailable},
     link::Sender,
     metric::Metrics,
-    pool::{Connection, Failure},
+    pool::{Connection, Failure, RequestBody},
     shared::Shared,
     suspect,
 };
@@ -215,7 +215,7 @@
                 } = self.policy;
                 let attempt =
                     run_attempt(Arc::clone(shared), server, request, deadline, is_idempotent);
-                self.pending.spawn(attempt);
+                self.pending.spawn(memory::for_request(attempt));
             }
             Err(unavailable) => {
                 unavailable.reason().clone_into(&mut self.reason);
@@ -418,11 +418,11 @@
     server: &Server,
     request: &BackendRequest,
     deadline: Instant,
-) -> Result<Request<Full<Bytes>>, http::Error> {
+) -> Result<Request<RequestBody>, http::Error> {
     let mut http_request = Request::builder()
         .method(request.method.clone())
         .uri(&request.target)
-        .body(Full::new(request.body.clone()))?;
+        .body(Either::Left(Full::new(request.body.clone())))?;
     let mut headers = request.headers.clone();
     let left = deadline.saturating_duration_since(shared.now());
     backend::set_attempt_headers(&mut headers, &request.id, &server.id, left);
@@ -455,7 +455,7 @@
             "the response does not come from the server itself".to_owned(),
         );
     }
-    let body = match body::read(content, MAX_RESPONSE_BYTES).await {
+    let body = match body::read_response(content, MAX_RESPONSE_BYTES).await {
         Ok(body) => body,
         Err(error) => {
             let reason = format!("failed to read the response body: {error}");
--- a/crates/shallotroute_resident/src/generate.rs
+++ b/crates/shallotroute_resident/src/generate.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Either, Full};
 use hyper::body::Incoming;
 use shallotroute_adapter::backend::{self, EventDecoder};
 use shallotroute_batch::{
@@ -22,7 +22,7 @@
     limit,
     link::Sender,
     metric::Metrics,
-    pool::{Connection, Failure},
+    pool::{Connection, Failure, RequestBody},
     shared::{InFlight, Shared},
 };
 
@@ -165,7 +165,7 @@
     }
 
     /// Builds the request, which only `server` may run.
-    fn request(&self, server: &str) -> Result<Request<Full<Bytes>>, http::Error> {
+    fn request(&self, server: &str) -> Result<Request<RequestBody>, http::Error> {
         let item = &self.specification.items[self.item];
         let mut headers = HeaderMap::new();
         for (name, value) in &item.headers {
@@ -185,7 +185,7 @@
         let mut request = Request::builder()
             .method(Method::POST)
             .uri(&item.path)
-            .body(Full::new(Bytes::copy_from_slice(&item.body)))?;
+            .body(Either::Left(Full::new(Bytes::copy_from_slice(&item.body))))?;
         *request.headers_mut() = headers;
         Ok(request)
     }
--- a/crates/shallotroute_resident/src/ingress.rs
+++ b/crates/shallotroute_resident/src/ingress.rs
@@ -157,7 +157,7 @@
     };
     if route.kind == Kind::Batch && parts.method == Method::POST {
         let host = host.to_owned();
-        return trainer::submit(shared, &host, parts.uri.path(), &route.name, &id, &content).await;
+        return trainer::submit(shared, &host, parts.uri.path(), &route.name, &id, content).await;
     }
     let backend_request = backend_request(shared, &route, parts, content, &id, started_at);
     match route.kind {
--- a/crates/shallotroute_resident/src/leader.rs
+++ b/crates/shallotroute_resident/src/leader.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use http_body_util::Full;
+use http_body_util::{Either, Full};
 use shallotroute_adapter::{
     backend,
     engine::{self, Mode, Reply},
@@ -676,7 +676,7 @@
         request: http::Request<Vec<u8>>,
     ) -> Result<(http::StatusCode, bytes::Bytes), String> {
         let exchange = async {
-            let mut request = request.map(|body| Full::new(bytes::Bytes::from(body)));
+            let mut request = request.map(|body| Either::Left(Full::new(bytes::Bytes::from(body))));
             let host = http::HeaderValue::from_str(&self.server.address.to_string())
                 .map_err(|error| error.to_string())?;
             request.headers_mut().insert(http::header::HOST, host);
--- a/crates/shallotroute_resident/src/ledger.rs
+++ b/crates/shallotroute_resident/src/ledger.rs
@@ -217,10 +217,11 @@
         removals: Vec::new(),
     };
     write.puts.push((key.clone(), record::encode(head), 0));
+    let write = Arc::new(write);
     let deadline = Instant::now() + timeout;
     let mut lost = None;
     loop {
-        match shared.store.write(&write).await {
+        match shared.store.write_shared(&write).await {
             Ok(WriteOutcome::Applied(revision)) => return Outcome::Done(revision),
             Ok(WriteOutcome::Conflict(items)) => {
                 let stored = items
--- a/crates/shallotroute_resident/src/lib.rs
+++ b/crates/shallotroute_resident/src/lib.rs
@@ -34,6 +34,7 @@
 mod suspect;
 mod trainer;
 mod view;
+mod write_body;
 
 use std::{
     net::SocketAddr,
--- a/crates/shallotroute_resident/src/pool.rs
+++ b/crates/shallotroute_resident/src/pool.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use derive_more::Display;
 use http::{Request, Response};
-use http_body_util::Full;
+use http_body_util::{Either, Full};
 use hyper::{
     body::Incoming,
     client::conn::http1::{self, SendRequest},
@@ -23,6 +23,8 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
+use crate::write_body::WriteBody;
+
 /// The idle time before the first TCP keep-alive probe and the interval between probes: a dead
 /// connection is detected within [`KEEPALIVE_PROBES`] seconds.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -42,7 +44,7 @@
 const MAX_BUFFER_BYTES: usize = 16 << 10;
 
 /// The body of a request.
-pub(crate) type RequestBody = Full<Bytes>;
+pub(crate) type RequestBody = Either<Full<Bytes>, WriteBody>;
 
 /// Why a request got no response.
 #[derive(Debug)]
--- a/crates/shallotroute_resident/src/relay.rs
+++ b/crates/shallotroute_resident/src/relay.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Either, Full};
 use hyper::body::Incoming;
 use shallotroute_adapter::backend;
 use shallotroute_fleet::{link::State, server::Server};
@@ -325,7 +325,7 @@
         let mut request = Request::builder()
             .method(parts.method.clone())
             .uri(target)
-            .body(Full::new(content.clone()))?;
+            .body(Either::Left(Full::new(content.clone())))?;
         *request.headers_mut() = parts.headers.clone();
         Ok(request)
     };
--- a/crates/shallotroute_resident/src/store.rs
+++ b/crates/shallotroute_resident/src/store.rs
@@ -11,11 +11,11 @@
 };
 
 use bytes::Bytes;
-use http::{Request, StatusCode, header};
-use http_body_util::Full;
+use http::{Method, Request, StatusCode, header};
+use http_body_util::{Either, Full};
 use prometheus_client::metrics::counter::Counter;
 use shallotroute_adapter::store::{
-    self, Call, Changes, ErrorStatus, Item, Kind, Lease, Page, Write, WriteOutcome,
+    self, Call, Changes, ErrorStatus, Item, Kind, Lease, Page, Write, WriteChunks, WriteOutcome,
 };
 use shallotroute_batch::claim::SETTLING_TIME;
 use shallotroute_http::body;
@@ -25,7 +25,8 @@
     ledger,
     metric::{CallLabel, Metrics},
     peer::Peers,
-    pool::{Failure, Pool},
+    pool::{Failure, Pool, RequestBody},
+    write_body::WriteBody,
 };
 
 /// The timeout for connecting to the store, which answers in milliseconds.
@@ -39,6 +40,12 @@
     "results that are read from the store must not be outdated when they arrive"
 );
 
+/// The size of the values above which a transaction is encoded while it is sent, in bytes. Batch jobs have half a megabyte.
+pub(crate) const LARGE_WRITE_BYTES: usize = 2 << 20;
+
+/// The rate at which a large transaction has to reach the store.
+const MIN_WRITE_BYTES_PER_SECOND: f64 = 2e6;
+
 /// How long an idle connection to the store stays open.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -217,6 +224,36 @@
         into_result(store::parse_write_outcome(answer.status, &answer.body))
     }
 
+    /// Writes as [`Store::write`] does. Values of a large transaction are encoded one at a time; no other node relays it, since
+    /// its frame would be longer than the largest one.
+    pub(crate) async fn write_shared(&self, write: &Arc<Write>) -> Result<WriteOutcome> {
+        let bytes: usize = write.puts.iter().map(|(_, value, _)| value.len()).sum();
+        if bytes <= LARGE_WRITE_BYTES {
+            return self.write(write).await;
+        }
+        if self.is_circuit_open() {
+            return Err(circuit_open_error());
+        }
+        let key = write.puts.first().map(|(key, _, _)| key.as_str());
+        let subject = ledger::subject(key.unwrap_or_default());
+        let allowed =
+            CALL_TIMEOUT + Duration::from_secs_f64(bytes as f64 / MIN_WRITE_BYTES_PER_SECOND);
+        let body = WriteBody::new(WriteChunks::new(Arc::clone(write)));
+        let started_at = Instant::now();
+        let sending = self.send(Method::POST, WriteChunks::path(), Either::Right(body));
+        let result = match timeout(allowed, sending).await {
+            Ok(result) => result,
+            Err(_) => Err(Error::OutcomeUnknown(format!(
+                "{} did not answer in time",
+                self.address
+            ))),
+        };
+        self.record_metrics(Kind::Write, subject, &result, started_at.elapsed());
+        self.record_reachability(&result);
+        let answer = result?;
+        into_result(store::parse_write_outcome(answer.status, &answer.body))
+    }
+
     /// Grants a new lease of `period`.
     pub(crate) async fn grant(&self, period: Duration) -> Result<Lease> {
         let answer = self
@@ -385,17 +422,22 @@
     }
 
     async fn send_request(&self, call: &Call) -> Result<RawResponse> {
+        let body = Either::Left(Full::new(store::request_body(call)));
+        self.send(call.method(), &call.path, body).await
+    }
+
+    async fn send(&self, method: Method, path: &str, body: RequestBody) -> Result<RawResponse> {
         let mut connection = self
             .pool
             .get(self.address)
             .await
             .map_err(|failure| Error::NotApplied(failure.reason().to_owned()))?;
         let request = Request::builder()
-            .method(call.method())
-            .uri(&call.path)
+            .method(method)
+            .uri(path)
             .header(header::HOST, self.address.to_string())
             .header(header::CONTENT_TYPE, "application/json")
-            .body(Full::new(store::request_body(call)))
+            .body(body)
             .map_err(|error| Error::NotApplied(error.to_string()))?;
         let response = connection
             .send(request)
--- a/crates/shallotroute_resident/src/trainer.rs
+++ b/crates/shallotroute_resident/src/trainer.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header};
 use shallotroute_adapter::{caller::JobCall, job as wire};
 use shallotroute_batch::{claim::MAX_RELAY_TIME, record::Owner};
@@ -40,9 +41,9 @@
     path: &str,
     route: &Name,
     request: &str,
-    content: &[u8],
+    content: Bytes,
 ) -> Response<Body> {
-    let specification = match wire::parse_specification(host, path, content) {
+    let specification = match wire::parse_specification(host, path, &content) {
         Ok(specification) => specification,
         Err(error) => {
             spdlog::warn!("failed to decode submitted job", kv: {
@@ -51,6 +52,8 @@
             return response::text(StatusCode::BAD_REQUEST, &error.to_string());
         }
     };
+    // The submission is not needed any more, and may be large.
+    drop(content);
     let id = Name::from(request);
     if !id.is_valid() {
         return response::text(
