--- a/crates/shallotroute/tests/untrusted_clients/job.rs
+++ b/crates/shallotroute/tests/untrusted_clients/job.rs
@@ -217,7 +217,11 @@
     is_held.store(false, Ordering::Relaxed);
     desk.kill(owner);
     let successor = 1 - owner;
-    read_results(desk.node(successor).callers, "moved").await;
+    let reading = read_results(desk.node(successor).callers, "moved");
+    let read = tokio::time::timeout(JOB_TIMEOUT, reading).await;
+    let log = desk.log_of(successor);
+    let tail: Vec<&str> = log.lines().rev().take(40).collect();
+    expect_that!(read.is_ok(), eq(true), "{tail:#?}");
     watches[successor].expect_within(BOUND, "after the takeover");
 }
 
--- a/crates/shallotroute_http/src/memory.rs
+++ b/crates/shallotroute_http/src/memory.rs
@@ -141,6 +141,23 @@
     pub rejected: u64,
 }
 
+impl Usage {
+    /// Returns the names and the values of all numbers.
+    pub fn numbers(&self) -> [(&'static str, u64); 8] {
+        let bytes = |bytes: usize| u64::try_from(bytes).unwrap_or(u64::MAX);
+        [
+            ("capacity", bytes(self.capacity)),
+            ("used", bytes(self.used)),
+            ("large", bytes(self.used_by_large)),
+            ("holders", bytes(self.holders)),
+            ("refused", self.refusals),
+            ("stalled", self.stalled),
+            ("replaced", self.replaced),
+            ("rejected", self.rejected),
+        ]
+    }
+}
+
 impl Bounds {
     /// Returns the bounds of settings; without them those of the host and of the operating system.
     pub fn new(memory_mb: Option<u64>, descriptors: Option<u64>) -> Self {
--- a/crates/shallotroute_node/src/node.rs
+++ b/crates/shallotroute_node/src/node.rs
@@ -1,6 +1,7 @@
 //! Creates the components of a node, connects them and starts them.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, OnceLock},
     time::{Duration, UNIX_EPOCH},
@@ -103,10 +104,11 @@
             peers,
             heartbeats,
         } = listeners;
-        let components = Components::new(settings, &context, channels, &leaving, heartbeats);
-        let services = Arc::new(components.services());
         let limits = settings.limits;
         let memory = Memory::new(Bounds::new(limits.memory_mb, limits.descriptors));
+        let components =
+            Components::new(settings, &context, channels, &leaving, heartbeats, &memory);
+        let services = Arc::new(components.services());
         let mut tasks = vec![
             tokio::spawn(stream::serve_within(
                 peers,
@@ -230,6 +232,7 @@
         channels: ChannelEnds,
         leaving: &CancellationToken,
         socket: UdpSocket,
+        memory: &Arc<Memory>,
     ) -> Self {
         let mut registry = Registry::with_prefix("shallotroute");
         let client = Client::new(CONNECT_TIMEOUT);
@@ -270,7 +273,7 @@
             store: throttle.clone(),
         };
         let sampler = Sampler::new(context.clone(), clients, &mut registry);
-        let (dump, control_slot) = create_dump(&heartbeat, &gateway, &sampler);
+        let (dump, control_slot) = create_dump(&heartbeat, &gateway, &sampler, memory);
         let operators = settings.operators.iter().map(to_operator).collect();
         let control = Control::new(
             context.clone(),
@@ -312,18 +315,21 @@
     heartbeat: &Arc<Heartbeat>,
     gateway: &Arc<Gateway>,
     sampler: &Arc<Sampler>,
+    memory: &Arc<Memory>,
 ) -> (Dump, Arc<OnceLock<Arc<Control>>>) {
     let slot = Arc::new(OnceLock::<Arc<Control>>::new());
     let control = Arc::clone(&slot);
     let heartbeat = Arc::clone(heartbeat);
     let gateway = Arc::clone(gateway);
     let sampler = Arc::clone(sampler);
+    let memory = Arc::clone(memory);
     let dump: Dump = Arc::new(move || {
         json!({
             "membership": heartbeat.dump(),
             "control": control.get().map_or(Value::Null, |control| control.dump()),
             "gateway": gateway.dump(),
             "sampling": sampler.dump(),
+            "memory": BTreeMap::from(memory.usage().numbers()),
         })
     });
     (dump, slot)
--- a/crates/shallotroute_resident/src/dump.rs
+++ b/crates/shallotroute_resident/src/dump.rs
@@ -1,6 +1,9 @@
 //! The state of a node as JSON, for operators and audits.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 use serde_json::{Value, json};
 use shallotroute_batch::record::Owner;
@@ -32,6 +35,7 @@
             })).collect::<Vec<_>>(),
         })),
         "view": view(shared),
+        "memory": BTreeMap::from(shared.memory.usage().numbers()),
         "links": shared.links.state().name(),
         "members": members(shared),
         "named_versions": *shared.targets.borrow(),
--- a/crates/shallotroute_resident/src/metric.rs
+++ b/crates/shallotroute_resident/src/metric.rs
@@ -13,6 +13,7 @@
 };
 use shallotroute_http::{
     body::{self, Body},
+    memory::Memory,
     server::Handler,
 };
 
@@ -91,6 +92,8 @@
     pub(crate) orders: Family<Label, Counter>,
     /// Attempts to open a connection to a backend server.
     pub(crate) connections: Counter,
+    /// The use of the memory budget, in bytes, and the numbers of refusals and of closed connections.
+    pub(crate) memory: Family<Label, Gauge>,
     /// The version of the active configuration.
     pub(crate) configuration_version: Gauge,
 }
@@ -124,6 +127,7 @@
             relayed_calls: Counter::default(),
             orders: Family::default(),
             connections: Counter::default(),
+            memory: Family::default(),
             configuration_version: Gauge::default(),
         };
         metrics.register(&mut registry);
@@ -153,6 +157,7 @@
             "Sends of requests to backend servers",
             self.attempts.clone(),
         );
+        registry.register("memory", "Use of the memory budget", self.memory.clone());
         self.register_servers(registry);
         self.register_jobs(registry);
         registry.register(
@@ -247,6 +252,13 @@
         histogram.observe(duration.as_secs_f64());
     }
 
+    fn set_memory(&self, memory: &Memory) {
+        for (outcome, number) in memory.usage().numbers() {
+            let gauge = self.memory.get_or_create(&Label { outcome });
+            gauge.set(i64::try_from(number).unwrap_or(i64::MAX));
+        }
+    }
+
     fn encode(&self) -> Response<Body> {
         let mut content = String::new();
         if let Err(error) = text::encode(&mut content, &self.registry) {
@@ -277,7 +289,12 @@
     ) -> BoxFuture<'static, Response<Body>> {
         let response = match (&self.shared, request.uri().path()) {
             (Some(shared), DUMP_PATH) => body::json_response(StatusCode::OK, &dump::dump(shared)),
-            _ => self.metrics.encode(),
+            (shared, _) => {
+                if let Some(shared) = shared {
+                    self.metrics.set_memory(&shared.memory);
+                }
+                self.metrics.encode()
+            }
         };
         Box::pin(async move { response })
     }
