--- a/crates/shallotroute_batch/tests/record.rs
+++ b/crates/shallotroute_batch/tests/record.rs
@@ -172,3 +172,15 @@
     );
     Ok(())
 }
+
+/// Guards against parts of a large specification that are not those of its encoding.
+#[gtest]
+fn parts_are_those_of_the_whole_encoding() {
+    let record = vec![vec![9_u8; record::MAX_PART_BYTES], vec![8_u8; 1000]];
+    let encoded = record::encode(&record);
+    let expected: Vec<Vec<u8>> = encoded
+        .chunks(record::MAX_PART_BYTES)
+        .map(<[u8]>::to_vec)
+        .collect();
+    expect_that!(record::encode_parts(&record) == expected, eq(true));
+}
--- a/crates/shallotroute_resident/src/claim.rs
+++ b/crates/shallotroute_resident/src/claim.rs
@@ -106,13 +106,7 @@
     let Ok(_room) = shared.memory.keep(specification.body_bytes()) else {
         return Acceptance::Refused("the memory budget is exhausted".to_owned());
     };
-    // A large job is not encoded as a whole before it is stored.
-    let is_large = specification.body_bytes() > LARGE_WRITE_BYTES;
-    let encoded = (!is_large).then(|| record::encode(&specification));
-    let parts: Vec<Vec<u8>> = match &encoded {
-        Some(encoded) => encoded.chunks(MAX_PART_BYTES).map(<[u8]>::to_vec).collect(),
-        None => record::encode_parts(&specification),
-    };
+    let (encoded, parts) = encode(&specification);
     let assignee = shared.members.borrow().node_for(route).cloned();
     let owner = match &assignee {
         Some(assignee) => &assignee.owner,
@@ -170,6 +164,16 @@
     }
 }
 
+/// Encodes a specification: as a whole, unless it is large, and in parts.
+fn encode(specification: &Specification) -> (Option<Vec<u8>>, Vec<Vec<u8>>) {
+    if specification.body_bytes() > LARGE_WRITE_BYTES {
+        return (None, record::encode_parts(specification));
+    }
+    let encoded = record::encode(specification);
+    let parts = encoded.chunks(MAX_PART_BYTES).map(<[u8]>::to_vec).collect();
+    (Some(encoded), parts)
+}
+
 /// Starts an accepted job at the node that its head names; takes the job over if that node does not
 /// start it.
 async fn start_remotely(
--- a/crates/shallotroute_resident/src/lib.rs
+++ b/crates/shallotroute_resident/src/lib.rs
@@ -55,7 +55,7 @@
     service::Kind,
     stream::{Service, Services, serve_within},
 };
-use shallotroute_settings::site::{Role, SiteSettings as Settings};
+use shallotroute_settings::site::{Listen, Role, SiteSettings as Settings};
 use shallotroute_types::clock::System;
 use tokio::{
     net::TcpListener,
@@ -191,25 +191,7 @@
             stop,
             memory.nodes(),
         ));
-        let metrics = listen("metrics", listen_at.metrics).await?;
-        let endpoint = Arc::new(Endpoint {
-            metrics: Arc::clone(&shared.metrics),
-            shared: Some(Arc::clone(&shared)),
-        });
-        let stop = shutdown.clone();
-        tokio::spawn(server::serve_within(
-            metrics,
-            endpoint,
-            stop,
-            memory.operators(),
-        ));
-        if let Some(address) = listen_at.readiness {
-            let readiness = listen("the readiness check", address).await?;
-            let handler = Arc::new(Readiness(Arc::clone(&shared)));
-            let stop = shutdown.clone();
-            let serving = server::serve_within(readiness, handler, stop, memory.operators());
-            tokio::spawn(serving);
-        }
+        serve_operators(&shared, listen_at, &shutdown).await?;
         let mut callers = None;
         if let Some(address) = listen_at.callers {
             let listener = listen("callers", address).await?;
@@ -276,6 +258,36 @@
     }
 }
 
+/// Serves the metrics and the readiness check.
+async fn serve_operators(
+    shared: &Arc<Shared>,
+    listen_at: Listen,
+    shutdown: &CancellationToken,
+) -> Result<()> {
+    let memory = &shared.memory;
+    let metrics = listen("metrics", listen_at.metrics).await?;
+    let endpoint = Arc::new(Endpoint {
+        metrics: Arc::clone(&shared.metrics),
+        shared: Some(Arc::clone(shared)),
+    });
+    tokio::spawn(server::serve_within(
+        metrics,
+        endpoint,
+        shutdown.clone(),
+        memory.operators(),
+    ));
+    if let Some(address) = listen_at.readiness {
+        let readiness = listen("the readiness check", address).await?;
+        tokio::spawn(server::serve_within(
+            readiness,
+            Arc::new(Readiness(Arc::clone(shared))),
+            shutdown.clone(),
+            memory.operators(),
+        ));
+    }
+    Ok(())
+}
+
 /// Closes expired idle connections and removes the servers that stay missing from the host list,
 /// until the process exits.
 async fn remove_expired(shared: Arc<Shared>) {
