--- a/crates/shallotroute/tests/process/start.rs
+++ b/crates/shallotroute/tests/process/start.rs
@@ -38,6 +38,8 @@
             cluster::OPERATOR_KEY.to_owned(),
         )],
         log_level: "info".to_owned(),
+        memory_mb: None,
+        descriptors: None,
     }
 }
 
--- a/crates/shallotroute/tests/untrusted_clients/crowd.rs
+++ b/crates/shallotroute/tests/untrusted_clients/crowd.rs
@@ -39,7 +39,7 @@
 pub(crate) struct Upload {
     /// The request line and headers, each with its line end, without those of the body.
     pub(crate) head: String,
-    pub(crate) body: Arc<Vec<u8>>,
+    pub(crate) body: Arc<[u8]>,
     pub(crate) framing: Framing,
     pub(crate) delivery: Delivery,
 }
@@ -53,7 +53,7 @@
 impl Upload {
     /// Returns the bytes of the connection in the pieces in which they are written.
     fn pieces(&self) -> Vec<Vec<u8>> {
-        let body = self.body.as_slice();
+        let body = &self.body[..];
         let mut head = self.head.clone().into_bytes();
         match self.framing {
             Framing::Length => {
--- a/crates/shallotroute/tests/untrusted_clients/desk.rs
+++ b/crates/shallotroute/tests/untrusted_clients/desk.rs
@@ -97,7 +97,7 @@
 /// Lets a crowd send bodies to routes that are served by the scripted servers.
 async fn expect_bodies_withstood(case: &str, framing: Framing, delivery: Delivery) {
     expect_withstood(case, async |desk| {
-        let body = Arc::new(vec![b'b'; BODY_BYTES]);
+        let body: Arc<[u8]> = Arc::from(vec![b'b'; BODY_BYTES]);
         crowd::upload(desk.node(0).callers, UPLOADS, |number| Upload {
             head: format!(
                 "POST /once/crowd-{number} HTTP/1.1\r\nhost: desk.example\r\nx-request-id: crowd-{number}\r\n"
@@ -202,7 +202,7 @@
 #[tokio::test]
 async fn relayed_bodies_that_stop_short() {
     expect_withstood("desk, relayed", async |desk| {
-        let body = Arc::new(vec![b'b'; BODY_BYTES]);
+        let body: Arc<[u8]> = Arc::from(vec![b'b'; BODY_BYTES]);
         // The first byte selects the service of relayed requests.
         crowd::upload(desk.node(0).peers, UPLOADS, |number| Upload {
             head: format!(
--- a/crates/shallotroute/tests/untrusted_clients/job.rs
+++ b/crates/shallotroute/tests/untrusted_clients/job.rs
@@ -240,7 +240,7 @@
     let desk = start(1, &Arc::new(AtomicBool::new(true))).await;
     let watch = watch(&desk, 0);
     for delivery in [Delivery::Whole, Delivery::Short] {
-        let body = Arc::new(submission("many", 12 << 20));
+        let body: Arc<[u8]> = Arc::from(submission("many", 12 << 20));
         let crowd = crowd::upload(desk.node(0).callers, 16, |number| Upload {
             head: format!(
                 "POST /jobs/many-{number} HTTP/1.1\r\nhost: desk.example\r\nx-request-id: many-{number}-{delivery:?}\r\n"
--- a/crates/shallotroute/tests/untrusted_clients/own.rs
+++ b/crates/shallotroute/tests/untrusted_clients/own.rs
@@ -188,7 +188,7 @@
     delivery: Delivery,
 ) {
     expect_withstood(case, async |testbed| {
-        let body = Arc::new(vec![b'b'; bytes]);
+        let body: Arc<[u8]> = Arc::from(vec![b'b'; bytes]);
         crowd::upload(testbed.address(port), count, |_| Upload {
             head: head.clone(),
             body: Arc::clone(&body),
