--- a/crates/shallotroute_batch/tests/record.rs
+++ b/crates/shallotroute_batch/tests/record.rs
@@ -228,3 +228,39 @@
         some(eq(&Name::from("alpha")))
     );
 }
+
+/// Guards against parts of a large specification that are not those of its encoding.
+#[gtest]
+fn parts_are_those_of_the_whole_encoding() {
+    let record = vec![vec![9_u8; record::MAX_PART_BYTES], vec![8_u8; 1000]];
+    let encoded = record::encode(&record);
+    let expected: Vec<Vec<u8>> = encoded
+        .chunks(record::MAX_PART_BYTES)
+        .map(<[u8]>::to_vec)
+        .collect();
+    expect_that!(record::encode_parts(&record) == expected, eq(true));
+
+    // The workspace also starts a part of its own, and crosses the end of one.
+    let mut specification = Arc::unwrap_or_clone(specification());
+    specification.items[0].body = vec![7; record::MAX_PART_BYTES + 1000];
+    // The length of a long body takes two bytes more than that of an empty one.
+    let rest = 2 * record::MAX_PART_BYTES - record::encode(&specification).len() - 2;
+    specification.items[1].body = vec![6; rest];
+    expect_that!(
+        record::encode(&specification).len(),
+        eq(2 * record::MAX_PART_BYTES)
+    );
+    for spare in [0, 3, 1000] {
+        let kept = specification.items[1].body.len() - spare;
+        specification.items[1].body.truncate(kept);
+        for workspace in [None, Some(Name::from("alpha"))] {
+            specification.workspace = workspace;
+            let encoded = specification.encode();
+            let expected: Vec<Vec<u8>> = encoded
+                .chunks(record::MAX_PART_BYTES)
+                .map(<[u8]>::to_vec)
+                .collect();
+            expect_that!(specification.encode_parts() == expected, eq(true));
+        }
+    }
+}
--- a/crates/shallotroute_node/src/node.rs
+++ b/crates/shallotroute_node/src/node.rs
@@ -1,6 +1,7 @@
 //! Creates the components of a node, connects them and starts them.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, OnceLock},
     time::{Duration, UNIX_EPOCH},
@@ -12,7 +13,11 @@
 use shallotroute_context::{Context, Local, freshness::Freshness};
 use shallotroute_control::{Control, Dump, Operator, Outputs};
 use shallotroute_gateway::Gateway;
-use shallotroute_http::{client::Client, server};
+use shallotroute_http::{
+    client::Client,
+    memory::{Bounds, Memory},
+    server,
+};
 use shallotroute_peer::{
     heartbeat::{Heartbeat, Options},
     service::Kind,
@@ -99,10 +104,18 @@
             peers,
             heartbeats,
         } = listeners;
-        let components = Components::new(settings, &context, channels, &leaving, heartbeats);
+        let limits = settings.limits;
+        let memory = Memory::new(Bounds::new(limits.memory_mb, limits.descriptors));
+        let components =
+            Components::new(settings, &context, channels, &leaving, heartbeats, &memory);
         let services = Arc::new(components.services());
         let mut tasks = vec![
-            tokio::spawn(stream::serve(peers, services, context.stop.clone())),
+            tokio::spawn(stream::serve_within(
+                peers,
+                services,
+                context.stop.clone(),
+                memory.nodes(),
+            )),
             tokio::spawn(Arc::clone(&components.heartbeat).run()),
             tokio::spawn(Arc::clone(&components.control).run()),
             tokio::spawn(Arc::clone(&components.gateway).run()),
@@ -119,17 +132,20 @@
             leaving: leaving.clone(),
         };
         let stop = context.stop.clone();
-        tasks.push(tokio::spawn(server::serve(
+        tasks.push(tokio::spawn(server::serve_within(
             admin,
             Arc::new(admin_endpoint),
             stop,
+            memory.operators(),
         )));
         let caller_endpoint = callers::Endpoint {
             gateway: components.gateway,
             sampler: components.sampler,
         };
         let drain = context.drain.clone();
-        let callers = tokio::spawn(server::serve(callers, Arc::new(caller_endpoint), drain));
+        let serving =
+            server::serve_within(callers, Arc::new(caller_endpoint), drain, memory.clients());
+        let callers = tokio::spawn(serving);
         Ok(Self {
             context,
             leaving,
@@ -216,6 +232,7 @@
         channels: ChannelEnds,
         leaving: &CancellationToken,
         socket: UdpSocket,
+        memory: &Arc<Memory>,
     ) -> Self {
         let mut registry = Registry::with_prefix("shallotroute");
         let client = Client::new(CONNECT_TIMEOUT);
@@ -256,7 +273,7 @@
             store: throttle.clone(),
         };
         let sampler = Sampler::new(context.clone(), clients, &mut registry);
-        let (dump, control_slot) = create_dump(&heartbeat, &gateway, &sampler);
+        let (dump, control_slot) = create_dump(&heartbeat, &gateway, &sampler, memory);
         let operators = settings.operators.iter().map(to_operator).collect();
         let control = Control::new(
             context.clone(),
@@ -298,18 +315,21 @@
     heartbeat: &Arc<Heartbeat>,
     gateway: &Arc<Gateway>,
     sampler: &Arc<Sampler>,
+    memory: &Arc<Memory>,
 ) -> (Dump, Arc<OnceLock<Arc<Control>>>) {
     let slot = Arc::new(OnceLock::<Arc<Control>>::new());
     let control = Arc::clone(&slot);
     let heartbeat = Arc::clone(heartbeat);
     let gateway = Arc::clone(gateway);
     let sampler = Arc::clone(sampler);
+    let memory = Arc::clone(memory);
     let dump: Dump = Arc::new(move || {
         json!({
             "membership": heartbeat.dump(),
             "control": control.get().map_or(Value::Null, |control| control.dump()),
             "gateway": gateway.dump(),
             "sampling": sampler.dump(),
+            "memory": BTreeMap::from(memory.usage().numbers()),
         })
     });
     (dump, slot)
--- a/crates/shallotroute_resident/src/claim.rs
+++ b/crates/shallotroute_resident/src/claim.rs
@@ -24,7 +24,7 @@
     metric::Metrics,
     presence, runner,
     shared::Shared,
-    store::{Error, Result},
+    store::{Error, LARGE_WRITE_BYTES, Result},
 };
 
 /// How long the write of a head that accepts or takes over a job is retried while its outcome is
@@ -34,6 +34,9 @@
 /// The timeout of the call that starts an accepted job at its assignee.
 const START_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// The rate at which the specification of a job has to reach its assignee; an ordinary one takes some milliseconds.
+const MIN_TRANSFER_BYTES_PER_SECOND: f64 = 8e6;
+
 /// How long the write of a job's end or release is retried.
 pub(crate) const END_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -101,8 +104,10 @@
     route: &Name,
     specification: Specification,
 ) -> Acceptance {
-    let encoded = specification.encode();
-    let parts: Vec<&[u8]> = encoded.chunks(MAX_PART_BYTES).collect();
+    let Ok(_room) = shared.memory.keep(specification.body_bytes()) else {
+        return Acceptance::Refused("the memory budget is exhausted".to_owned());
+    };
+    let (encoded, parts) = encode(&specification);
     let assignee = shared.members.borrow().node_for(route).cloned();
     let owner = match &assignee {
         Some(assignee) => &assignee.owner,
@@ -118,9 +123,9 @@
         ended: false,
     };
     let puts = parts
-        .iter()
+        .into_iter()
         .enumerate()
-        .map(|(index, part)| (ledger::specification_key(job, index), part.to_vec(), 0))
+        .map(|(index, part)| (ledger::specification_key(job, index), part, 0))
         .collect();
     let claim = Claim::new(shared.boot_time());
     match ledger::write_head(shared, job, &head, 0, puts, CLAIM_TIMEOUT).await {
@@ -131,6 +136,8 @@
                     shared
                         .jobs
                         .set_known_owner(job, Some(assignee.owner.clone()));
+                    let encoded = encoded.unwrap_or_else(|| specification.encode());
+                    drop(specification);
                     let remote_start =
                         start_remotely(Arc::clone(shared), job.clone(), assignee, stored, encoded);
                     tokio::spawn(remote_start);
@@ -158,6 +165,16 @@
     }
 }
 
+/// Encodes a specification: as a whole, unless it is large, and in parts.
+fn encode(specification: &Specification) -> (Option<Vec<u8>>, Vec<Vec<u8>>) {
+    if specification.body_bytes() > LARGE_WRITE_BYTES {
+        return (None, specification.encode_parts());
+    }
+    let encoded = specification.encode();
+    let parts = encoded.chunks(MAX_PART_BYTES).map(<[u8]>::to_vec).collect();
+    (Some(encoded), parts)
+}
+
 /// Starts an accepted job at the node that its head names; takes the job over if that node does not
 /// start it.
 async fn start_remotely(
@@ -168,11 +185,13 @@
     specification: Vec<u8>,
 ) {
     let (id, head, revision) = (job.clone(), record::encode(&stored.head), stored.revision);
+    let transfer = specification.len() as f64 / MIN_TRANSFER_BYTES_PER_SECOND;
+    let start_timeout = START_TIMEOUT + Duration::from_secs_f64(transfer);
     let start_result = shared
         .peers
         .call(
             assignee.owner.address,
-            START_TIMEOUT,
+            start_timeout,
             |client, context| async move {
                 client
                     .start_job(context, id, head, revision, specification)
@@ -200,7 +219,7 @@
     revision: u64,
     specification: &[u8],
 ) -> bool {
-    if shared.drain.is_cancelled() {
+    if shared.drain.is_cancelled() || shared.memory.keep(specification.len()).is_err() {
         return false;
     }
     let decoded = ledger::decode::<Head>("head", head)
@@ -637,6 +656,7 @@
         age_ms = age.as_millis(),
     });
     let remaining = (abandon_after + CLOCK_SKEW_MARGIN).saturating_sub(age.min(abandon_after));
+    let held = shared.memory.keep_always(specification.body_bytes());
     let mut state_machine = Job::new(specification, progress.results, now + remaining);
     state_machine.restore(progress.checkpoints, now);
     let (owned, events) = Owned::new(
@@ -648,5 +668,10 @@
         now,
     );
     shared.jobs.insert(Arc::clone(&owned));
-    tokio::spawn(runner::run(Arc::clone(shared), owned, events));
+    let running = runner::run(Arc::clone(shared), owned, events);
+    tokio::spawn(async move {
+        running.await;
+        // The runner has released the bodies of the items.
+        drop(held);
+    });
 }
--- a/crates/shallotroute_resident/src/dump.rs
+++ b/crates/shallotroute_resident/src/dump.rs
@@ -1,6 +1,9 @@
 //! The state of a node as JSON, for operators and audits.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 use serde_json::{Value, json};
 use shallotroute_batch::record::Owner;
@@ -35,6 +38,7 @@
             "workspaces": table.workspaces().map(workspaces),
         })),
         "view": view(shared),
+        "memory": BTreeMap::from(shared.memory.usage().numbers()),
         "links": shared.links.state().name(),
         "members": members(shared),
         "duties": duties(shared),
--- a/crates/shallotroute_resident/src/duty.rs
+++ b/crates/shallotroute_resident/src/duty.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, StatusCode, header};
-use http_body_util::Full;
+use http_body_util::{Either, Full};
 use prometheus_client::metrics::counter::Counter;
 use shallotroute_adapter::cloud::{self, Scale, Usage};
 use shallotroute_fleet::{
@@ -27,7 +27,7 @@
 use crate::{
     generate::idle_timeout,
     metric::{DutyLabel, Metrics},
-    pool::{Connection, Failure, Pool, UNACKNOWLEDGED_TIMEOUT},
+    pool::{Connection, Failure, Pool, RequestBody, UNACKNOWLEDGED_TIMEOUT},
     presence::Lease,
 };
 
@@ -152,7 +152,7 @@
         }
     }
 
-    fn build(&self, holder: &str, token: Fence) -> http::Request<Full<Bytes>> {
+    fn build(&self, holder: &str, token: Fence) -> http::Request<RequestBody> {
         let request = match self {
             Self::Usage(tally) => {
                 let usage = Usage {
@@ -163,7 +163,7 @@
             }
             Self::Scale(scale) => cloud::scale_request(scale, holder, token),
         };
-        request.map(|body| Full::new(Bytes::from(body)))
+        request.map(|body| Either::Left(Full::new(Bytes::from(body))))
     }
 }
 
--- a/crates/shallotroute_resident/src/forward.rs
+++ b/crates/shallotroute_resident/src/forward.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode};
-use http_body_util::Full;
+use http_body_util::{Either, Full};
 use shallotroute_adapter::backend::{self, Head};
 use shallotroute_fleet::{
     access::{Denial, Grant},
@@ -18,7 +18,7 @@
     server::{Outcome, Requirements, Server},
     suspect::Fingerprint,
 };
-use shallotroute_http::body;
+use shallotroute_http::{body, memory};
 use shallotroute_types::name::Name;
 use tokio::task::JoinSet;
 
@@ -283,14 +283,14 @@
         } = self.policy;
         let shared = Arc::clone(self.shared);
         let started_at = shared.now();
-        let attempt = run_attempt(
+        let attempt = memory::for_request(run_attempt(
             Arc::clone(&shared),
             server,
             self.request.clone(),
             deadline,
             is_idempotent,
             self.meter.clone(),
-        );
+        ));
         self.pending.spawn(async move {
             let (server, outcome) = attempt.await;
             let now = shared.now();
@@ -514,7 +514,7 @@
     let mut http_request = Request::builder()
         .method(request.method.clone())
         .uri(&request.target)
-        .body(Full::new(request.body.clone()))?;
+        .body(Either::Left(Full::new(request.body.clone())))?;
     let mut headers = request.headers.clone();
     let left = deadline.saturating_duration_since(shared.now());
     backend::set_attempt_headers(&mut headers, &request.id, &server.id, left);
@@ -547,7 +547,7 @@
             "the response does not come from the server itself".to_owned(),
         );
     }
-    let body = match body::read(content, MAX_RESPONSE_BYTES).await {
+    let body = match body::read_response(content, MAX_RESPONSE_BYTES).await {
         Ok(body) => body,
         Err(error) => {
             let reason = format!("failed to read the response body: {error}");
--- a/crates/shallotroute_resident/src/ingress.rs
+++ b/crates/shallotroute_resident/src/ingress.rs
@@ -20,6 +20,7 @@
 };
 use shallotroute_http::{
     body::{self, Body},
+    memory::{Exhausted, RETRY_AFTER},
     server::{Handler, Options},
 };
 
@@ -150,7 +151,7 @@
                     path: parts.uri.path(),
                     route: &route.name,
                     id: &id,
-                    content: &content,
+                    content,
                     grant: &grant,
                 };
                 trainer::submit(shared, submission).await
@@ -198,7 +199,7 @@
 ///
 /// # Errors
 ///
-/// Returns the response to a request whose body is too long.
+/// Returns the response to a request whose body is too long, or does not fit into the memory budget.
 async fn read_content(
     shared: &Shared,
     table: &Table,
@@ -210,8 +211,11 @@
     if content.size_hint().lower() > u64::try_from(max_bytes).unwrap_or(u64::MAX) {
         return Err(reject(shared, id, "too_long", too_long()));
     }
-    match body::read(content, max_bytes).await {
+    match body::read_request(content, max_bytes).await {
         Ok(content) => Ok(content),
+        Err(error) if error.is::<Exhausted>() => {
+            Err(reject(shared, id, "memory", response::not_run(RETRY_AFTER)))
+        }
         Err(error) => {
             spdlog::info!("failed to read the request body", kv: { request = id, error = error.to_string() });
             Err(reject(shared, id, "body_not_read", too_long()))
--- a/crates/shallotroute_resident/src/relay.rs
+++ b/crates/shallotroute_resident/src/relay.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Either, Full};
 use hyper::body::Incoming;
 use shallotroute_adapter::backend;
 use shallotroute_fleet::{link::State, server::Server};
@@ -319,7 +319,7 @@
     let max_bytes = shared
         .table()
         .map_or(MAX_BODY_BYTES, |table| table.limits().max_body_bytes);
-    let Ok(content) = body::read(content, max_bytes).await else {
+    let Ok(content) = body::read_request(content, max_bytes).await else {
         return Err(Progress::Declined);
     };
     backend::remove_hop_by_hop_headers(&mut parts.headers);
@@ -328,7 +328,7 @@
         let mut request = Request::builder()
             .method(parts.method.clone())
             .uri(target)
-            .body(Full::new(content.clone()))?;
+            .body(Either::Left(Full::new(content.clone())))?;
         *request.headers_mut() = parts.headers.clone();
         Ok(Outgoing::relayed(request, shared.table().as_deref()))
     };
--- a/crates/shallotroute_resident/src/shared.rs
+++ b/crates/shallotroute_resident/src/shared.rs
@@ -21,6 +21,7 @@
     source,
     workspace::Secret,
 };
+use shallotroute_http::memory::{Bounds, Memory};
 use shallotroute_settings::site::{Duty, Overload, SiteSettings as Settings};
 use shallotroute_types::{clock::Clock, name::Name, node::Incarnation, version::Version};
 use tokio::sync::{mpsc, watch};
@@ -59,6 +60,8 @@
     pub(crate) owner: Owner,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) metrics: Arc<Metrics>,
+    /// The memory that requests, responses and batch jobs may hold.
+    pub(crate) memory: Arc<Memory>,
     pub(crate) peers: Arc<Peers>,
     pub(crate) store: Store,
     pub(crate) pool: Arc<Pool>,
@@ -157,7 +160,9 @@
         let usage = usage_recorder(&settings, duties.as_ref(), &clock);
         let policy = admission_policy(settings.overload);
         let governors = Governors::new(policy, metrics.admissions.clone());
+        let bounds = Bounds::new(settings.memory_mb, settings.descriptors);
         let shared = Arc::new(Self {
+            memory: Memory::new(bounds),
             settings,
             owner,
             clock,
--- a/crates/shallotroute_resident/src/trainer.rs
+++ b/crates/shallotroute_resident/src/trainer.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header};
 use shallotroute_adapter::{caller::JobCall, job as wire};
 use shallotroute_batch::{claim::MAX_RELAY_TIME, record::Owner};
@@ -50,7 +51,7 @@
     /// The identity of the request, which becomes that of the job.
     pub(crate) id: &'a str,
     /// The JSON form of the job.
-    pub(crate) content: &'a [u8],
+    pub(crate) content: Bytes,
     pub(crate) grant: &'a Grant,
 }
 
@@ -64,7 +65,7 @@
         content,
         grant,
     } = submission;
-    let mut specification = match wire::parse_specification(host, path, content) {
+    let mut specification = match wire::parse_specification(host, path, &content) {
         Ok(specification) => specification,
         Err(error) => {
             spdlog::warn!("failed to decode submitted job", kv: {
@@ -73,6 +74,8 @@
             return response::text(StatusCode::BAD_REQUEST, &error.to_string());
         }
     };
+    // The submission is not needed any more, and may be large.
+    drop(content);
     wire::set_access(&mut specification, grant);
     let id = Name::from(request);
     if !id.is_valid() {
