fleet: rank the servers for a request by the rule of the balancer's choice

An operator can't see which server a request would get and why. choose and the new Balancer::ranked share the tiers and the cost; access::preview and Request::excess give the decisions about keys and overload without a grant or a random draw.

--- a/crates/shallotroute_fleet/src/access.rs
+++ b/crates/shallotroute_fleet/src/access.rs
@@ -221,18 +221,59 @@
     let Some(directory) = table.workspaces() else {
         return Grant::for_caller(Identity::Unrestricted, None, basis);
     };
+    let find = || key.and_then(|key| directory.identify(&key));
+    match identify(find, key.is_some(), is_public, freshness) {
+        Ok(Some(Workspace { name, priority, .. })) => {
+            Grant::for_caller(Identity::Workspace(name.clone()), *priority, basis)
+        }
+        Ok(None) => Grant::for_caller(Identity::Anonymous, None, basis),
+        Err(Denial::Unauthorized) => Verdict::Unauthorized,
+        Err(Denial::Stale { retry_after }) => Verdict::Stale { retry_after },
+    }
+}
+
+/// Returns the workspace of a request, or `None` if it has none and needs none.
+fn identify<'a>(
+    find: impl FnOnce() -> Option<&'a Workspace>,
+    has_key: bool,
+    is_public: bool,
+    freshness: Freshness,
+) -> Result<Option<&'a Workspace>> {
     let known = match freshness {
-        Freshness::Fresh => key.and_then(|key| directory.identify(&key)),
-        Freshness::Stale { retry_after } if key.is_some() && !is_public => {
-            return Verdict::Stale { retry_after };
+        Freshness::Fresh => find(),
+        Freshness::Stale { retry_after } if has_key && !is_public => {
+            return Err(Denial::Stale { retry_after });
         }
         Freshness::Stale { .. } => None,
     };
     match known {
-        Some(Workspace { name, priority, .. }) => {
-            Grant::for_caller(Identity::Workspace(name.clone()), *priority, basis)
-        }
-        None if is_public => Grant::for_caller(Identity::Anonymous, None, basis),
-        None => Verdict::Unauthorized,
+        None if !is_public => Err(Denial::Unauthorized),
+        known => Ok(known),
     }
 }
+
+/// Returns on whose behalf a request with a valid key of `workspace`, or without a key, would be sent, and
+/// with which priority. Unlike [`decide`] it makes no grant, so that nothing can be sent by it.
+///
+/// # Errors
+///
+/// Returns why the request would not be sent.
+pub fn preview(
+    table: &Table,
+    route: &Route,
+    workspace: Option<&str>,
+    freshness: Freshness,
+) -> Result<(Identity, u8)> {
+    let Some(directory) = table.workspaces() else {
+        return Ok((Identity::Unrestricted, route.priority));
+    };
+    let find = || workspace.and_then(|name| directory.find(name));
+    let known = identify(find, workspace.is_some(), route.is_public, freshness)?;
+    Ok(match known {
+        Some(Workspace { name, priority, .. }) => (
+            Identity::Workspace(name.clone()),
+            priority.unwrap_or(route.priority),
+        ),
+        None => (Identity::Anonymous, route.priority),
+    })
+}
--- a/crates/shallotroute_fleet/src/admission.rs
+++ b/crates/shallotroute_fleet/src/admission.rs
@@ -93,16 +93,21 @@
     /// Returns the advised delay of a request that is turned away before it is sent, because the
     /// service accepts too few of those that it gets; `None` if it is sent. `random` is in `0.0..1.0`.
     pub fn refusal(self, policy: Policy, shortage: &Shortage, random: f64) -> Option<Duration> {
+        let excess = self.excess(policy, shortage);
+        (random < excess).then(|| shortage.retry_after(random / excess))
+    }
+
+    /// Returns the part of such requests that is turned away before it is sent; not positive if none is.
+    pub fn excess(self, policy: Policy, shortage: &Shortage) -> f64 {
         if policy == Policy::FirstCome {
-            return None;
+            return 0.0;
         }
         let rank = rank(self.priority);
         let more_urgent: f64 = shortage.requested[..rank].iter().sum();
         let accepted = shortage.accepted();
         let room = SENT_PER_ACCEPTED * accepted - more_urgent;
         let own = shortage.requested[rank];
-        let excess = (own - room.max(MIN_SHARE * accepted)) / (own + 1.0);
-        (random < excess).then(|| shortage.retry_after(random / excess))
+        (own - room.max(MIN_SHARE * accepted)) / (own + 1.0)
     }
 }
 
--- a/crates/shallotroute_fleet/src/admission/governor.rs
+++ b/crates/shallotroute_fleet/src/admission/governor.rs
@@ -60,7 +60,7 @@
 pub const PRIORITIES: usize = 3;
 
 /// The attempts at one service and their recent outcomes, as one node sees them.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Governor {
     /// The scorings in flight.
     scorings: usize,
--- a/crates/shallotroute_fleet/src/server.rs
+++ b/crates/shallotroute_fleet/src/server.rs
@@ -1,5 +1,7 @@
 //! Load balancing over the backend servers of the host list, by what this node has observed of each.
 
+pub mod ranking;
+
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
@@ -455,17 +457,7 @@
     pub fn summaries(&self, now: Instant) -> Vec<Summary> {
         self.entries
             .values()
-            .map(|entry| Summary {
-                server: entry.server.clone(),
-                in_flight: entry.in_flight,
-                failures: entry.failures,
-                back_off: entry
-                    .back_off_until
-                    .map_or(Duration::ZERO, |until| until.saturating_duration_since(now)),
-                mean_latency: entry.mean_latency.map(Duration::from_secs_f64),
-                is_missing: entry.missing_since.is_some(),
-                limit: entry.limit.as_ref().map(limit::Known::rate),
-            })
+            .map(|entry| entry.summary(now))
             .collect()
     }
 
@@ -720,42 +712,21 @@
     /// model. A server whose limit denies the request is none at all, and one that has just rejected
     /// requests is none for those of batch jobs.
     pub fn choose(&self, requirements: &Requirements<'_>, now: Instant) -> Option<&Server> {
-        let is_eligible = |entry: &&Entry| {
-            entry.meets(requirements) && entry.denied_until(requirements.class, now).is_none()
-        };
-        let is_preferred = |entry: &&Entry| {
-            entry.back_off_until.is_none_or(|until| now >= until)
-                && !entry.is_rejecting(now)
-                && !requirements.avoid.contains(&entry.server.id)
-                && entry.missing_since.is_none()
-        };
-        let candidates = || self.entries.values().filter(is_eligible);
-        let median = self
-            .median_latency(requirements.service)
-            .map_or(0.0, |latency| latency.as_secs_f64());
-        let best = |entries: &mut dyn Iterator<Item = &'_ Entry>| {
-            entries
-                .map(|entry| (self.cost(entry, requirements, median), &entry.server))
-                .min_by(|(one, _), (other, _)| one.total_cmp(other))
-                .map(|(_, server)| server.id.clone())
-        };
-        let id =
-            best(&mut candidates().filter(is_preferred)).or_else(|| match requirements.model {
-                // Batch items wait for a preferred server; a caller's request takes any other.
-                Some(_) => None,
-                None => {
-                    let is_last_resort = |entry: &&Entry| {
-                        requirements.class == Class::Caller || !entry.is_rejecting(now)
-                    };
-                    let others = || candidates().filter(is_last_resort);
-                    best(
-                        &mut others()
-                            .filter(|entry| !requirements.avoid.contains(&entry.server.id))
-                            .chain(others().filter(|_| requirements.avoid.is_empty())),
-                    )
-                }
-            })?;
-        self.get(&id)
+        let median = self.median_seconds(requirements.service);
+        self.entries
+            .values()
+            .filter_map(|entry| {
+                let tier = entry.tier(requirements, now).ok()?;
+                Some(((tier, self.cost(entry, requirements, median)), entry))
+            })
+            .min_by(|(one, _), (other, _)| ranking::compare(*one, *other))
+            .map(|(_, entry)| &entry.server)
+    }
+
+    /// Returns the median latency of a service's servers, in seconds; zero before the first observation.
+    fn median_seconds(&self, service: &str) -> f64 {
+        self.median_latency(service)
+            .map_or(0.0, |latency| latency.as_secs_f64())
     }
 
     /// Returns the cost of sending a request to a server: its load per slot, weighted by the square
@@ -821,23 +792,7 @@
 
     /// Returns whether the server meets all requirements of a request, apart from its limit.
     fn meets(&self, requirements: &Requirements<'_>) -> bool {
-        let server = &self.server;
-        let has_version = requirements.model.is_none_or(|(model, oldest)| {
-            server
-                .models
-                .get(model)
-                .is_some_and(|version| *version >= oldest)
-        });
-        let has_software = requirements
-            .software
-            .is_none_or(|software| *server.software == *software);
-        &*server.service == requirements.service
-            && !server.is_draining
-            && has_version
-            && has_software
-            && requirements
-                .batch_rank
-                .is_none_or(|rank| self.has_slot(rank))
+        self.obstacle(requirements).is_none()
     }
 
     /// Returns whether the server is in back-off because it rejected requests, or has advised a delay
--- a/crates/shallotroute_fleet/tests/server.rs
+++ b/crates/shallotroute_fleet/tests/server.rs
@@ -432,3 +432,61 @@
     let end = now + Duration::from_secs(3);
     expect_that!(chosen(&balancer, &scoring, end), some(eq("a")));
 }
+
+proptest::proptest! {
+    /// Guards against an explanation of where a request goes that differs from the choice of a server.
+    #[test]
+    fn the_first_ranked_server_is_the_chosen_one(
+        events in proptest::collection::vec((0_usize..6, 0_u8..10, 0_u64..400), 0..60),
+        kind in 0_u8..4,
+        avoided in 0_usize..8,
+        seed in 0_u64..3,
+        later in 0_u64..2000,
+    ) {
+        let ids = ["a", "b", "c", "d", "e", "f"];
+        let mut balancer = balancer(&ids[..3]).with_seed(seed);
+        for id in &ids[3..] {
+            balancer.insert(server(id, "far", 2));
+        }
+        let start = Instant::now();
+        balancer.start_recovery(start);
+        for (number, event, millis) in events {
+            let (id, pause) = (ids[number], Duration::from_millis(millis));
+            let now = start + pause;
+            match event {
+                0 => balancer.record_end(id, Outcome::Succeeded(pause), now),
+                1 => balancer.record_end(id, Outcome::Rejected, now),
+                2 => balancer.record_end(id, Outcome::Failed, now),
+                3 => balancer.record_advice(id, pause, now),
+                4 => balancer.remove(id, now),
+                5 => balancer.set_foreign_loads(&BTreeMap::from([(Name::from(id), number)])),
+                6 if millis < 100 => { balancer.record_leaving(id, now); }
+                7 => balancer.record_denial(id, Class::Caller, pause, now),
+                8 => {
+                    balancer.record_batch_start(id, Rank(millis));
+                    balancer.record_start(id);
+                }
+                _ => balancer.record_start(id),
+            }
+        }
+        let avoid: Vec<Name> = ids.get(avoided).map(|id| Name::from(*id)).into_iter().collect();
+        let batch = Class::Batch;
+        let requirements = match kind {
+            0 => ANY,
+            1 => Requirements { avoid: &avoid, ..ANY },
+            2 => Requirements { class: batch, avoid: &avoid, ..ANY },
+            _ => Requirements {
+                class: batch,
+                model: Some(("m", Version(3))),
+                batch_rank: Some(Rank(200)),
+                ..ANY
+            },
+        };
+        let now = start + Duration::from_millis(later);
+        let ranked = balancer.ranked(&requirements, now);
+        let first = ranked.first().filter(|server| server.tier.is_ok());
+        let first = first.map(|server| server.summary.server.id.as_str().to_owned());
+        proptest::prop_assert_eq!(first, chosen(&balancer, &requirements, now));
+        proptest::prop_assert_eq!(ranked.len(), ids.len());
+    }
+}
