resident, ctl: shallotctl explain shows where a request or job would go now

The metrics listener answers GET /admin/v1/explain from the node's own decision code, read only: route, access, admission under overload, ranked servers, and the owner of a batch job.

--- a/crates/shallotroute_ctl/src/arguments.rs
+++ b/crates/shallotroute_ctl/src/arguments.rs
@@ -46,6 +46,7 @@
     Show(Show),
     Audit(Audit),
     Dump(Dump),
+    Explain(Explain),
     Site(Site),
     HashKey(HashKey),
 }
@@ -136,6 +137,27 @@
 #[argh(subcommand, name = "dump")]
 pub(crate) struct Dump {}
 
+/// Shows where a request or batch job would go now at a node on the users' platform, and why, without sending it.
+///
+/// --node is the node's metrics listener. Example:
+/// shallotctl --node 10.0.0.1:9464 explain --host api.example --path /quotes/last --id r-1 --workspace desk
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub(crate) struct Explain {
+    /// host that the request names
+    #[argh(option)]
+    pub(crate) host: String,
+    /// path of the request, with a leading slash and without a query
+    #[argh(option)]
+    pub(crate) path: String,
+    /// identity of the request or job, which decides between the services of a route
+    #[argh(option)]
+    pub(crate) id: String,
+    /// name of the workspace whose key the request would have; never a key. Without it, the request has no key
+    #[argh(option)]
+    pub(crate) workspace: Option<String>,
+}
+
 /// Shows a system on the users' platform: orders, versions of servers, and each node's jobs.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "site")]
--- a/crates/shallotroute_ctl/src/client.rs
+++ b/crates/shallotroute_ctl/src/client.rs
@@ -78,6 +78,11 @@
         }
     }
 
+    /// Returns the client without the operator's key, for calls that need none.
+    pub(crate) fn without_key(self) -> Self {
+        Self { key: None, ..self }
+    }
+
     /// Sends a GET request and decodes the response.
     pub(crate) async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
         self.call(Method::GET, path, Vec::new()).await
--- a/crates/shallotroute_ctl/src/command.rs
+++ b/crates/shallotroute_ctl/src/command.rs
@@ -14,7 +14,7 @@
 use crate::{
     arguments::{Arguments, Audit, Check, Command, History, Publish, Show, Site, Status},
     client::{Error, Node, Result},
-    input,
+    explain, input,
     output::{self, Output},
     site,
 };
@@ -56,6 +56,7 @@
             let value: Value = node.get("/admin/v1/dump").await?;
             Ok(Output::new(output::format_json(&value), &value))
         }
+        Command::Explain(explain) => explain::run(node.without_key(), &explain).await,
         Command::Site(site_arguments) => run_site(&node, key.as_ref(), &site_arguments).await,
     }
 }
--- a/crates/shallotroute_ctl/src/lib.rs
+++ b/crates/shallotroute_ctl/src/lib.rs
@@ -5,6 +5,7 @@
 mod arguments;
 mod client;
 mod command;
+mod explain;
 mod input;
 mod output;
 mod site;
--- a/crates/shallotroute_resident/src/admission.rs
+++ b/crates/shallotroute_resident/src/admission.rs
@@ -10,7 +10,7 @@
 use shallotroute_fleet::{
     admission::{
         Policy, Request,
-        governor::{self, Admission, End, Governor, Source, Summary},
+        governor::{self, Admission, End, Governor, Shortage, Source, Summary},
         share::Hold,
     },
     retry::{self, Attempts, RequestFailure},
@@ -142,6 +142,14 @@
             .with_patience(patience))
     }
 
+    /// Returns the shortage by which a caller's request would be admitted or turned away. Nothing is counted.
+    pub(crate) fn preview(&self, service: &Name, priority: u8, now: Instant) -> Shortage {
+        let known = self.lock().get(service).cloned();
+        let mut governor = known.unwrap_or_else(|| Governor::new(now));
+        governor.record_request(priority, now);
+        governor.shortage(now)
+    }
+
     /// Decides whether the next attempt of a caller's request may be sent, which a first one always may.
     pub(crate) fn may_send(&self, service: &Name, attempts: &Attempts, now: Instant) -> bool {
         if !attempts.is_repeat() {
--- a/crates/shallotroute_resident/src/ingress.rs
+++ b/crates/shallotroute_resident/src/ingress.rs
@@ -32,7 +32,7 @@
 };
 
 /// When a caller may retry a request to a node that has no configuration yet.
-const NO_CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(500);
+pub(crate) const NO_CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// The handler for callers and trainers.
 pub(crate) struct Ingress {
--- a/crates/shallotroute_resident/src/lib.rs
+++ b/crates/shallotroute_resident/src/lib.rs
@@ -10,6 +10,7 @@
 mod dump;
 mod duty;
 pub mod error;
+mod explain;
 mod follow;
 mod forward;
 mod freshness;
--- a/crates/shallotroute_resident/src/metric.rs
+++ b/crates/shallotroute_resident/src/metric.rs
@@ -20,7 +20,7 @@
     server::Handler,
 };
 
-use crate::{dump, shared::Shared};
+use crate::{dump, explain, shared::Shared};
 
 const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
@@ -346,6 +346,9 @@
 /// The path of the state dump, where `shallotctl` reads it.
 const DUMP_PATH: &str = "/admin/v1/dump";
 
+/// The path of the explanation where a request would go.
+const EXPLAIN_PATH: &str = "/admin/v1/explain";
+
 impl Handler for Endpoint {
     fn handle(
         self: Arc<Self>,
@@ -354,6 +357,7 @@
     ) -> BoxFuture<'static, Response<Body>> {
         let response = match (&self.shared, request.uri().path()) {
             (Some(shared), DUMP_PATH) => body::json_response(StatusCode::OK, &dump::dump(shared)),
+            (Some(shared), EXPLAIN_PATH) => explain::respond(shared, request.uri().query()),
             _ => self.metrics.encode(),
         };
         Box::pin(async move { response })
