--- a/crates/shallotroute_ctl/src/explain.rs
+++ b/crates/shallotroute_ctl/src/explain.rs
@@ -174,6 +174,7 @@
         "stale_configuration" => "the configuration is too old to tell which keys are valid",
         "invalid_job_identity" => "the identity of the job is no name",
         "no_server" => "no server of the service is eligible; the request would wait for one",
+        "no_link" => "the node reaches no servers, neither itself nor by a relay",
         other => other,
     };
     let mut text = explained.to_owned();
--- a/crates/shallotroute_fleet/tests/server.rs
+++ b/crates/shallotroute_fleet/tests/server.rs
@@ -6,7 +6,7 @@
 };
 
 use googletest::prelude::*;
-use shallotroute_fleet::limit::Class;
+use shallotroute_fleet::limit::{Class, Rate, Statement};
 use shallotroute_fleet::server::{Balancer, Outcome, Rank, Requirements, Server};
 use shallotroute_types::{name::Name, version::Version};
 
@@ -461,7 +461,11 @@
                 4 => balancer.remove(id, now),
                 5 => balancer.set_foreign_loads(&BTreeMap::from([(Name::from(id), number)])),
                 6 if millis < 100 => { balancer.record_leaving(id, now); }
-                7 => balancer.record_denial(id, Class::Caller, pause, now),
+                7 => {
+                    let rate = Rate::new(5.0).map_or(Statement::Silent, Statement::Limited);
+                    balancer.record_limit(id, rate, now);
+                    balancer.record_denial(id, Class::Caller, pause, now);
+                }
                 8 => {
                     balancer.record_batch_start(id, Rank(millis));
                     balancer.record_start(id);
--- a/crates/shallotroute_resident/src/explain.rs
+++ b/crates/shallotroute_resident/src/explain.rs
@@ -9,6 +9,7 @@
     capacity::Demand,
     freshness::Standing,
     limit::{Class, Rate},
+    link,
     route::{Kind, Route, Table},
     server::ranking::Ranked,
 };
@@ -188,12 +189,14 @@
     let requirements = forward::requirements(service, None, &[], Class::Caller);
     let servers = shared.balancer().ranked(&requirements, shared.now());
     explanation["servers"] = servers.iter().map(server).collect();
-    match servers.iter().any(|server| server.tier.is_ok()) {
-        true => Decision::new("sent"),
-        false => Decision {
-            reason: Some("no_server"),
-            ..Decision::new("waits")
-        },
+    let reason = match servers.iter().any(|server| server.tier.is_ok()) {
+        false => "no_server",
+        true if shared.links.state() == link::State::Isolated => "no_link",
+        true => return Decision::new("sent"),
+    };
+    Decision {
+        reason: Some(reason),
+        ..Decision::new("waits")
     }
 }
 
