--- a/crates/shallotroute_ctl/src/explain.rs
+++ b/crates/shallotroute_ctl/src/explain.rs
@@ -15,6 +15,7 @@
 #[derive(Debug, Deserialize)]
 struct Explanation {
     node: String,
+    request: Request,
     draining: bool,
     links: String,
     configuration: Option<Configuration>,
@@ -27,6 +28,11 @@
     decision: Decision,
 }
 
+#[derive(Debug, Deserialize)]
+struct Request {
+    workspace: Option<String>,
+}
+
 #[derive(Debug, Deserialize)]
 struct Configuration {
     version: u64,
@@ -208,7 +214,7 @@
         );
     }
     if let Some(access) = &explanation.access {
-        format_access(&mut text, access);
+        format_access(&mut text, access, explanation.request.workspace.as_deref());
     }
     if let (Some(service), Some(route)) = (&explanation.service, &explanation.route) {
         let shares = route.shares.iter();
@@ -230,18 +236,30 @@
     if let Some(job) = &explanation.job {
         format_job(&mut text, job);
     }
-    let _ = writeln!(text, "decision   {}", explanation.decision.outcome);
+    let _ = writeln!(text, "decision   {}", decision(explanation));
     text
 }
 
-fn format_access(text: &mut String, access: &Access) {
+fn decision(explanation: &Explanation) -> String {
+    let outcome = &explanation.decision.outcome;
+    let servers = explanation.servers.as_deref().unwrap_or_default();
+    let first = servers.iter().find(|server| server.tier.is_some());
+    match first {
+        Some(server) if outcome == "sent" => format!("sent to {}", server.id),
+        _ => outcome.clone(),
+    }
+}
+
+fn format_access(text: &mut String, access: &Access, workspace: Option<&str>) {
     let key = match access.key_required {
         true => "key required",
         false => "no key required",
     };
     let _ = write!(text, "access     {key}");
     if let (Some(identity), Some(priority)) = (&access.identity, access.priority) {
-        let _ = write!(text, ", sent as {identity} with priority {priority}");
+        let name = workspace.filter(|_| identity == "workspace");
+        let name = name.map_or(String::new(), |name| format!(" {name}"));
+        let _ = write!(text, ", sent as {identity}{name} with priority {priority}");
     }
     let freshness = &access.freshness;
     if freshness.required {
@@ -279,8 +297,8 @@
     let age = configuration.and_then(|configuration| configuration.host_list_age_ms);
     let age = age.map_or("of unknown age".to_owned(), |age| format!("{age} ms old"));
     let source = configuration.and_then(|configuration| configuration.host_list_source.as_deref());
-    let source = source.map_or(String::new(), |source| format!(" from {source}"));
-    let _ = writeln!(text, "servers    in order; host list{source} {age}");
+    let source = source.map_or(String::new(), |source| format!(", from {source}"));
+    let _ = writeln!(text, "servers    in order; host list {age}{source}");
     for (index, server) in servers.iter().enumerate() {
         let place = match &server.not_eligible {
             Some(reason) => format!("  -  {}  not eligible: {reason}", server.id),
@@ -305,7 +323,7 @@
         flag(!server.in_zone, "another zone"),
         flag(server.tier.as_deref() == Some("last_resort"), "last resort"),
         latency,
-        (server.failures > 0).then(|| format!("{} failures", server.failures)),
+        (server.failures > 0).then(|| format!("failures {}", server.failures)),
         delay("back-off", server.back_off_ms),
         delay("advised delay", server.advised_delay_ms),
         limit,
--- a/crates/shallotroute_fleet/tests/access.rs
+++ b/crates/shallotroute_fleet/tests/access.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use proptest::prelude::*;
 use shallotroute_fleet::{
-    access::{Denial, Freshness, Grant, Identity, Verdict, decide, recheck},
+    access::{Denial, Freshness, Grant, Identity, Verdict, decide, preview, recheck},
     route::{Kind, RequestLimits, Route, Share, Table},
     workspace::{Definition, Digest, Directory, Secret},
 };
@@ -98,6 +98,42 @@
     expect_that!(digest("a") == other, eq(false));
 }
 
+/// Guards against an explanation of a decision that differs from the decision.
+#[gtest]
+fn a_preview_is_the_decision_about_a_valid_key() {
+    let first = Definition {
+        priority: Some(0),
+        ..workspace("first", &["a"])
+    };
+    let directory = Directory::new(vec![first, workspace("second", &["b"])]);
+    for table in [table(None), table(directory.ok())] {
+        for (is_public, freshness) in [
+            (true, Freshness::Fresh),
+            (true, STALE),
+            (false, Freshness::Fresh),
+            (false, STALE),
+        ] {
+            for (name, key) in [
+                (None, None),
+                (Some("first"), Some("a")),
+                (Some("second"), Some("b")),
+            ] {
+                let route = route(is_public);
+                let decided =
+                    decide(&table, Some(&route), key.map(digest), freshness).into_result();
+                let decided =
+                    decided.map(|grant| (grant.identity().clone(), grant.priority(&route)));
+                let previewed = preview(&table, &route, name, freshness);
+                expect_that!(
+                    previewed,
+                    eq(&decided),
+                    "{is_public} {freshness:?} {name:?}"
+                );
+            }
+        }
+    }
+}
+
 /// Guards against a workspace whose priority is ignored, and against one without a priority that changes the route's.
 #[gtest]
 fn the_priority_of_a_workspace_overrides_that_of_the_route() {
