--- a/crates/shallotroute/tests/explain.rs
+++ b/crates/shallotroute/tests/explain.rs
@@ -89,6 +89,7 @@
         let first = &value["servers"][0];
         expect_that!(value["decision"]["outcome"], eq("sent"));
         expect_that!(value["access"]["priority"], eq(1));
+        expect_that!(value["admission"]["retry_after_max_ms"], eq(&Value::Null));
         expect_that!(counts(&desk).await, eq(&before));
         let is_sent = desk.requests().iter().any(|request| request.id() == id);
         expect_that!(is_sent, eq(false));
--- a/crates/shallotroute_resident/src/explain.rs
+++ b/crates/shallotroute_resident/src/explain.rs
@@ -283,7 +283,10 @@
         timeout: route.timeout,
     };
     let excess = request.excess(policy, &shortage);
-    let retry_after = |random| request.refusal(policy, &shortage, random);
+    let retry_after = |random| {
+        let refusal = request.refusal(policy, &shortage, random);
+        refusal.filter(|_| excess > 0.0)
+    };
     let summaries = governors.summaries(now);
     let summary = summaries.iter().find(|(name, _)| name == service);
     json!({
