--- a/crates/shallotroute_resident/src/metric.rs
+++ b/crates/shallotroute_resident/src/metric.rs
@@ -21,7 +21,7 @@
     server::Handler,
 };
 
-use crate::{dump, shared::Shared};
+use crate::{dump, explain, shared::Shared};
 
 const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
@@ -358,6 +358,9 @@
 /// The path of the state dump, where `shallotctl` reads it.
 const DUMP_PATH: &str = "/admin/v1/dump";
 
+/// The path of the explanation where a request would go.
+const EXPLAIN_PATH: &str = "/admin/v1/explain";
+
 impl Handler for Endpoint {
     fn handle(
         self: Arc<Self>,
@@ -366,6 +369,7 @@
     ) -> BoxFuture<'static, Response<Body>> {
         let response = match (&self.shared, request.uri().path()) {
             (Some(shared), DUMP_PATH) => body::json_response(StatusCode::OK, &dump::dump(shared)),
+            (Some(shared), EXPLAIN_PATH) => explain::respond(shared, request.uri().query()),
             (shared, _) => {
                 if let Some(shared) = shared {
                     self.metrics.set_memory(&shared.memory);
