--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -190,7 +190,7 @@
     let zones = ["colombo", "gampaha", "kalutara"];
     let nodes: Vec<Node> = zones
         .iter()
-        .map(|zone| Node::start(&format!("front-{zone}-1"), zone, &store, &folder, 260))
+        .map(|zone| Node::start(&format!("front-{zone}-1"), zone, store.address, &folder, 260))
         .collect();
     let verdict = match await_ready(&nodes, &record) {
         true => run(&nodes, &runs, &record),
