http, resident: finish ends, submissions and adoptions without their caller

Cause: a handler was dropped when its client closed the connection, and a call between nodes when its caller gave it up. An end was then marked in the owner's memory and not stored; a submission was stored and not started; a job was claimed and not run.

Change: the HTTP server handles requests that outlive their connection in tasks that start with the head of the request; a handler names them. The calls between nodes are classified in one exhaustive match.

--- a/crates/shallotroute_http/src/server.rs
+++ b/crates/shallotroute_http/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
-use futures::future::BoxFuture;
+use futures::future::{BoxFuture, Either};
 use http::{HeaderValue, Request, Response, StatusCode, Version, header};
 use http_body_util::BodyExt;
 use hyper::{body::Incoming, service::service_fn};
@@ -27,6 +27,12 @@
         peer: SocketAddr,
     ) -> BoxFuture<'static, Response<Body>>;
 
+    /// Returns whether a request is handled to its end although its client closes the connection before it has the
+    /// response. The handling of other requests is dropped then.
+    fn outlives_connection(&self, _request: &Request<Incoming>) -> bool {
+        false
+    }
+
     /// Returns the limits of new connections. Called once for each accepted connection, so that a
     /// changed configuration applies to later ones.
     fn options(&self) -> Options {
@@ -214,20 +220,49 @@
     service_fn(move |request| {
         let version = request.version();
         let open = connection.as_ref().map(|it| Arc::new(it.begin_request()));
+        let outlives_connection = handler.outlives_connection(&request);
         let response = Arc::clone(&handler).handle(request, peer);
-        async move {
+        let handling = async move {
             let Some(open) = open else {
-                return Ok::<_, Infallible>(response.await);
+                return response.await;
             };
             let mut response = Arc::clone(&open).scope(response).await;
             if open.is_refused() {
                 response = refuse(version, response);
             }
-            Ok(response.map(|body| Reserved::new(body, open).boxed_unsync()))
-        }
+            response.map(|body| Reserved::new(body, open).boxed_unsync())
+        };
+        // The task starts here: if the connection ends right after the request, the future below is never polled.
+        let handling = match outlives_connection {
+            true => Either::Left(detach(handling)),
+            false => Either::Right(handling),
+        };
+        async move { Ok::<_, Infallible>(handling.await) }
     })
 }
 
+/// Runs a future in a task, which goes on if the returned future is dropped.
+///
+/// # Panics
+///
+/// The returned future panics if `future` does.
+fn detach<F>(future: F) -> impl Future<Output = F::Output> + Send + 'static
+where
+    F: Future<Output: Send> + Send + 'static,
+{
+    let task = tokio::spawn(future);
+    async move {
+        match task.await {
+            Ok(output) => output,
+            Err(error) => match error.try_into_panic() {
+                Ok(panic) => std::panic::resume_unwind(panic),
+                // Only the end of the runtime cancels the task.
+                Err(_) => std::future::pending().await,
+            },
+        }
+    }
+}
+
 fn spawn_connection(
     builder: &Builder<TokioExecutor>,
     graceful: &GracefulShutdown,
--- a/crates/shallotroute_resident/src/ingress.rs
+++ b/crates/shallotroute_resident/src/ingress.rs
@@ -12,7 +12,10 @@
 use futures::future::BoxFuture;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header, request::Parts};
 use hyper::body::{Body as _, Incoming};
-use shallotroute_adapter::{backend, caller};
+use shallotroute_adapter::{
+    backend,
+    caller::{self, JobCall},
+};
 use shallotroute_fleet::{
     access::{Denial, Grant},
     retry::RequestFailure,
@@ -82,6 +85,25 @@
         })
     }
 
+    /// Ends of jobs and submissions go on: a trainer may close its connection as soon as it has sent one, and what is
+    /// half done would contradict what the store has.
+    fn outlives_connection(&self, request: &Request<Incoming>) -> bool {
+        let (method, uri, headers) = (request.method(), request.uri(), request.headers());
+        match caller::parse_job_call(method, uri.path(), uri.query(), headers) {
+            Some(JobCall::End { .. }) => true,
+            Some(JobCall::ReadResults { .. } | JobCall::ReadItemBody { .. }) => false,
+            None if *method == Method::POST => {
+                let host = caller::host(headers).unwrap_or_default();
+                let table = self.shared.table();
+                let route = table
+                    .as_ref()
+                    .and_then(|table| table.find(host, uri.path()));
+                route.is_some_and(|route| route.kind == Kind::Batch)
+            }
+            None => false,
+        }
+    }
+
     fn options(&self) -> Options {
         let Some(table) = self.shared.table() else {
             return Options::default();
--- a/crates/shallotroute_resident/src/peer.rs
+++ b/crates/shallotroute_resident/src/peer.rs
@@ -1,7 +1,7 @@
 //! Remote procedure calls between nodes: batch jobs at their owners, checkpoints of jobs, changes
 //! of the platform's store, relayed calls to the store, and records of callers' streams.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{io::ErrorKind, net::SocketAddr, sync::Arc, time::Duration};
 
 use futures::StreamExt;
 use serde::{Deserialize, Serialize};
@@ -22,9 +22,10 @@
 };
 use shallotroute_types::name::Name;
 use tarpc::{
+    ServerError,
     client::RpcError,
     context::Context,
-    server::{BaseChannel, Channel},
+    server::{BaseChannel, Channel, Serve},
 };
 use tokio::net::TcpStream;
 
@@ -285,13 +286,65 @@
     }
 }
 
+/// Serves the calls that change the store in tasks of their own. A call is dropped when its caller gives it up or its
+/// connection ends; one of these would leave the node with something other than what the store has.
+#[derive(Clone)]
+struct Detached(ServePeer<Server>);
+
+impl Serve for Detached {
+    type Req = PeerRequest;
+    type Resp = PeerResponse;
+
+    async fn serve(
+        self,
+        context: Context,
+        request: PeerRequest,
+    ) -> Result<PeerResponse, ServerError> {
+        if !outlives_caller(&request) {
+            return self.0.serve(context, request).await;
+        }
+        let task = tokio::spawn(self.0.serve(context, request));
+        task.await
+            .unwrap_or_else(|error| Err(ServerError::new(ErrorKind::Other, error.to_string())))
+    }
+}
+
+/// Returns whether a call is served to its end although its caller does not wait for the response.
+fn outlives_caller(request: &PeerRequest) -> bool {
+    match request {
+        PeerRequest::EndJob { .. }
+        | PeerRequest::EndJobFor { .. }
+        | PeerRequest::StartJob { .. }
+        | PeerRequest::AdoptJob { .. } => true,
+        // These change nothing, or everything at once.
+        PeerRequest::ReadResults { .. }
+        | PeerRequest::ReadResultsFor { .. }
+        | PeerRequest::ItemBody { .. }
+        | PeerRequest::ItemBodyFor { .. }
+        | PeerRequest::HoldCheckpoints { .. }
+        | PeerRequest::TakeCheckpoints { .. }
+        | PeerRequest::ViewUpdates { .. }
+        | PeerRequest::Follow { .. }
+        | PeerRequest::ReportLoad { .. }
+        | PeerRequest::ReportNeeds { .. }
+        | PeerRequest::ReportUsage { .. }
+        | PeerRequest::TakePermit { .. }
+        | PeerRequest::ReportLimit { .. }
+        | PeerRequest::FindServers { .. }
+        | PeerRequest::HoldStreams { .. }
+        | PeerRequest::FindStream { .. } => false,
+        // The caller takes the outcome of a write for unknown if it has no response.
+        PeerRequest::RelayStoreCall { .. } => false,
+    }
+}
+
 /// A service that accepts connections from other nodes.
 pub(crate) struct Acceptor(pub(crate) Arc<Shared>);
 
 impl Service for Acceptor {
     fn accept(&self, stream: TcpStream, _peer: SocketAddr) {
         let channel = BaseChannel::with_defaults(stream::frame(stream));
-        let calls = channel.execute(Server(Arc::clone(&self.0)).serve());
+        let calls = channel.execute(Detached(Server(Arc::clone(&self.0)).serve()));
         tokio::spawn(calls.for_each(|call| async {
             tokio::spawn(call);
         }));
