resident: have the owner of a job go on storing its end

An end that could not be stored was retried only by the node that the trainer had asked. If that node was killed, the owner kept the end in its memory for 20 s, and the job ran again after that (UNASKED).

Change: the owner goes on storing the end as well, and a node that stops waits for ends that it still has to store until its grace period is over.

--- a/crates/shallotroute/tests/departed_trainer.rs
+++ b/crates/shallotroute/tests/departed_trainer.rs
@@ -19,6 +19,17 @@
     expect_that!(report.begun_after, is_empty());
 }
 
+/// Guards against an end that is lost with the node that was asked for it, although the owner of the job had it too.
+#[gtest]
+#[tokio::test]
+async fn a_job_is_not_run_again_when_the_node_that_was_asked_to_end_it_is_killed() {
+    let report = departed_trainer::end_at_killed_node(Path::new(BINARY))
+        .await
+        .expect("the stand-ins and the program should start and accept the job");
+    expect_that!(report.begun_before, ge(8));
+    expect_that!(report.begun_after, is_empty());
+}
+
 /// Guards against a job that is stored but not started, because its trainer closed the connection in between.
 #[gtest]
 #[tokio::test]
--- a/crates/shallotroute_resident/src/job.rs
+++ b/crates/shallotroute_resident/src/job.rs
@@ -15,6 +15,7 @@
     job::{Event, Job},
     record::{Head, ItemResult, Owner, Specification},
 };
+use shallotroute_fleet::access::Grant;
 use shallotroute_types::name::Name;
 use tokio::sync::{mpsc, watch};
 
@@ -145,6 +146,11 @@
         lock(&self.ending).insert(ending.clone())
     }
 
+    /// Returns whether this node still has to store the end of a job.
+    pub(crate) fn has_endings(&self) -> bool {
+        !lock(&self.ending).is_empty()
+    }
+
     /// Records that the task has ended.
     pub(crate) fn finish_ending(&self, ending: &Ending) {
         lock(&self.ending).remove(ending);
@@ -409,11 +415,18 @@
             .send_modify(|progress| progress.is_ended = true);
     }
 
-    /// Ends the job and cancels its attempts at once. Returns whether the end is stored.
-    pub(crate) async fn end(&self, shared: &Shared) -> bool {
+    /// Ends the job and cancels its attempts at once. Returns whether the end is stored; if it is not, this node goes on
+    /// storing it. The caller must not drop the future before it is ready.
+    pub(crate) async fn end(&self, shared: &Arc<Shared>) -> bool {
         self.progress
             .send_modify(|progress| progress.is_ended = true);
-        claim::end(shared, &self.id).await
+        let is_stored = claim::end(shared, &self.id).await;
+        if !is_stored {
+            let table = shared.table();
+            let grant = Grant::for_item(self.workspace.as_ref(), table.as_deref());
+            claim::end_later(shared, &self.id, &grant);
+        }
+        is_stored
     }
 }
 
--- a/crates/shallotroute_resident/src/lib.rs
+++ b/crates/shallotroute_resident/src/lib.rs
@@ -245,7 +245,9 @@
         drain::jobs(&self.shared).await;
         tokio::time::sleep_until(started_at + LOAD_BALANCER_DELAY.min(grace / 2)).await;
         self.callers_shutdown.cancel();
-        while self.open_requests.load(Ordering::Relaxed) > 0 && Instant::now() < deadline {
+        let has_work =
+            || self.open_requests.load(Ordering::Relaxed) > 0 || self.shared.jobs.has_endings();
+        while has_work() && Instant::now() < deadline {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
         if let Some(callers) = self.callers {
