fleet, resident: try the store as soon as all sources lack a current view

Cause: a node whose sources are all turned away by the store waited 3 to 9 s before it called the store itself. Sources held its requests although they had no view, and a view that it had got from the store counted as old after a second without changes.

Change: such a node tries the store within 0.6 s, once, and watches it while it is served; further trials are 5 to 11 s apart. A node says at once that it has no view. While the store serves no call, one of the three watches retries, which keeps the calls in an outage for all within the bound of the existing test.

--- a/crates/shallotroute_fleet/src/source.rs
+++ b/crates/shallotroute_fleet/src/source.rs
@@ -6,7 +6,8 @@
 //! [`SOURCES_PER_ZONE`] nodes are sources. The first watches the store, the second follows the first
 //! and takes its place if it fails, and so on; the other nodes of the zone are distributed over the
 //! sources. A node whose sources are all gone follows a source of another zone. Only sources, and
-//! nodes that reach no source at all, call the store.
+//! nodes that reach no source with a current view, call the store. The latter do so at different times and a
+//! few seconds apart, since the store may be down for all.
 
 use std::{
     collections::BTreeMap,
@@ -38,12 +39,16 @@
 /// How long a node is not asked again that does not have a current view itself.
 const STALE_RETRY_DELAY: Duration = Duration::from_millis(400);
 
-/// How long a node that reaches its sources waits for one of them to reach the store before it calls
-/// the store itself. The sources notice within this time that the store is back.
-const STORE_DELAY_MIN: Duration = Duration::from_secs(3);
+/// The range over which the nodes whose sources all lost the store try the store themselves: it may turn away the
+/// sources only. Such a node still learns of a change within the time after which all nodes apply it, 2 s.
+const FIRST_TRIAL_SPREAD: Duration = Duration::from_millis(600);
 
-/// The range over which such calls of different nodes are spread.
-const STORE_DELAY_SPREAD: Duration = Duration::from_secs(6);
+/// How long a node waits after a trial until it tries the store again. The sources notice within this time that the store
+/// is back.
+const TRIAL_DELAY_MIN: Duration = Duration::from_secs(5);
+
+/// The range over which further trials of different nodes are spread.
+const TRIAL_DELAY_SPREAD: Duration = Duration::from_secs(6);
 
 /// The delay of a start or a registration of a host with one core, if no other node is registered in
 /// its availability zone. Larger hosts come first.
@@ -79,7 +84,10 @@
         /// When another source is to be tried; `None` if there is none.
         until: Option<Instant>,
     },
-    /// Choose again at this time.
+    /// Call the store once, and watch it if it serves this node: it may turn away only the sources. Choose again at this
+    /// time.
+    Try(Instant),
+    /// Choose again at this time. A node that the store has served since [`Choice::Try`] goes on watching it.
     Wait(Instant),
 }
 
@@ -102,8 +110,12 @@
     failures: BTreeMap<Id, (Failure, Instant)>,
     /// Since when all sources have been stale.
     stale_since: Option<Instant>,
-    /// How long this node waits for its sources before it calls the store.
-    store_delay: Duration,
+    /// How long all sources have to be stale before this node tries the store.
+    first_trial_delay: Duration,
+    /// The time between two trials, also if sources answer in between.
+    trial_delay: Duration,
+    /// When the next trial is due at the earliest.
+    next_trial: Option<Instant>,
 }
 
 impl Selector {
@@ -114,7 +126,9 @@
             current: None,
             failures: BTreeMap::new(),
             stale_since: None,
-            store_delay: STORE_DELAY_MIN + STORE_DELAY_SPREAD.mul_f64(uniform),
+            first_trial_delay: FIRST_TRIAL_SPREAD.mul_f64(uniform),
+            trial_delay: TRIAL_DELAY_MIN + TRIAL_DELAY_SPREAD.mul_f64(uniform),
+            next_trial: None,
         }
     }
 
@@ -144,15 +158,17 @@
         let has_stale = failed
             .clone()
             .any(|(failure, _)| *failure == Failure::Stale);
-        if own_rank.is_none() && has_stale {
-            let since = *self.stale_since.get_or_insert(now);
-            if let Some(until) = until
-                && now < since + self.store_delay
-            {
-                return Choice::Wait(until);
+        if own_rank.is_none()
+            && has_stale
+            && let Some(until) = until
+        {
+            let first = *self.stale_since.get_or_insert(now) + self.first_trial_delay;
+            let due = self.next_trial.map_or(first, |next| next.max(first));
+            if now < due {
+                return Choice::Wait(until.min(due));
             }
-            // The next call to the store has to wait as long again.
-            self.stale_since = None;
+            self.next_trial = Some(now + self.trial_delay);
+            return Choice::Try(until);
         }
         self.current = None;
         Choice::Watch { until }
--- a/crates/shallotroute_fleet/tests/fleet/mod.rs
+++ b/crates/shallotroute_fleet/tests/fleet/mod.rs
@@ -12,12 +12,18 @@
 /// The number of prefixes, each of which a host watches by itself.
 const PREFIXES: usize = 3;
 const WATCH_TIMEOUT: Duration = Duration::from_secs(15);
+/// The retry delay of the first prefix, and that of the others while the store serves no call.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
+const OTHER_RETRY_DELAY: Duration = Duration::from_millis(750);
 const POLL_MARGIN: Duration = Duration::from_millis(200);
 const MAX_VIEW_AGE: Duration = Duration::from_millis(950);
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(450);
 /// The time from a registration until the others know of it.
 const PROPAGATION: Duration = Duration::from_millis(20);
+/// How long a host without a current view holds a poll.
+const STALE_WAIT: Duration = Duration::from_millis(150);
+/// The interval at which a host that is no source checks that the store serves it.
+const CHECK_INTERVAL: Duration = Duration::from_millis(700);
 
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Outage {
@@ -25,6 +31,8 @@
     All,
     /// The store turns every third host away.
     Third,
+    /// The store turns away the hosts that were sources when the outage began.
+    Sources,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -53,6 +61,10 @@
     registered_at: Option<Instant>,
     /// When the host registers if a source is still missing.
     registers_at: Option<Instant>,
+    /// When the host's watches of the other prefixes are retried at the earliest.
+    next_other_retry: Option<Instant>,
+    /// Whether the store turns the host away in [`Outage::Sources`].
+    is_targeted: bool,
 }
 
 pub(crate) struct Fleet {
@@ -94,6 +106,8 @@
                 current_at: None,
                 registered_at: None,
                 registers_at: None,
+                next_other_retry: None,
+                is_targeted: false,
             });
         }
         fleet
@@ -152,6 +166,15 @@
 
     pub(crate) fn set_outage(&mut self, outage: Option<Outage>) {
         self.outage = outage;
+        let sources = self.first_sources(source::SOURCES_PER_ZONE);
+        for (index, host) in self.hosts.iter_mut().enumerate() {
+            host.is_targeted = sources.contains(&index);
+        }
+    }
+
+    /// The age of the oldest view of a host that the store serves.
+    pub(crate) fn oldest_served_view(&self) -> Duration {
+        self.oldest_view_of(|host| !host.is_targeted)
     }
 
     /// Kills the first sources of each zone; their entries are gone.
@@ -201,6 +224,7 @@
         match self.outage {
             Some(Outage::All) => true,
             Some(Outage::Third) => index.is_multiple_of(3),
+            Some(Outage::Sources) => self.hosts[index].is_targeted,
             None => false,
         }
     }
@@ -228,9 +252,16 @@
                     .map_or(next, |until| next.min(until))
                     .max(self.now + Duration::from_millis(1))
             }
+            Choice::Try(until) => {
+                self.check(index);
+                until.max(self.now + Duration::from_millis(1))
+            }
             Choice::Wait(until) => {
                 if let Mode::Watching(_) = self.hosts[index].mode {
-                    self.hosts[index].mode = Mode::Following;
+                    let checked_at = self.hosts[index].current_at;
+                    if checked_at.is_none_or(|at| self.now >= at + CHECK_INTERVAL) {
+                        self.check(index);
+                    }
                 }
                 until.max(self.now + Duration::from_millis(1))
             }
@@ -257,6 +288,20 @@
         }
     }
 
+    /// Calls the store once, and watches it from then on if it answers.
+    fn check(&mut self, index: usize) {
+        self.calls += 1;
+        if self.is_turned_away(index) {
+            self.hosts[index].mode = Mode::Following;
+            return;
+        }
+        if !matches!(self.hosts[index].mode, Mode::Watching(_)) {
+            self.calls += PREFIXES;
+        }
+        self.hosts[index].mode = Mode::Watching(self.now + WATCH_TIMEOUT);
+        self.hosts[index].current_at = Some(self.now);
+    }
+
     fn poll(&mut self, index: usize, source: &str, wait: Duration) -> Instant {
         let found = self.hosts.iter().position(|host| *host.node.id == *source);
         let (failure, took) = match found.map(|found| &self.hosts[found]) {
@@ -273,7 +318,7 @@
                         host.selector.record_response(&source.into());
                         return self.now + wait + Duration::from_millis(1);
                     }
-                    None => (Failure::Stale, wait),
+                    None => (Failure::Stale, wait.min(STALE_WAIT)),
                 }
             }
             Some(host) if host.health == Health::Frozen => {
@@ -313,12 +358,18 @@
                 self.hosts[index].current_at = Some(now);
                 next.min(now + RENEWAL_INTERVAL)
             }
+            _ if is_turned_away => {
+                let host = &mut self.hosts[index];
+                host.mode = Mode::Following;
+                self.calls += 1;
+                if host.next_other_retry.is_none_or(|next| now >= next) {
+                    host.next_other_retry = Some(now + OTHER_RETRY_DELAY);
+                    self.calls += PREFIXES - 1;
+                }
+                now + RETRY_DELAY
+            }
             _ => {
                 self.calls += PREFIXES;
-                if is_turned_away {
-                    self.hosts[index].mode = Mode::Following;
-                    return now + RETRY_DELAY;
-                }
                 let next = now + WATCH_TIMEOUT;
                 self.hosts[index].mode = Mode::Watching(next);
                 self.hosts[index].current_at = Some(now);
--- a/crates/shallotroute_fleet/tests/source.rs
+++ b/crates/shallotroute_fleet/tests/source.rs
@@ -201,3 +201,40 @@
     expect_that!(fleet.oldest_follower_view(), le(Duration::from_secs(2)));
     expect_that!(fleet.calls() - before, le(1000));
 }
+
+/// Guards against hosts that wait for their sources while the store turns only these away, and miss changes that it would
+/// give them. Their calls fit into what the store takes from all hosts, 2,000 a second.
+#[gtest]
+fn hosts_whose_sources_are_all_turned_away_are_current() {
+    for hosts in [31, 300] {
+        let mut fleet = Fleet::new(3, hosts);
+        fleet.run(Duration::from_secs(10));
+        let before = fleet.calls();
+        fleet.set_outage(Some(Outage::Sources));
+        let mut oldest = Duration::ZERO;
+        for _ in 0..90 {
+            fleet.run(Duration::from_millis(100));
+            oldest = oldest.max(fleet.oldest_served_view());
+        }
+        expect_that!(oldest, le(Duration::from_secs(2)), "{hosts} hosts");
+        expect_that!(fleet.calls() - before, le(9 * 2000), "{hosts} hosts");
+    }
+}
+
+/// Guards against hosts that call the store as often as they like while it is down for all: one call each, and then one in
+/// several seconds.
+#[gtest]
+fn a_host_tries_a_store_that_is_down_once_and_then_seldom() {
+    let hosts = 300;
+    let mut fleet = Fleet::new(3, hosts);
+    fleet.run(Duration::from_secs(10));
+    let before = fleet.calls();
+    fleet.set_outage(Some(Outage::All));
+    fleet.run(Duration::from_secs(21));
+    // The nine sources retry all the time, at most four times a second.
+    let by_sources = 9 * 3 * 4 * 21;
+    expect_that!(
+        fleet.calls() - before,
+        le(by_sources + hosts * (1 + 21 / 5))
+    );
+}
--- a/crates/shallotroute_resident/src/follow.rs
+++ b/crates/shallotroute_resident/src/follow.rs
@@ -49,6 +49,20 @@
 /// request.
 const SERVER_WATCH_DELAY: Duration = Duration::from_millis(700);
 
+/// How long the watches of the other prefixes wait for that of the operators' objects to reach the store again.
+const MAX_UNREACHABLE_WAIT: Duration = Duration::from_millis(500);
+
+/// How long a trial of the store may take to get its first answer; a slow store needs a quarter of a second.
+const TRIAL_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// The interval of the calls by which a node that is no source checks that the store still serves it.
+const CHECK_INTERVAL: Duration = Duration::from_millis(700);
+
+const _: () = assert!(
+    CHECK_INTERVAL.as_millis() < MAX_VIEW_AGE.as_millis(),
+    "a view must be confirmed before it is too old"
+);
+
 /// The delay after a failed call to the store.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(250);
 
@@ -65,6 +79,7 @@
         members: shared.members.subscribe(),
         hints,
         watches: JoinSet::new(),
+        trial_ends_at: None,
         shared,
     };
     loop {
@@ -80,8 +95,10 @@
     members: watch::Receiver<Members>,
     /// The members at some time before the start of this node, by which it finds its first source.
     hints: Members,
-    /// The watches of the store; empty while this node follows a source.
+    /// The watches of the store, or the trial of one; empty while this node follows a source.
     watches: JoinSet<()>,
+    /// Until when a trial may take to get its first answer.
+    trial_ends_at: Option<Instant>,
 }
 
 impl Follower {
@@ -98,12 +115,17 @@
                 self.start_watching();
                 self.wait_for_members(until).await;
             }
+            Choice::Try(_) if !is_loaded => self.read_members(&registered).await,
+            Choice::Try(until) => {
+                self.try_store();
+                self.wait_for_members(Some(until)).await;
+            }
             Choice::Wait(until) => {
+                let now = self.shared.now();
                 let answered_at = self.shared.store.last_answered();
-                let is_current = answered_at.is_some_and(|at| {
-                    self.shared.now().saturating_duration_since(at) < MAX_VIEW_AGE
-                });
-                if !is_current {
+                let is_current =
+                    answered_at.is_some_and(|at| now.saturating_duration_since(at) < MAX_VIEW_AGE);
+                if !is_current && self.trial_ends_at.is_none_or(|end| now >= end) {
                     self.stop_watching();
                 }
                 self.wait_for_members(Some(until)).await;
@@ -173,6 +195,16 @@
         }
     }
 
+    /// Watches the store for as long as it serves this node.
+    fn try_store(&mut self) {
+        if !self.watches.is_empty() {
+            return;
+        }
+        self.trial_ends_at = Some(self.shared.now() + TRIAL_TIMEOUT);
+        self.watches
+            .spawn(watch_while_served(Arc::clone(&self.shared)));
+    }
+
     fn stop_watching(&mut self) {
         if self.watches.is_empty() {
             return;
@@ -312,6 +344,34 @@
     Ok(())
 }
 
+/// Watches the store until it no longer serves this node. Does nothing if it does not.
+async fn watch_while_served(shared: Arc<Shared>) {
+    if let Err(error) = fetch_proof(&shared).await {
+        spdlog::info!("no source has a current view, and the store does not serve this node", kv: {
+            error = error.to_string(),
+        });
+        return;
+    }
+    spdlog::info!("watching the platform store");
+    shared.view.lock().source = None;
+    let watch_all = futures::future::join_all(
+        Prefix::ALL.map(|prefix| watch_prefix(Arc::clone(&shared), prefix)),
+    );
+    // The watches are long. A node that is not registered makes no other calls that show that its view is current.
+    let check = async {
+        loop {
+            tokio::time::sleep(CHECK_INTERVAL).await;
+            if fetch_proof(&shared).await.is_err() {
+                return;
+            }
+        }
+    };
+    tokio::select! {
+        _ = watch_all => {}
+        () = check => {}
+    }
+}
+
 /// Keeps a prefix current from the store until the task is aborted.
 async fn watch_prefix(shared: Arc<Shared>, prefix: Prefix) {
     let mut is_first = true;
@@ -353,6 +413,13 @@
                 is_first = true;
                 shared.view.lock().watched[prefix as usize] = false;
                 tokio::time::sleep(admission::pause(STORE_RETRY_DELAY)).await;
+                // One prefix suffices to notice that the store is back.
+                if prefix != Prefix::Operators {
+                    shared
+                        .store
+                        .wait_until_reachable(MAX_UNREACHABLE_WAIT)
+                        .await;
+                }
             }
         }
     }
--- a/crates/shallotroute_resident/src/store.rs
+++ b/crates/shallotroute_resident/src/store.rs
@@ -163,6 +163,13 @@
         *lock(&self.last_answer)
     }
 
+    /// Waits until the store serves direct calls of this node, at most for `limit`.
+    pub(crate) async fn wait_until_reachable(&self, limit: Duration) {
+        let mut is_reachable = self.is_reachable.subscribe();
+        // The sender lives as long as the store; after the timeout the call may go through another node.
+        let _ = timeout(limit, is_reachable.wait_for(|is_reachable| *is_reachable)).await;
+    }
+
     /// Reads a key. The read is linearizable.
     pub(crate) async fn get(&self, key: &str) -> Result<Item> {
         let answer = self
--- a/crates/shallotroute_resident/src/view.rs
+++ b/crates/shallotroute_resident/src/view.rs
@@ -19,6 +19,9 @@
 /// that watches the store renews its lease twice in this time.
 pub(crate) const MAX_VIEW_AGE: Duration = Duration::from_millis(950);
 
+/// How long a node without a current view waits for one before it says so to a follower, which may have another source.
+const STALE_WAIT: Duration = Duration::from_millis(150);
+
 /// The interval at which a node without a current view checks whether it has one.
 const STALE_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -222,13 +225,14 @@
     let deadline = shared.now() + wait;
     let mut generation = shared.view.generation.subscribe();
     let mut proofs = shared.freshness.subscribe();
+    let mut stale_deadline = None;
     loop {
         generation.mark_unchanged();
         proofs.mark_unchanged();
         // Read before the copy, which may become newer than the proof but not the reverse.
         let confirmed_at = shared.freshness.confirmed_at();
         let now = shared.now();
-        let mut next_check = deadline;
+        let next_check;
         {
             let state = shared.view.lock();
             let current_at = state
@@ -236,6 +240,7 @@
                 .filter(|at| now < *at + MAX_VIEW_AGE);
             match (current_at, state.updates_since(&revisions)) {
                 (Some(current_at), Some(prefixes)) => {
+                    stale_deadline = None;
                     let has_changes = prefixes.iter().any(|update| !update.is_empty());
                     if has_changes || now >= deadline || is_due() {
                         let update = ViewUpdate {
@@ -247,9 +252,16 @@
                         };
                         return Some((update, confirmed_at));
                     }
+                    // The view may become too old before the end of the wait.
+                    next_check = deadline.min(current_at + MAX_VIEW_AGE);
+                }
+                _ => {
+                    let end = *stale_deadline.get_or_insert(deadline.min(now + STALE_WAIT));
+                    if now >= end {
+                        return None;
+                    }
+                    next_check = end.min(now + STALE_POLL_INTERVAL);
                 }
-                _ if now >= deadline => return None,
-                _ => next_check = deadline.min(now + STALE_POLL_INTERVAL),
             }
         }
         tokio::select! {
