resident: take a status outside 200 to 599 for no response

Cause: the library accepts any number of three digits from 100 on, and no place asked whether it is the status of a response.

Change: pool::Connection::send, which all requests to servers go through, does.

--- a/crates/shallotroute_resident/src/pool.rs
+++ b/crates/shallotroute_resident/src/pool.rs
@@ -216,24 +216,38 @@
     }
 
     /// Sends a request and returns the response, whose body is still to be read.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no response. A message with a status outside 200 to 599 is none.
     pub(crate) async fn send(
         &mut self,
         request: Request<RequestBody>,
     ) -> Result<Response<Incoming>, Failure> {
-        self.sender
-            .try_send_request(request)
-            .await
-            .map_err(|mut error| {
-                let is_unsent = error.take_message().is_some();
-                let text = format!("{}: {}", self.endpoint, error.into_error());
-                match is_unsent {
-                    true => Failure::Unsent(text),
-                    false => Failure::NoResponse {
-                        reason: text,
-                        is_reused: self.is_reused,
-                    },
-                }
-            })
+        let sent = self.sender.try_send_request(request).await;
+        let response = sent.map_err(|mut error| {
+            let is_unsent = error.take_message().is_some();
+            let text = format!("{}: {}", self.endpoint, error.into_error());
+            match is_unsent {
+                true => Failure::Unsent(text),
+                false => self.no_response(text),
+            }
+        })?;
+        // A server in trouble may send a status that ends no request, or one that HTTP does not define.
+        match response.status().as_u16() {
+            200..=599 => Ok(response),
+            other => Err(self.no_response(format!(
+                "{} answered with the status {other}, which is none of a response",
+                self.endpoint
+            ))),
+        }
+    }
+
+    fn no_response(&self, reason: String) -> Failure {
+        Failure::NoResponse {
+            reason,
+            is_reused: self.is_reused,
+        }
     }
 }
 
