resident: discard the bodies of responses to scorings

Cause: without a caller's request there is no memory budget, and up to 32 MB of each body were kept, which nothing used.

Change: these bodies are read to their end and not kept.

--- a/crates/shallotroute/tests/untrusted_clients/main.rs
+++ b/crates/shallotroute/tests/untrusted_clients/main.rs
@@ -1,11 +1,12 @@
 //! Clients that nobody controls: bodies that stop short of their end, heads without end, silent connections, responses that
-//! nobody reads, and large batch jobs, against the node program with lowered limits.
+//! nobody reads, large batch jobs, and servers that send bytes without end, against the node program with lowered limits.
 //!
 //! The crowds and the bounds were fixed on the code before it had a memory budget. The tests check neither times nor how many
 //! requests of a crowd are served.
 
 mod crowd;
 mod desk;
+mod endless;
 mod job;
 mod own;
 mod watch;
--- a/crates/shallotroute_http/src/body.rs
+++ b/crates/shallotroute_http/src/body.rs
@@ -44,6 +44,23 @@
     Ok(Limited::new(body, limit).collect().await?.to_bytes())
 }
 
+/// Reads a whole body without keeping it.
+///
+/// # Errors
+///
+/// Fails as [`read`] does.
+pub async fn discard<B>(body: B, limit: usize) -> Result<(), Error>
+where
+    B: HttpBody<Data = Bytes>,
+    B::Error: Into<Error>,
+{
+    let mut body = std::pin::pin!(Limited::new(body, limit));
+    while let Some(frame) = body.frame().await {
+        frame?;
+    }
+    Ok(())
+}
+
 /// Reads the whole body of the request that the current task handles, within the memory budget of its server.
 ///
 /// # Errors
--- a/crates/shallotroute_resident/src/forward.rs
+++ b/crates/shallotroute_resident/src/forward.rs
@@ -35,7 +35,7 @@
     usage::{self, Meter},
 };
 
-/// The maximum size of a response body, which is held in memory.
+/// The maximum size of a response body.
 const MAX_RESPONSE_BYTES: usize = 32 << 20;
 
 /// The timeout of [`send_once`], in multiples of the route's target latency.
@@ -59,6 +59,15 @@
     pub(crate) timeout: Duration,
 }
 
+/// What becomes of the body of a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Content {
+    /// It is held in memory, in the budget of the caller's request.
+    Kept,
+    /// It is read to its end, and is empty in the outcome. No budget bounds the requests that have no caller.
+    Discarded,
+}
+
 /// The outcome of sending a request to one server.
 #[derive(Debug)]
 pub(crate) enum AttemptOutcome {
@@ -105,7 +114,7 @@
     },
 }
 
-/// Sends a request to one server, without retries at another.
+/// Sends a request to one server, without retries at another. The body of its response is discarded.
 ///
 /// # Errors
 ///
@@ -133,6 +142,7 @@
         deadline,
         is_idempotent,
         Meter::none(),
+        Content::Discarded,
     );
     Ok(attempt.await.1)
 }
@@ -290,6 +300,7 @@
             deadline,
             is_idempotent,
             self.meter.clone(),
+            Content::Kept,
         ));
         self.pending.spawn(async move {
             let (server, outcome) = attempt.await;
@@ -419,11 +430,12 @@
     deadline: Instant,
     is_idempotent: bool,
     meter: Meter,
+    content: Content,
 ) -> (Name, AttemptOutcome) {
     let in_flight = shared.start_request(&server.id, None);
     let started_at = shared.now();
     let attempt = meter.begin();
-    let pending = exchange(&shared, &server, &request, deadline, is_idempotent);
+    let pending = exchange(&shared, &server, &request, deadline, is_idempotent, content);
     let pending = tokio::time::timeout_at(deadline.into(), pending);
     let attempt_outcome = match attempt.observe(pending).await {
         Ok(attempt_outcome) => attempt_outcome,
@@ -483,12 +495,21 @@
     request: &BackendRequest,
     deadline: Instant,
     is_idempotent: bool,
+    content: Content,
 ) -> AttemptOutcome {
     let sender = Sender::new(shared, server).with_idempotent(is_idempotent);
     let sent = sender.send(|| build_request(shared, server, request, deadline));
     match sent.await {
         Ok((connection, response)) => {
-            read_response(shared, &server.id, connection, &request.id, response).await
+            read_response(
+                shared,
+                &server.id,
+                connection,
+                &request.id,
+                response,
+                content,
+            )
+            .await
         }
         Err(Failure::Unsent(reason)) => AttemptOutcome::Unreachable(reason),
         Err(Failure::NoResponse { reason, .. }) => AttemptOutcome::Broken(reason),
@@ -528,12 +549,13 @@
     connection: Connection,
     id: &str,
     response: http::Response<hyper::body::Incoming>,
+    content: Content,
 ) -> AttemptOutcome {
-    let (parts, content) = response.into_parts();
+    let (parts, incoming) = response.into_parts();
     let head = backend::parse_head(parts.status, &parts.headers, id);
     shared.record_head(server, &head);
     if head.is_rejected {
-        discard_response(shared, connection, &parts.headers, content).await;
+        discard_response(shared, connection, &parts.headers, incoming).await;
         return AttemptOutcome::NotRun(format!("the server answered {}", parts.status));
     }
     if !head.has_matching_id {
@@ -547,7 +569,16 @@
             "the response does not come from the server itself".to_owned(),
         );
     }
-    let body = match body::read_response(content, MAX_RESPONSE_BYTES).await {
+    let reading = async {
+        match content {
+            Content::Kept => body::read_response(incoming, MAX_RESPONSE_BYTES).await,
+            Content::Discarded => {
+                body::discard(incoming, MAX_RESPONSE_BYTES).await?;
+                Ok(Bytes::new())
+            }
+        }
+    };
+    let body = match reading.await {
         Ok(body) => body,
         Err(error) => {
             let reason = format!("failed to read the response body: {error}");
