resident: stop taking requests while jobs are handed over

A node that stopped took requests from callers until it had handed over its jobs, 4.4 s after SIGTERM with a slow store; what runs longer than the rest of the grace period is cut then without an answer (LOST).

Cause: the listener closed after the hand-over instead of after the 2.5 s that the load balancer needs.

Change: the two go on beside each other.

--- a/crates/shallotroute_resident/src/lib.rs
+++ b/crates/shallotroute_resident/src/lib.rs
@@ -233,18 +233,24 @@
         let deadline = started_at + grace.saturating_sub(GRACE_MARGIN);
         spdlog::info!("starting to drain", kv: { open = self.open_requests.load(Ordering::Relaxed) });
         self.shared.drain.cancel();
+        // A hand-over may take most of the grace period; a request that is taken then would be cut at its end.
+        let closing = async {
+            tokio::time::sleep_until(started_at + LOAD_BALANCER_DELAY.min(grace / 2)).await;
+            self.callers_shutdown.cancel();
+        };
         let lease = *self.lease.borrow();
-        if let Some(lease) = lease
-            && let Err(error) = presence::write_entry(&self.shared, lease.id).await
-        {
-            spdlog::warn!("failed to announce that this node is leaving", kv: { error = error.to_string() });
-        }
-        if let Err(error) = self.leader.await {
-            spdlog::error!("leader election task failed", kv: { error = error.to_string() });
-        }
-        drain::jobs(&self.shared).await;
-        tokio::time::sleep_until(started_at + LOAD_BALANCER_DELAY.min(grace / 2)).await;
-        self.callers_shutdown.cancel();
+        let handing_over = async {
+            if let Some(lease) = lease
+                && let Err(error) = presence::write_entry(&self.shared, lease.id).await
+            {
+                spdlog::warn!("failed to announce that this node is leaving", kv: { error = error.to_string() });
+            }
+            if let Err(error) = self.leader.await {
+                spdlog::error!("leader election task failed", kv: { error = error.to_string() });
+            }
+            drain::jobs(&self.shared).await;
+        };
+        tokio::join!(closing, handing_over);
         let has_work =
             || self.open_requests.load(Ordering::Relaxed) > 0 || self.shared.jobs.has_endings();
         while has_work() && Instant::now() < deadline {
