resident: check the responses to items as those to callers

Cause: whole responses, streams and items each had a check of their own, and that of items lacked the signature.

Change: answer::flaw decides for all of them. A failure with an encoded body is no answer for whole responses either.

--- a/crates/shallotroute/tests/responses.rs
+++ b/crates/shallotroute/tests/responses.rs
@@ -13,7 +13,8 @@
 
 use googletest::prelude::*;
 use http::StatusCode;
-use shallotroute_soak::scripted::{self, Desk, Request, Script, Step, response};
+use serde_json::{Value, json};
+use shallotroute_soak::scripted::{self, Bounds, Call, Desk, Request, Script, Step, response};
 
 /// How long a server takes to run a request.
 const WORK: Duration = Duration::from_millis(30);
@@ -302,3 +303,77 @@
     expect_that!(count(&slow), lt(EVENT_COUNT));
     expect_that!(slow.is_complete, eq(false));
 }
+
+/// Runs a job of one item at two servers. The first attempt gets `first`, and a later one the item's event. Returns the text
+/// of the result.
+async fn run_item(first: Vec<Step>) -> Option<String> {
+    let attempts = AtomicUsize::new(0);
+    let script: Script = Arc::new(move |request: &Request| {
+        let id = request.id();
+        let is_item = request.target.starts_with("/jobs/");
+        if is_item && attempts.fetch_add(1, Ordering::Relaxed) == 0 {
+            return first.clone();
+        }
+        if !is_item {
+            return vec![Step::Write(success(id))];
+        }
+        let own = [
+            ("x-request-id", id),
+            ("x-server-stamp", "s.200"),
+            ("x-weight-versions", "1"),
+        ];
+        vec![Step::Write(response(200, &own, &event(id, 1)))]
+    });
+    let bounds = Bounds {
+        nodes: 1,
+        memory_mb: 256,
+        descriptors: 1000,
+        max_body_bytes: 1 << 20,
+    };
+    let program = Path::new(env!("CARGO_BIN_EXE_shallotroute"));
+    let desk = Desk::start_bounded(program, vec![Arc::clone(&script), script], bounds)
+        .await
+        .expect("the stand-ins should start and the node should be ready");
+    let call = |method, target, body| Call {
+        node: 0,
+        method,
+        target,
+        id: "job",
+        headers: &[("x-max-wait", "1000")],
+        body,
+    };
+    let job = scripted::job(&["one"], &json!({"X-Model": "scripted-model"}));
+    let submitted = desk.call(call("POST", "/jobs/job", job)).await;
+    expect_that!(submitted.status, some(eq(StatusCode::ACCEPTED)));
+    for _ in 0..10 {
+        let answer = desk
+            .call(call("GET", "/lots/job?after=0", Vec::new()))
+            .await;
+        let page: Value = serde_json::from_str(&answer.body).unwrap_or_default();
+        if let Some(text) = page["results"][0]["text"].as_str() {
+            return Some(text.to_owned());
+        }
+    }
+    None
+}
+
+/// Guards against an item whose text is that of a response which is not the server's own: another attempt completes it.
+#[gtest]
+#[tokio::test]
+async fn a_response_to_an_item_without_its_signature_is_no_answer() {
+    let generated = ("x-weight-versions", "1");
+    let own = [("x-request-id", "one"), ("x-server-stamp", "s"), generated];
+    let without_stamp = [own[0], generated];
+    let encoded = [own[0], own[1], generated, ("content-encoding", "gzip")];
+    let wrong = event("wrong", 1);
+    for first in [
+        response(200, &without_stamp, &wrong),
+        response(200, &without_stamp, ""),
+        response(200, &encoded, &wrong),
+        response(200, &[("x-request-id", "two"), own[1], generated], &wrong),
+    ] {
+        let head = String::from_utf8_lossy(&first).into_owned();
+        let text = run_item(vec![Step::Write(first)]).await;
+        expect_that!(text, some(eq("one 1")), "{head}");
+    }
+}
--- a/crates/shallotroute/tests/untrusted_clients/endless.rs
+++ b/crates/shallotroute/tests/untrusted_clients/endless.rs
@@ -29,6 +29,9 @@
 /// The bytes that a server sends over and over.
 const PIECE: usize = 64 << 10;
 
+/// Tells which requests get bytes without end.
+type Selection = fn(&Request) -> bool;
+
 /// Where the bytes without end are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Place {
@@ -64,7 +67,7 @@
 }
 
 /// Starts a node before two servers. Both answer what `is_endless` names with bytes without end.
-async fn start(place: Place, is_endless: fn(&Request) -> bool) -> Desk {
+async fn start(place: Place, is_endless: Selection) -> Desk {
     let script: Script = Arc::new(move |request: &Request| {
         let id = request.id();
         let headers = [("x-request-id", id), ("x-server-stamp", "s")];
@@ -157,7 +160,7 @@
 #[tokio::test]
 async fn bytes_without_end_for_the_node_end_no_other_request() {
     let _alone = run_alone().await;
-    let requests: [(&str, fn(&Request) -> bool); 3] = [
+    let requests: [(&str, Selection); 3] = [
         ("items", |request| {
             request.target.starts_with("/jobs/endless")
         }),
--- a/crates/shallotroute_resident/src/forward.rs
+++ b/crates/shallotroute_resident/src/forward.rs
@@ -24,7 +24,7 @@
 
 use crate::{
     access::Outgoing,
-    admission,
+    admission, answer,
     generate::{discard_response, idle_timeout},
     limit::{self, Unavailable},
     link::Sender,
@@ -558,16 +558,8 @@
         discard_response(shared, connection, &parts.headers, incoming).await;
         return AttemptOutcome::NotRun(format!("the server answered {}", parts.status));
     }
-    if !head.has_matching_id {
-        return AttemptOutcome::MayHaveRun(format!(
-            "the server answered {} to another request",
-            parts.status
-        ));
-    }
-    if parts.status.is_success() && (head.stamp.is_none() || head.is_encoded) {
-        return AttemptOutcome::MayHaveRun(
-            "the response does not come from the server itself".to_owned(),
-        );
+    if let Some(flaw) = answer::flaw(parts.status, &head) {
+        return AttemptOutcome::MayHaveRun(flaw);
     }
     let reading = async {
         match content {
--- a/crates/shallotroute_resident/src/generate.rs
+++ b/crates/shallotroute_resident/src/generate.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     access::Outgoing,
-    capacity,
+    answer, capacity,
     job::Owned,
     limit,
     link::Sender,
@@ -239,16 +239,12 @@
             discard_response(&self.shared, connection, &parts.headers, body).await;
             return End::new(GenerationEnd::Rejected, Outcome::Rejected, &reason);
         }
-        if !head.has_matching_id {
-            return End::new(
-                GenerationEnd::Interrupted,
-                Outcome::Failed,
-                &format!("the server responded {} to another request", parts.status),
-            );
+        if let Some(flaw) = answer::flaw(parts.status, &head) {
+            return End::new(GenerationEnd::Interrupted, Outcome::Failed, &flaw);
         }
         let status = parts.status;
         match status.as_u16() {
-            200..=299 if !head.is_encoded => {
+            200..=299 => {
                 self.read_stream(server, connection, &parts.headers, body, head.version)
                     .await
             }
--- a/crates/shallotroute_resident/src/lib.rs
+++ b/crates/shallotroute_resident/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod access;
 mod admission;
+mod answer;
 mod capacity;
 mod checkpoint;
 mod claim;
--- a/crates/shallotroute_resident/src/stream.rs
+++ b/crates/shallotroute_resident/src/stream.rs
@@ -27,6 +27,7 @@
 
 use crate::{
     admission::{self, Governors},
+    answer,
     forward::{self, BackendRequest},
     generate::{discard_response, idle_timeout},
     ingress::{failure_response, server_response},
@@ -529,10 +530,8 @@
     if head.is_rejected {
         return Err(OpenError::NotRun(format!("the server answered {status}")));
     }
-    if !head.has_matching_id || head.is_encoded || (status.is_success() && head.stamp.is_none()) {
-        return Err(OpenError::MayHaveRun(format!(
-            "the server answered {status}, which is not its response to this request"
-        )));
+    if let Some(flaw) = answer::flaw(status, head) {
+        return Err(OpenError::MayHaveRun(flaw));
     }
     match begun {
         Some(begun) if status != begun => Err(OpenError::NoContinuation(format!(
