resident: go on watching the store after a call that failed

A node whose trial of the store had succeeded stopped watching after one failed check, and waited for the next trial. If it was registered, its renewals made the copy count as current meanwhile. Found by reading; no test or run shows it.

Change: the watch ends only when the store has not answered for as long as a view may be old, and a failed trial does not stand in the way of the next one.

--- a/crates/shallotroute_resident/src/follow.rs
+++ b/crates/shallotroute_resident/src/follow.rs
@@ -195,14 +195,16 @@
         }
     }
 
-    /// Watches the store for as long as it serves this node.
+    /// Watches the store if it serves this node.
     fn try_store(&mut self) {
+        // An earlier trial may have failed.
+        while self.watches.try_join_next().is_some() {}
         if !self.watches.is_empty() {
             return;
         }
         self.trial_ends_at = Some(self.shared.now() + TRIAL_TIMEOUT);
         self.watches
-            .spawn(watch_while_served(Arc::clone(&self.shared)));
+            .spawn(watch_if_served(Arc::clone(&self.shared)));
     }
 
     fn stop_watching(&mut self) {
@@ -344,8 +346,8 @@
     Ok(())
 }
 
-/// Watches the store until it no longer serves this node. Does nothing if it does not.
-async fn watch_while_served(shared: Arc<Shared>) {
+/// Watches the store until the task is aborted, if the store serves this node.
+async fn watch_if_served(shared: Arc<Shared>) {
     if let Err(error) = fetch_proof(&shared).await {
         spdlog::info!("no source has a current view, and the store does not serve this node", kv: {
             error = error.to_string(),
@@ -357,19 +359,15 @@
     let watch_all = futures::future::join_all(
         Prefix::ALL.map(|prefix| watch_prefix(Arc::clone(&shared), prefix)),
     );
-    // The watches are long. A node that is not registered makes no other calls that show that its view is current.
+    // The watches are long, and a node that is not registered makes no other calls that show that its view is current.
     let check = async {
         loop {
             tokio::time::sleep(CHECK_INTERVAL).await;
-            if fetch_proof(&shared).await.is_err() {
-                return;
-            }
+            // Without an answer for some time the follower ends the task.
+            let _ = fetch_proof(&shared).await;
         }
     };
-    tokio::select! {
-        _ = watch_all => {}
-        () = check => {}
-    }
+    tokio::join!(watch_all, check);
 }
 
 /// Keeps a prefix current from the store until the task is aborted.
