resident: let a failed trial of the store not keep a node from watching it

Cause: the task of a failed trial stayed in the set of watches, which counted as running.

Change: tasks that have ended do not count.

--- a/crates/shallotroute_resident/src/follow.rs
+++ b/crates/shallotroute_resident/src/follow.rs
@@ -183,8 +183,14 @@
         }
     }
 
+    /// Returns whether the watches run. A trial that failed does not count.
+    fn is_watching(&mut self) -> bool {
+        while self.watches.try_join_next().is_some() {}
+        !self.watches.is_empty()
+    }
+
     fn start_watching(&mut self) {
-        if !self.watches.is_empty() {
+        if self.is_watching() {
             return;
         }
         spdlog::info!("watching the platform store");
@@ -197,9 +203,7 @@
 
     /// Watches the store if it serves this node.
     fn try_store(&mut self) {
-        // An earlier trial may have failed.
-        while self.watches.try_join_next().is_some() {}
-        if !self.watches.is_empty() {
+        if self.is_watching() {
             return;
         }
         self.trial_ends_at = Some(self.shared.now() + TRIAL_TIMEOUT);
