--- a/review/11/case.rs
+++ b/review/11/case.rs
@@ -16,18 +16,34 @@
 const MAX_ATTEMPTS: usize = 2;
 
 /// The number of batch jobs, of one item each, one after the other.
-const JOBS: usize = 8;
+const JOBS: usize = 6;
+
+/// The number of ordinary requests before each job. Half of them go to the node that runs the jobs, so that one answer in
+/// 36 of the faulty server is repeated.
+const REQUESTS: usize = 68;
+
+/// The number of reward servers, of which one is faulty.
+const SERVERS: usize = 7;
 
 /// What the reward servers have answered to each call.
 type Answers = Arc<Mutex<HashMap<String, Vec<u16>>>>;
 
-fn reward_server(name: &'static str, answers: Answers, record: Arc<Record>, has_trouble: bool) -> Arc<Server> {
+fn reward_server(
+    name: String,
+    answers: Answers,
+    runs: Arc<Mutex<HashMap<String, String>>>,
+    faulty: Arc<Mutex<String>>,
+    record: Arc<Record>,
+    has_trouble: bool,
+) -> Arc<Server> {
     Server::start(Arc::new(move |request, connection| {
         let id = request.id().to_owned();
         let earlier = answers.lock().unwrap().get(&id).map_or(0, Vec::len);
         sleep_ms(20);
-        // Each call fails at its first run.
-        let status = if earlier == 0 { 500 } else { 200 };
+        runs.lock().unwrap().insert(id.clone(), name.clone());
+        let is_faulty = *faulty.lock().unwrap() == name;
+        // The faulty server fails each reward call at its first run, which is one request in 36.
+        let status = if is_faulty && earlier == 0 && id.starts_with("call") { 500 } else { 200 };
         answers.lock().unwrap().entry(id.clone()).or_default().push(status);
         let stamp = format!("stamp-{name}-{id}-{earlier}");
         let headers = [("X-Request-Id", id.as_str()), ("X-Server-Stamp", stamp.as_str())];
@@ -73,8 +89,13 @@
         let server = model_server(Arc::clone(&record));
         listings.push(Listing::start(&store, &format!("i-llm-{number}"), "llm", server.address, model));
     }
-    for name in ["desk-0", "desk-1", "desk-2"] {
-        let server = reward_server(name, Arc::clone(&answers), Arc::clone(&record), has_trouble);
+    let runs: Arc<Mutex<HashMap<String, String>>> = Arc::default();
+    let faulty: Arc<Mutex<String>> = Arc::default();
+    for number in 0..SERVERS {
+        let name = format!("desk-{number}");
+        let (answers, record) = (Arc::clone(&answers), Arc::clone(&record));
+        let (runs, faulty) = (Arc::clone(&runs), Arc::clone(&faulty));
+        let server = reward_server(name.clone(), answers, runs, faulty, record, has_trouble);
         listings.push(Listing::start(&store, &format!("i-{name}"), "desk", server.address, "[]"));
     }
     let routes = format!(
@@ -100,8 +121,14 @@
 
     let mut broken = 0;
     let mut completed = 0;
+    let request = |number: usize| {
+        let id = format!("plain{number}");
+        let headers = [("X-Request-Id", id.as_str()), ("X-Request-Deadline", "1500")];
+        send(nodes[number % 2].callers, "POST", "/rates/plain", &headers, b"{}", ms(2000));
+    };
     for job in 0..JOBS {
-        let node = &nodes[job % nodes.len()];
+        let node = &nodes[0];
+        (job * REQUESTS..(job + 1) * REQUESTS).for_each(request);
         let (id, item, call) = (format!("job{job}"), format!("item{job}"), format!("call{job}"));
         let body = format!(
             r#"{{"step":{job},"model":"m","minVersion":1,"groupCount":1,"items":[{{"id":"{item}","path":"/rolls/{item}",
@@ -136,6 +163,11 @@
             "completed" => completed += 1,
             _ => {}
         }
+        if job == 0 {
+            // The server that the node of the jobs prefers is the faulty one from here on.
+            *faulty.lock().unwrap() = runs.lock().unwrap().get(&call).cloned().unwrap_or_default();
+            record.line(&format!("{} is the faulty server", faulty.lock().unwrap()));
+        }
         send(node.callers, "DELETE", &format!("/lots/{id}"), &[("X-Request-Id", &id)], b"", ms(3000));
     }
     record.line(&format!(
