resident: send no attempt on a connection that carried an earlier one of its request

A server in trouble repeats a response late, where the next one on the connection is due. Responses are told apart by the identity that they name, which all attempts of a request share, and the connection of a failed attempt went back to the pool, where the next attempt took it: the copy counted as a second error, and the response to the second attempt was never read.

A connection now remembers what it has carried, and the pool passes it over for further attempts of the same request. Requests, streams, scorings, items, relayed requests and orders all take their connections there. Orders, which have no identity, count as attempts of one request; a leader had stepped down again because of a copy of the rejection of its former order.

A copy can't reach a later attempt because the attempt is never on the connection on which it comes.

--- a/crates/shallotroute_resident/src/access.rs
+++ b/crates/shallotroute_resident/src/access.rs
@@ -28,6 +28,11 @@
         Self(request)
     }
 
+    /// Returns the request.
+    pub(crate) fn request(&self) -> &Request<RequestBody> {
+        &self.0
+    }
+
     /// Returns the request.
     pub(crate) fn into_request(self) -> Request<RequestBody> {
         self.0
--- a/crates/shallotroute_resident/src/link.rs
+++ b/crates/shallotroute_resident/src/link.rs
@@ -180,11 +180,8 @@
                 result => return result,
             }
         }
-        if self.uses_idle
-            && shared.links.lock().may_use_open_connections()
-            && let Some(connection) = shared.pool.take_idle(self.server.address.into())
-        {
-            match self.exchange(connection, build()?).await {
+        if shared.links.lock().may_use_open_connections() {
+            match self.send_on_idle(&build).await {
                 Err(Failure::Unsent(_)) => {}
                 result => return result,
             }
@@ -208,16 +205,10 @@
         build: impl Fn() -> Result<Outgoing, Failure>,
     ) -> Result<Exchange, Failure> {
         let shared = self.shared;
-        let idle = self
-            .uses_idle
-            .then(|| shared.pool.take_idle(self.server.address.into()))
-            .flatten();
-        if let Some(connection) = idle {
+        match self.send_on_idle(&build).await {
             // The server may have closed the connection since its last use.
-            match self.exchange(connection, build()?).await {
-                Err(Failure::Unsent(_)) => {}
-                result => return result,
-            }
+            Err(Failure::Unsent(_)) => {}
+            result => return result,
         }
         let began_at = shared.now();
         let result = match self.open().await {
@@ -233,6 +224,27 @@
         result
     }
 
+    /// Sends a request on an idle connection that has carried no earlier attempt of it.
+    ///
+    /// # Errors
+    ///
+    /// Returns how far the request got. It is unsent if there is no such connection.
+    async fn send_on_idle(
+        &self,
+        build: impl Fn() -> Result<Outgoing, Failure>,
+    ) -> Result<Exchange, Failure> {
+        let request = build()?;
+        let endpoint = Endpoint::Server(self.server.address);
+        let idle = match self.uses_idle {
+            true => self.shared.pool.take_idle_for(endpoint, request.request()),
+            false => None,
+        };
+        match idle {
+            Some(connection) => self.exchange(connection, request).await,
+            None => Err(Failure::Unsent("no connection is idle".to_owned())),
+        }
+    }
+
     /// Opens a connection to the server. The links are checked meanwhile if that takes long: the sender may give up
     /// before it is known to have failed.
     async fn open(&self) -> Result<Connection, Failure> {
--- a/crates/shallotroute_resident/src/pool.rs
+++ b/crates/shallotroute_resident/src/pool.rs
@@ -3,6 +3,7 @@
 
 use std::{
     collections::HashMap,
+    hash::{DefaultHasher, Hash, Hasher},
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
@@ -19,6 +20,7 @@
 };
 use hyper_util::rt::TokioIo;
 use prometheus_client::metrics::counter::Counter;
+use shallotroute_adapter::backend;
 use shallotroute_fleet::access::Denial;
 use shallotroute_peer::{service::Kind, stream};
 use socket2::{SockRef, TcpKeepalive};
@@ -44,6 +46,9 @@
 /// hundred bytes.
 const MAX_BUFFER_BYTES: usize = 16 << 10;
 
+/// The number of requests after which a connection is not kept, which bounds what it remembers of them.
+const MAX_REQUESTS_PER_CONNECTION: usize = 256;
+
 /// The body of a request.
 pub(crate) type RequestBody = Either<Full<Bytes>, WriteBody>;
 
@@ -97,6 +102,27 @@
     /// Whether the connection has carried a request before, so that its server may have closed it
     /// by now.
     pub(crate) is_reused: bool,
+    /// The requests that the connection has carried.
+    carried: Vec<Identity>,
+}
+
+/// The identity that all attempts of a request share, as a hash. A repeated response may be taken for that to a later attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Identity(u64);
+
+impl Identity {
+    /// Returns the identity of a request. Orders have none of their own and share one. A read without an identity, such as
+    /// that of a report, has none: a repeated response to it is an older state of the same process.
+    fn of(request: &Request<RequestBody>) -> Option<Self> {
+        let id = match backend::request_id(request.headers()) {
+            Some(id) => id,
+            None if request.method().is_safe() => return None,
+            None => "",
+        };
+        let mut hasher = DefaultHasher::new();
+        id.hash(&mut hasher);
+        Some(Self(hasher.finish()))
+    }
 }
 
 #[derive(Debug)]
@@ -124,7 +150,8 @@
         })
     }
 
-    /// Returns an idle connection, or opens a new one if there is none.
+    /// Returns an idle connection, or opens a new one if there is none. Only for peers that answer each request once:
+    /// requests for backend servers use [`Pool::take_idle_for`].
     ///
     /// # Errors
     ///
@@ -161,7 +188,8 @@
 
     /// Returns a connection to the pool, where it stays idle for `max_idle` at most.
     pub(crate) fn put(&self, mut connection: Connection, max_idle: Duration) {
-        if connection.sender.is_closed() {
+        if connection.sender.is_closed() || connection.carried.len() >= MAX_REQUESTS_PER_CONNECTION
+        {
             return;
         }
         connection.is_reused = true;
@@ -190,25 +218,51 @@
         });
     }
 
-    /// Takes an idle connection if there is one.
-    pub(crate) fn take_idle(&self, endpoint: Endpoint) -> Option<Connection> {
-        let now = Instant::now();
+    /// Takes an idle connection for a request, if there is one that has carried no earlier attempt of it. A server may repeat a response late, where the next one on the connection is due, and the
+    /// identity does not distinguish the attempts.
+    pub(crate) fn take_idle_for(
+        &self,
+        endpoint: Endpoint,
+        request: &Request<RequestBody>,
+    ) -> Option<Connection> {
+        let identity = Identity::of(request);
         self.with_idle(|idle| {
             let connections = idle.get_mut(&endpoint)?;
-            while let Some(last) = connections.pop() {
-                if last.expires > now && last.connection.sender.is_ready() {
-                    return Some(last.connection);
-                }
+            let found = take_usable(connections, |idle| !idle.connection.has_carried(identity));
+            if found.is_none() {
+                // The connection that is opened instead takes the place of one of these.
+                connections.pop();
             }
-            None
+            found
         })
     }
 
+    fn take_idle(&self, endpoint: Endpoint) -> Option<Connection> {
+        self.with_idle(|idle| take_usable(idle.get_mut(&endpoint)?, |_| true))
+    }
+
     fn with_idle<T>(&self, action: impl FnOnce(&mut HashMap<Endpoint, Vec<Idle>>) -> T) -> T {
         action(&mut self.idle.lock().unwrap_or_else(PoisonError::into_inner))
     }
 }
 
+/// Takes the last connection that is accepted, and closes those after it that are of no more use.
+fn take_usable(
+    connections: &mut Vec<Idle>,
+    is_accepted: impl Fn(&Idle) -> bool,
+) -> Option<Connection> {
+    let now = Instant::now();
+    for index in (0..connections.len()).rev() {
+        let idle = &connections[index];
+        if idle.expires <= now || !idle.connection.sender.is_ready() {
+            connections.remove(index);
+        } else if is_accepted(idle) {
+            return Some(connections.remove(index).connection);
+        }
+    }
+    None
+}
+
 impl Connection {
     /// Returns whether the connection leads to its server without a relay.
     pub(crate) fn is_direct(&self) -> bool {
@@ -224,6 +278,10 @@
         &mut self,
         request: Request<RequestBody>,
     ) -> Result<Response<Incoming>, Failure> {
+        let identity = Identity::of(&request);
+        if !self.has_carried(identity) {
+            self.carried.extend(identity);
+        }
         let sent = self.sender.try_send_request(request).await;
         let response = sent.map_err(|mut error| {
             let is_unsent = error.take_message().is_some();
@@ -243,6 +301,10 @@
         }
     }
 
+    fn has_carried(&self, identity: Option<Identity>) -> bool {
+        identity.is_some_and(|identity| self.carried.contains(&identity))
+    }
+
     fn no_response(&self, reason: String) -> Failure {
         Failure::NoResponse {
             reason,
@@ -300,6 +362,7 @@
         endpoint,
         opened_at: Instant::now(),
         is_reused: false,
+        carried: Vec::new(),
     })
 }
 
