resident: notice within 3 s that the response to a watch of the store is lost

The store had lost one response, that to a node's watch, which was held for 15 s; other calls of the node succeeded, and the last response to any call counted as a proof that its copies of the configuration, the host list and the members were current, also for its followers.

A watch is now held for 1.9 s and given up 0.9 s later, and a view is current only if the watch of each prefix was answered itself. With strict revocation the watch of op/ is held for 5 s, because calls of its own confirm that copy. The dump has the revision and the last response for each prefix.

--- a/crates/shallotroute_resident/src/dump.rs
+++ b/crates/shallotroute_resident/src/dump.rs
@@ -87,6 +87,7 @@
         "watches_store": view::is_watching(shared),
         "age_ms": standing.age.map(|age| age.as_millis()),
         "registered": *shared.should_register.borrow(),
+        "prefixes": view::prefixes(shared),
     })
 }
 
--- a/crates/shallotroute_resident/src/follow.rs
+++ b/crates/shallotroute_resident/src/follow.rs
@@ -25,15 +25,28 @@
     object,
     peer::CallError,
     shared::Shared,
-    store::{Error, Result},
+    store::{Error, Result, WATCH_MARGIN},
     view::{
         MAX_VIEW_AGE, Prefix, PrefixUpdate, ViewUpdate, apply_changes, apply_update, record_outage,
     },
 };
 
-/// How long the store may hold a watch open without a change. Longer watches need fewer calls; the
-/// time stays below that for which the store retains its history.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(15);
+/// How long the store may hold a watch open without a change. Only the response to the watch itself shows that nothing
+/// was missed: if it is lost, other calls still succeed.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(1900);
+
+/// [`WATCH_TIMEOUT`] of the operators' objects while their copy is confirmed about once a second by calls of its own
+/// ([`crate::freshness`]).
+const CONFIRMED_WATCH_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The time after a lost response within which a node must have noticed and watch again: it counts as reaching the
+/// store from then on.
+const STABLE_PERIOD: Duration = Duration::from_secs(3);
+
+const _: () = assert!(
+    WATCH_TIMEOUT.as_millis() + WATCH_MARGIN.as_millis() < STABLE_PERIOD.as_millis(),
+    "a lost response to a watch must be noticed in time"
+);
 
 /// The timeout of the first watch, whose response shows that the node's view is current.
 const FIRST_WATCH_TIMEOUT: Duration = Duration::from_millis(1);
@@ -44,6 +57,11 @@
 /// [`POLL_MARGIN`] of a response with all entries.
 const SNAPSHOT_MARGIN: Duration = Duration::from_millis(1200);
 
+/// The longest time between two responses to the watch of a prefix.
+pub(crate) const MAX_PROOF_AGE: Duration = Duration::from_millis(
+    (WATCH_TIMEOUT.as_millis() + WATCH_MARGIN.as_millis() + SERVER_WATCH_DELAY.as_millis()) as u64,
+);
+
 /// The delay between two watches of the host list, whose entries change often. Together with the
 /// store's response time it stays far below the time after which a leaving server may get no
 /// request.
@@ -385,7 +403,7 @@
             Some(after) if !must_read => {
                 let timeout = match is_first {
                     true => FIRST_WATCH_TIMEOUT,
-                    false => WATCH_TIMEOUT,
+                    false => watch_timeout(&shared, prefix),
                 };
                 watch(&shared, prefix, after, timeout).await
             }
@@ -427,6 +445,13 @@
     }
 }
 
+fn watch_timeout(shared: &Shared, prefix: Prefix) -> Duration {
+    match prefix {
+        Prefix::Operators if shared.requires_freshness() => CONFIRMED_WATCH_TIMEOUT,
+        Prefix::Operators | Prefix::Servers | Prefix::Members => WATCH_TIMEOUT,
+    }
+}
+
 fn watch_delay(prefix: Prefix) -> Duration {
     match prefix {
         Prefix::Servers => SERVER_WATCH_DELAY,
@@ -468,7 +493,9 @@
     has_changes
 }
 
+/// Records that the store has answered a watch or a read of a prefix that was sent at `sent_at`, since boot.
 fn record_proof(shared: &Shared, prefix: Prefix, sent_at: Duration) {
+    shared.view.lock().proved_at[prefix as usize] = Some(shared.boot_time());
     if prefix == Prefix::Operators {
         shared.freshness.confirm(sent_at);
     }
--- a/crates/shallotroute_resident/src/store.rs
+++ b/crates/shallotroute_resident/src/store.rs
@@ -53,7 +53,7 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// How much longer than its own wait a watch call may take.
-const WATCH_MARGIN: Duration = Duration::from_secs(1);
+pub(crate) const WATCH_MARGIN: Duration = Duration::from_millis(900);
 
 /// How long calls go only through relays after a direct call has failed.
 const RELAY_PERIOD: Duration = Duration::from_millis(700);
--- a/crates/shallotroute_resident/src/view.rs
+++ b/crates/shallotroute_resident/src/view.rs
@@ -2,6 +2,7 @@
 //! the members. It is served to other nodes, with its age.
 
 use std::{
+    collections::BTreeMap,
     sync::{Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -13,7 +14,7 @@
 use shallotroute_types::{name::Name, node::Id};
 use tokio::sync::watch;
 
-use crate::{member, object, shared::Shared};
+use crate::{follow::MAX_PROOF_AGE, member, object, shared::Shared};
 
 /// The maximum age of a view that is served to other nodes; an older one may lack a change. A node
 /// that watches the store renews its lease twice in this time.
@@ -80,6 +81,8 @@
     pub(crate) replicas: [Replica<Bytes>; Prefix::ALL.len()],
     /// The prefixes that a watch of the store keeps current.
     pub(crate) watched: [bool; Prefix::ALL.len()],
+    /// When the store last answered a watch or a read of each prefix, since boot.
+    pub(crate) proved_at: [Option<Duration>; Prefix::ALL.len()],
     /// As of when a source's view was current that this node has received.
     pub(crate) followed_at: Option<Instant>,
     /// The prefixes for which the last call to the store failed.
@@ -98,6 +101,17 @@
     pub(crate) age: Option<Duration>,
 }
 
+/// How current the copy of a prefix is, for operators.
+#[derive(Debug, Serialize)]
+pub(crate) struct PrefixStanding {
+    /// The revision up to which it is complete; `None` before the first read.
+    revision: Option<u64>,
+    /// Whether a watch of the store keeps it current.
+    watched: bool,
+    /// When the store last answered a watch or a read of it; `None` if it never has.
+    answered_ms_ago: Option<u128>,
+}
+
 impl Prefix {
     pub(crate) const ALL: [Self; 3] = [Self::Operators, Self::Servers, Self::Members];
 
@@ -134,10 +148,14 @@
 }
 
 impl State {
-    /// Returns as of when the view was current, or `None` before the first one.
+    /// Returns as of when the view was current, or `None` before the first one. That the store answers other calls shows
+    /// only that watches may be answered too: each watch must have been answered itself.
     fn current_at(&self, shared: &Shared) -> Option<Instant> {
         let is_watching = self.watched.iter().all(|is_watched| *is_watched);
-        let watched_at = shared.store.last_answered().filter(|_| is_watching);
+        let now = shared.boot_time();
+        let is_proved = |at: &Option<Duration>| at.is_some_and(|at| now < at + MAX_PROOF_AGE);
+        let is_current = is_watching && self.proved_at.iter().all(is_proved);
+        let watched_at = shared.store.last_answered().filter(|_| is_current);
         watched_at.max(self.followed_at)
     }
 
@@ -174,6 +192,22 @@
     }
 }
 
+/// Returns how current the copy of each prefix is, for operators.
+pub(crate) fn prefixes(shared: &Shared) -> BTreeMap<&'static str, PrefixStanding> {
+    let state = shared.view.lock();
+    let now = shared.boot_time();
+    let standing = |prefix: Prefix| PrefixStanding {
+        revision: state.replicas[prefix as usize].revision(),
+        watched: state.watched[prefix as usize],
+        answered_ms_ago: state.proved_at[prefix as usize]
+            .map(|at| now.saturating_sub(at).as_millis()),
+    };
+    Prefix::ALL
+        .into_iter()
+        .map(|prefix| (prefix.key(), standing(prefix)))
+        .collect()
+}
+
 /// Returns whether this node watches the store itself.
 pub(crate) fn is_watching(shared: &Shared) -> bool {
     shared.view.lock().watched.iter().any(|watched| *watched)
