--- a/crates/shallotroute/tests/repeated_responses.rs
+++ b/crates/shallotroute/tests/repeated_responses.rs
@@ -179,8 +179,9 @@
     let desk = Desk::start_with(Path::new(BINARY), vec![script], 2, Some(json!([])))
         .await
         .expect("the stand-ins should start and the nodes should be ready");
-    desk.cut_links(0);
-    tokio::time::sleep(Duration::from_secs(1)).await;
+    desk.await_relays(0)
+        .await
+        .expect("the other node should pass requests on");
     let bodies = send_again(&desk, "/open/same").await;
     expect_that!(bodies, elements_are![eq("run 0"), eq("run 1"), eq("run 2")]);
 }
--- a/crates/shallotroute_standin/src/proxy/link.rs
+++ b/crates/shallotroute_standin/src/proxy/link.rs
@@ -175,7 +175,11 @@
     mut cut: watch::Receiver<Option<Cut>>,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
-    while let Ok(length) = from.read(&mut buffer).await {
+    loop {
+        let Ok(length) = from.read(&mut buffer).await else {
+            // Passes a reset on: dropping the writer would end the connection in order.
+            return to.forget();
+        };
         let _ = cut.wait_for(|cut| *cut != Some(Cut::Hang)).await;
         if length == 0 || to.write_all(&buffer[..length]).await.is_err() {
             break;
