resident: bound the bytes of events that wait for a stream's caller

A client that opens streams and does not read them took a process over its memory: 64 such streams with events of 64 KiB held 256 MB. The queue of a stream had 64 chunks of any size up to 256 KiB, which the memory budget does not count.

A queue has 64 KiB now, or one larger chunk; the server's stream is read no further until there is room.

The crowd and the bound were fixed before the change.

--- a/crates/shallotroute/tests/untrusted_clients/desk.rs
+++ b/crates/shallotroute/tests/untrusted_clients/desk.rs
@@ -13,16 +13,16 @@
 };
 
 /// What the node may use in these tests, and has to stay within.
-const BOUND: Bound = Bound {
+pub(crate) const BOUND: Bound = Bound {
     memory_mb: 96,
     descriptors: 400,
 };
 
 /// The size of a body, which is the largest that the configuration allows.
-const BODY_BYTES: usize = 4 << 20;
+pub(crate) const BODY_BYTES: usize = 4 << 20;
 
 /// The number of connections with such bodies, some 256 MB together.
-const UPLOADS: usize = 64;
+pub(crate) const UPLOADS: usize = 64;
 
 /// The size of a response that nobody reads.
 const RESPONSE_BYTES: usize = 2 << 20;
@@ -57,13 +57,21 @@
         .expect("the stand-ins should start and the node should be ready")
 }
 
-fn watch(desk: &Desk) -> Watch {
+pub(crate) fn watch(desk: &Desk) -> Watch {
     let node = desk.node(0);
-    Watch::start(node.pid, vec![node.callers.port(), node.peers.port()])
+    Watch::start(
+        node.pid,
+        vec![
+            node.callers.port(),
+            node.peers.port(),
+            node.readiness.port(),
+            node.metrics.port(),
+        ],
+    )
 }
 
 /// Sends an ordinary request until it is answered.
-async fn expect_ordinary_answer(desk: &Desk, case: &str) {
+pub(crate) async fn expect_ordinary_answer(desk: &Desk, case: &str) {
     let mut last = None;
     let trying = async {
         for number in 0.. {
@@ -82,7 +90,7 @@
 
 /// Lets a crowd act on a node, and checks the node during it, and that an ordinary request is answered while the crowd's
 /// connections are still open.
-async fn expect_withstood(case: &str, act: impl AsyncFnOnce(&Desk) -> Crowd) {
+pub(crate) async fn expect_withstood(case: &str, act: impl AsyncFnOnce(&Desk) -> Crowd) {
     let _alone = run_alone().await;
     let desk = start().await;
     let watch = watch(&desk);
--- a/crates/shallotroute/tests/untrusted_clients/main.rs
+++ b/crates/shallotroute/tests/untrusted_clients/main.rs
@@ -9,6 +9,8 @@
 mod endless;
 mod job;
 mod own;
+mod ports;
+mod unread;
 mod watch;
 
 use tokio::sync::{Mutex, MutexGuard};
--- a/crates/shallotroute_resident/src/stream.rs
+++ b/crates/shallotroute_resident/src/stream.rs
@@ -23,7 +23,10 @@
 };
 use shallotroute_http::body::{self, Body};
 use shallotroute_types::name::Name;
-use tokio::{sync::mpsc, time::error::Elapsed};
+use tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore, mpsc},
+    time::error::Elapsed,
+};
 
 use crate::{
     admission::{self, Governors},
@@ -44,10 +47,13 @@
 /// The maximum number of chunks that are buffered for a slow caller.
 const QUEUE_CHUNKS: usize = 64;
 
+/// The maximum size of these chunks together, in bytes. A larger one is buffered alone.
+const QUEUE_BYTES: u32 = 64 << 10;
+
 /// What the response of a caller consists of.
 enum Part {
-    /// Bytes of the body.
-    Bytes(Bytes),
+    /// Bytes of the body, with their share of [`QUEUE_BYTES`].
+    Bytes(Bytes, OwnedSemaphorePermit),
     /// The regular end of the body.
     End,
 }
@@ -189,6 +195,7 @@
         is_resumable,
         deadline: policy.deadline,
         sender,
+        queue_bytes: Arc::new(Semaphore::new(QUEUE_BYTES as usize)),
     };
     tokio::spawn(copier.run(opened, attempts));
     let chunks = futures::stream::unfold(Some(receiver), next_chunk);
@@ -237,7 +244,10 @@
 ) -> Option<(Result<Bytes, body::Error>, Option<mpsc::Receiver<Part>>)> {
     let mut receiver = receiver?;
     match receiver.recv().await {
-        Some(Part::Bytes(bytes)) => Some((Ok(bytes), Some(receiver))),
+        Some(Part::Bytes(bytes, room)) => {
+            drop(room);
+            Some((Ok(bytes), Some(receiver)))
+        }
         Some(Part::End) => None,
         None => Some((Err("the stream was given up before its end".into()), None)),
     }
@@ -564,6 +574,8 @@
     meter: Meter,
     /// The response of the caller, which is aborted if this is dropped before [`Part::End`].
     sender: mpsc::Sender<Part>,
+    /// The rest of [`QUEUE_BYTES`].
+    queue_bytes: Arc<Semaphore>,
 }
 
 impl Copier {
@@ -674,7 +686,7 @@
                         .record_heard(&connection, self.shared.now());
                     if let Ok(bytes) = frame.into_data() {
                         self.record_event();
-                        if let Err(end) = self.send(Part::Bytes(bytes)).await {
+                        if let Err(end) = self.send_bytes(bytes).await {
                             return end;
                         }
                     }
@@ -776,7 +788,7 @@
             }
             self.check_software(server)?;
             self.record_origin(&server.software).await;
-            self.send(Part::Bytes(block)).await?;
+            self.send_bytes(block).await?;
             self.last_event = number;
         }
         Ok(())
@@ -839,6 +851,22 @@
         .await;
     }
 
+    /// Sends bytes of the response to the caller, as [`Copier::send`] does.
+    async fn send_bytes(&self, bytes: Bytes) -> Result<(), CopyEnd> {
+        let size = u32::try_from(bytes.len()).unwrap_or(QUEUE_BYTES);
+        let room = Arc::clone(&self.queue_bytes).acquire_many_owned(size.min(QUEUE_BYTES));
+        let permit = tokio::select! {
+            permit = tokio::time::timeout_at(self.deadline.into(), room) => permit,
+            () = self.sender.closed() => return Err(CopyEnd::CallerLeft),
+        };
+        match permit {
+            Ok(Ok(permit)) => self.send(Part::Bytes(bytes, permit)).await,
+            // The semaphore is never closed.
+            Ok(Err(_)) => Err(CopyEnd::CallerLeft),
+            Err(_) => Err(CopyEnd::CallerStalled),
+        }
+    }
+
     /// Sends a part of the response to the caller. A caller that does not read is waited for until the deadline of its
     /// request.
     async fn send(&self, part: Part) -> Result<(), CopyEnd> {
