--- a/crates/shallotroute/tests/repeated_responses.rs
+++ b/crates/shallotroute/tests/repeated_responses.rs
@@ -25,8 +25,8 @@
 };
 
 /// Returns the script of a server that sends the response to an attempt once more where that to the next attempt of the
-/// request is due, if both come on one connection. It repeats no reports. `respond` gets the number of earlier runs of the request; those without
-/// an identity count by their targets.
+/// request is due, if both come on one connection. It repeats no reports. `respond` gets the number of earlier runs of the
+/// request; those without an identity count by their targets.
 fn repeating(
     respond: impl Fn(&Request, usize) -> Vec<u8> + Send + Sync + 'static,
 ) -> (Script, Arc<Mutex<BTreeMap<String, usize>>>) {
--- a/crates/shallotroute_resident/src/pool.rs
+++ b/crates/shallotroute_resident/src/pool.rs
@@ -106,7 +106,8 @@
     carried: Vec<Identity>,
 }
 
-/// The identity that all attempts of a request share, as a hash. A repeated response may be taken for that to a later attempt.
+/// The identity that all attempts of a request share, as a hash. A repeated response may be taken for that to a later
+/// attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Identity(u64);
 
@@ -218,8 +219,9 @@
         });
     }
 
-    /// Takes an idle connection for a request, if there is one that has carried no earlier attempt of it. A server may repeat a response late, where the next one on the connection is due, and the
-    /// identity does not distinguish the attempts.
+    /// Takes an idle connection for a request, if there is one that has carried no earlier attempt of it. A server may
+    /// repeat a response late, where the next one on the connection is due, and the identity does not distinguish the
+    /// attempts.
     pub(crate) fn take_idle_for(
         &self,
         endpoint: Endpoint,
