http: serve HTTP/1.1 only within a memory budget

A crowd of clients that nobody controls took a process over its memory with the heads of requests: 100 connections of HTTP/2, each with 60 requests of 48 KB, held 261 MB. The budget counts bodies and bounds the number of connections, for each of which it assumes one request; on a connection of HTTP/2 a client begins 200, and no flow control holds their heads back.

The ports that are within the budget, all of a node's, speak HTTP/1.1 only. It is the protocol of callers, nodes and operators; a connection that begins with HTTP/2 is closed. Options for windows and heads of HTTP/2 go.

--- a/crates/shallotroute/tests/untrusted_clients/main.rs
+++ b/crates/shallotroute/tests/untrusted_clients/main.rs
@@ -7,6 +7,7 @@
 mod crowd;
 mod desk;
 mod endless;
+mod http2;
 mod job;
 mod own;
 mod ports;
--- a/crates/shallotroute_http/src/server.rs
+++ b/crates/shallotroute_http/src/server.rs
@@ -69,9 +69,6 @@
 /// The size of a connection's read and write buffers within a memory budget, in bytes; the library's default is 400 KB.
 const BOUNDED_BUFFER_BYTES: usize = 64 << 10;
 
-/// The window of an HTTP/2 connection and of each of its streams within a memory budget, in bytes.
-const BOUNDED_WINDOW_BYTES: u32 = 128 << 10;
-
 /// The interval at which connections are looked for whose clients make no progress.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -84,7 +81,7 @@
     accept(listener, handler, drain, None).await;
 }
 
-/// Serves as [`serve`] does, within the memory budget of `connections`.
+/// Serves HTTP/1.1 as [`serve`] does, within the memory budget of `connections`, which counts one request for each of them.
 pub async fn serve_within(
     listener: TcpListener,
     handler: Arc<dyn Handler>,
@@ -145,20 +142,15 @@
     if let Some(bytes) = head_bytes {
         http1.max_buf_size(bytes.max(MIN_HEAD_BYTES));
     }
-    let mut http2 = builder.http2();
-    http2.timer(TokioTimer::new());
-    if is_bounded {
-        http2
-            .initial_stream_window_size(BOUNDED_WINDOW_BYTES)
-            .initial_connection_window_size(BOUNDED_WINDOW_BYTES)
-            .max_send_buf_size(BOUNDED_BUFFER_BYTES)
-            .max_header_list_size(BOUNDED_WINDOW_BYTES / 2);
+    builder.http2().timer(TokioTimer::new());
+    match is_bounded {
+        true => builder.http1_only(),
+        false => builder,
     }
-    builder
 }
 
 /// Serves one connection until it ends, or until its memory budget closes it: that of the connection for which the function
-/// is called.
+/// is called. Within a budget it serves HTTP/1.1 only.
 pub fn serve_connection(
     stream: TcpStream,
     handler: Arc<dyn Handler>,
